--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+VENV := .venv
+PY := $(VENV)/bin/python
+PROCESSES ?= 4
+
+.PHONY: setup check test format
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: requirements.txt
+	python3 -m venv $(VENV)
+	$(PY) -m pip install -q -r requirements.txt
+	touch $@
+
+check: setup
+	$(PY) -m black --check --quiet .
+	$(PY) -m ruff check --quiet .
+	$(PY) -m mypy --no-error-summary
+
+test: check
+	$(PY) -m pytest -n $(PROCESSES)
+
+format: setup
+	$(PY) -m black --quiet .
+	$(PY) -m ruff check --fix --quiet .
--- /dev/null
+++ b/bilberrystack/client/__init__.py
@@ -0,0 +1,1 @@
+"""Client library for callers."""
--- /dev/null
+++ b/bilberrystack/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The asynchronous shell: roles of an instance, listeners and links."""
--- /dev/null
+++ b/bilberrystack/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Thrift over framed asyncio connections."""
