--- a/bilberrystack/core/members.py
+++ b/bilberrystack/core/members.py
@@ -18,6 +18,7 @@
     CONNECTION_LIMIT = 7
     INVALID_STATEMENT = 8
     LEAVING = 9
+    CONFLICT = 10
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bilberrystack/gen/members/ttypes.py
+++ b/bilberrystack/gen/members/ttypes.py
@@ -26,6 +26,7 @@
     CONNECTION_LIMIT = 7
     INVALID_STATEMENT = 8
     LEAVING = 9
+    CONFLICT = 10
 
     _VALUES_TO_NAMES = {
         1: "NOT_PRIMARY",
@@ -37,6 +38,7 @@
         7: "CONNECTION_LIMIT",
         8: "INVALID_STATEMENT",
         9: "LEAVING",
+        10: "CONFLICT",
     }
 
     _NAMES_TO_VALUES = {
@@ -49,6 +51,7 @@
         "CONNECTION_LIMIT": 7,
         "INVALID_STATEMENT": 8,
         "LEAVING": 9,
+        "CONFLICT": 10,
     }
 
 
--- a/bilberrystack/proxy/interfaces.py
+++ b/bilberrystack/proxy/interfaces.py
@@ -161,3 +161,66 @@
     async def fetch_configuration(self, known_parts: list[str]) -> ConfigurationTransfer: ...
 
     def close(self) -> None: ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberView:
+    """What an owner knows about a member, for operators.
+
+    Attributes:
+      name: The member's declared name.
+      status: Its latest report; None if it never answered.
+      age_s: Seconds since its last answer of any kind; None if it never answered.
+    """
+
+    name: str
+    status: members.MemberStatus | None
+    age_s: float | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupView:
+    """What an owner knows about its group, for operators.
+
+    Attributes:
+      group: The group's name.
+      rank: The owner's rank, from 0.
+      primary: The primary's name, None if there is none.
+      term: The highest promised term seen.
+      confirmed: The highest confirmed position.
+      members: The members.
+      queue_depth: Requests that wait.
+      in_flight: Requests at members.
+      open_transactions: Transactions pinned here.
+      last_change: Who decided the last change of primary that this owner knows, and why; empty if
+        it knows of none.
+    """
+
+    group: str
+    rank: int
+    primary: str | None
+    term: int
+    confirmed: positions.Position
+    members: tuple[MemberView, ...]
+    queue_depth: int
+    in_flight: int
+    open_transactions: int
+    last_change: str
+
+
+class GroupOwner(Protocol):
+    """The owner role of one instance for one database group."""
+
+    async def execute(self, request: requests.GroupRequest) -> outcomes.Outcome:
+        """Runs a request; never raises but when cancelled, and answers by the deadline."""
+
+    def set_rank(self, rank: int) -> None:
+        """Changes the owner's rank, and with it its share of connections and its heartbeats."""
+
+    def set_leaving_endpoints(self, addresses: frozenset[str]) -> None:
+        """Tells which endpoint addresses are leaving, by the platform's list or a peer."""
+
+    def view(self) -> GroupView: ...
+
+    async def close(self) -> None:
+        """Ends the role; open transactions are aborted."""
--- a/schema/members.thrift
+++ b/schema/members.thrift
@@ -33,6 +33,7 @@
   CONNECTION_LIMIT = 7
   INVALID_STATEMENT = 8
   LEAVING = 9
+  CONFLICT = 10
 }
 
 struct Reply {
