--- a/bilberrystack/core/failover.py
+++ b/bilberrystack/core/failover.py
@@ -19,8 +19,9 @@
 # An answer may be this late without counting as silence.
 ANSWER_SLACK_S = 0.05
 
-# Before a pause the last answer may be one interval old, so the interval is added.
-SUSPICION_S = DETECTION_TIME_S + HEARTBEAT_INTERVAL_S + ANSWER_SLACK_S
+# The age of the oldest unanswered heartbeat at which an owner suspects the primary. A member that
+# pauses answers what it received when it resumes, so a shorter pause never reaches this age.
+SUSPICION_S = DETECTION_TIME_S + ANSWER_SLACK_S
 
 # While replicas still hear the primary, only the owner's own path may be cut.
 HEARD_BY_REPLICAS_FACTOR = 3
@@ -38,40 +39,47 @@
 
 
 class Detector:
-    """Watches the silence of one primary from one owner."""
+    """Watches for the silence of one primary from one owner."""
 
-    __slots__ = ("_last_answer", "_last_tick", "_unanswered")
+    __slots__ = ("_last_answer", "_last_tick", "_oldest_unanswered", "_unanswered")
 
     def __init__(self, now: float) -> None:
         self._last_answer = now
         self._last_tick = now
+        self._oldest_unanswered: float | None = None
         self._unanswered = 0
 
     @property
     def last_answer(self) -> float:
-        """When the primary last answered, or when the silence began to count."""
+        """When the primary last answered, or when watching it began."""
         return self._last_answer
 
     def restart(self, now: float) -> None:
-        """Begins a new silence, for a new primary or after a pause of this process."""
+        """Begins anew, for a new primary or after a pause of this process."""
         self._last_answer = now
+        self._oldest_unanswered = None
         self._unanswered = 0
 
     def tick(self, now: float) -> None:
-        """Notes that this process runs; a gap between ticks restarts the silence."""
+        """Notes that this process runs; after a gap between ticks the silence starts anew."""
         if now - self._last_tick > SELF_PAUSE_S:
             self.restart(now)
         self._last_tick = now
 
-    def heartbeat_sent(self) -> None:
+    def heartbeat_sent(self, now: float) -> None:
         """Notes a heartbeat that the primary has not answered yet."""
+        if self._oldest_unanswered is None:
+            self._oldest_unanswered = now
         self._unanswered += 1
 
     def answered(self, at: float) -> None:
         """Notes an answer of any kind that the primary gave at an instant."""
         if at > self._last_answer:
-            self._last_answer = at
-            self._unanswered = 0
+            self.restart(at)
+
+    def silence(self, now: float) -> float:
+        """Returns the age of the oldest unanswered heartbeat in seconds; 0 if there is none."""
+        return 0.0 if self._oldest_unanswered is None else now - self._oldest_unanswered
 
     def suspects(self, now: float, rank: int, heard_by_replicas: bool) -> bool:
         """Tells whether the primary may be replaced.
@@ -86,7 +94,7 @@
         if self._unanswered < MIN_UNANSWERED_HEARTBEATS:
             return False
         threshold = SUSPICION_S * (HEARD_BY_REPLICAS_FACTOR if heard_by_replicas else 1)
-        return now - self._last_answer >= threshold + rank * RANK_DELAY_S
+        return self.silence(now) >= threshold + rank * RANK_DELAY_S
 
 
 def heard_by_replicas(
--- a/bilberrystack/wire/rpc.py
+++ b/bilberrystack/wire/rpc.py
@@ -37,15 +37,34 @@
             self._transport.close()
 
 
+@dataclasses.dataclass(eq=False, slots=True)
+class Traffic:
+    """Payload bytes of a set of connections, length prefixes included.
+
+    Attributes:
+      received: Bytes received.
+      sent: Bytes sent.
+    """
+
+    received: int = 0
+    sent: int = 0
+
+
 class _Framed(asyncio.Protocol):
     """Reads frames and applies the transport's flow control to reading."""
 
-    __slots__ = ("_reader", "_transport")
+    __slots__ = ("_reader", "_traffic", "_transport")
 
-    def __init__(self, max_frame_bytes: int) -> None:
+    def __init__(self, max_frame_bytes: int, traffic: Traffic) -> None:
         self._reader = codec.FrameReader(max_frame_bytes)
+        self._traffic = traffic
         self._transport: asyncio.Transport | None = None
 
+    def _write(self, frame: bytes) -> None:
+        assert self._transport is not None
+        self._traffic.sent += len(frame)
+        self._transport.write(frame)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
@@ -60,6 +79,7 @@
             self._transport.resume_reading()
 
     def data_received(self, data: bytes) -> None:
+        self._traffic.received += len(data)
         try:
             for frame in self._reader.feed(data):
                 self._frame_received(codec.decode(frame))
@@ -78,8 +98,8 @@
 
     __slots__ = ("_closed_reason", "_on_close", "_pending", "_sequence", "_service")
 
-    def __init__(self, service: codec.Service, max_frame_bytes: int) -> None:
-        super().__init__(max_frame_bytes)
+    def __init__(self, service: codec.Service, max_frame_bytes: int, traffic: Traffic) -> None:
+        super().__init__(max_frame_bytes, traffic)
         self._service = service
         self._pending: dict[int, tuple[str, asyncio.Future[Any]]] = {}
         self._sequence = 0
@@ -114,7 +134,7 @@
         future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         self._pending[sequence] = (method, future)
         try:
-            self._transport.write(frame)
+            self._write(frame)
             message = await future
         finally:
             self._pending.pop(sequence, None)
@@ -179,6 +199,7 @@
     *,
     tls: ssl.SSLContext | None = None,
     max_frame_bytes: int = codec.MAX_FRAME_BYTES,
+    traffic: Traffic | None = None,
 ) -> Connection:
     """Opens a connection.
 
@@ -188,12 +209,13 @@
       port: Its port.
       tls: The TLS context, or None for plain TCP.
       max_frame_bytes: The longest frame accepted.
+      traffic: Where the connection's bytes are counted.
     Returns:
       The connection. Raises OSError.
     """
     loop = asyncio.get_running_loop()
     _transport, protocol = await loop.create_connection(
-        lambda: Connection(service, max_frame_bytes), host, port, ssl=tls
+        lambda: Connection(service, max_frame_bytes, traffic or Traffic()), host, port, ssl=tls
     )
     return protocol
 
@@ -207,7 +229,7 @@
     __slots__ = ("_context", "_handler", "_on_failure", "_server", "_service", "_tasks")
 
     def __init__(self, server: "Server", max_frame_bytes: int) -> None:
-        super().__init__(max_frame_bytes)
+        super().__init__(max_frame_bytes, server.traffic)
         self._server = server
         self._service = server.service
         self._handler = server.handler
@@ -267,7 +289,7 @@
             return
         failed = isinstance(result, Thrift.TApplicationException)
         kind = Thrift.TMessageType.EXCEPTION if failed else Thrift.TMessageType.REPLY
-        self._transport.write(codec.encode(message.method, kind, message.sequence, result))
+        self._write(codec.encode(message.method, kind, message.sequence, result))
 
     def _failed(self, failure: failures.WireFailure) -> None:
         self._server.on_failure(self._context, failure)
@@ -304,6 +326,7 @@
       handler: An object with an asynchronous method for each call, which takes the Context and the
         call's arguments, and optionally connection_closed(context).
       connections: The open connections.
+      traffic: The bytes of all connections since the start.
       on_failure: Called once when a connection is closed for a malformed or too large frame.
       on_error: Called when a handler raised an error that the schema doesn't declare.
     """
@@ -311,6 +334,7 @@
     service: codec.Service
     handler: Any
     connections: set[_Accepted] = dataclasses.field(default_factory=set)
+    traffic: Traffic = dataclasses.field(default_factory=Traffic)
     on_failure: OnFailure = _ignore_failure
     on_error: collections.abc.Callable[[Context, str, Exception], None] = _ignore_error
     _listener: asyncio.Server | None = None
