--- /dev/null
+++ b/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs under failure: fakes at the proxy's interfaces, checkers over histories, the matrix."""
--- /dev/null
+++ b/faults/members.py
@@ -0,0 +1,359 @@
+"""In-memory members of a database group behind a network of fakes."""
+
+import asyncio
+import collections.abc
+from typing import Any
+
+from bilberrystack.core import declarations
+from bilberrystack.core import members
+from bilberrystack.core import positions
+from bilberrystack.core import requests
+from bilberrystack.proxy import interfaces
+from bilberrystack_standins import member_state
+from faults import history
+from faults import network
+from faults import paused_loop
+
+# A replica asks again after this time without entries; its contact with the primary is as fresh.
+PULL_WAIT_S = 0.05
+
+# A replica gives up on a pull without any answer.
+PULL_TIMEOUT_S = 0.5
+
+
+class MemberServer:
+    """A member: the stand-in's state machine, slots, connections and replication.
+
+    Attributes:
+      state: The state machine.
+      receive_lag_s: Time from the primary's answer until the replica has the entries.
+    """
+
+    def __init__(
+        self,
+        net: network.Network,
+        declaration: declarations.MemberDeclaration,
+        group: str,
+        record: history.History,
+    ) -> None:
+        self.net = net
+        self.declaration = declaration
+        self.group = group
+        self.party = declaration.address
+        self.state = member_state.MemberState(
+            declaration.name,
+            slots=declaration.slots,
+            connection_limit=declaration.connections,
+        )
+        self.receive_lag_s = 0.0
+        self.peers: dict[str, MemberServer] = {}
+        self.statements = 0
+        self._record = record
+        self._slots = asyncio.Semaphore(declaration.slots)
+        self._connections: set[network.Connection] = set()
+        # A dictionary keeps the order, so that a run repeats exactly.
+        self._waiters: dict[asyncio.Future[None], None] = {}
+        self._cursor: positions.Position | None = None
+        self._puller: asyncio.Task[None] | None = None
+
+    @property
+    def now(self) -> float:
+        return self.net.loop.time()
+
+    @property
+    def connection_count(self) -> int:
+        """The connections that are open, control connections included."""
+        return len(self._connections)
+
+    def start(self) -> None:
+        """Starts replication."""
+        self._puller = self.net.loop.create_task(
+            self._replicate(), context=paused_loop.as_party(self.party)
+        )
+
+    def set_leaving(self) -> None:
+        """Announces that the member's endpoint is leaving."""
+        self.state.leaving = True
+        self._record.leaving_endpoints.append(history.Leaving(self.now, self.party))
+        self._notify()
+
+    def accept(self, connection: network.Connection) -> bool:
+        """Takes a connection, unless the member is at its limit."""
+        if len(self._connections) >= self.declaration.connections:
+            return False
+        self._connections.add(connection)
+        connection.on_server_close = lambda: self._closed(connection)
+        return True
+
+    async def status(self, wait_for: positions.Position, wait_s: float) -> members.MemberStatus:
+        """Answers once the log reaches wait_for, the promised term changes or wait_s passed."""
+        self._emit("status.received")
+        term = self.state.promised_term
+        await self._wait_until(
+            lambda: self.state.last_log >= wait_for or self.state.promised_term != term, wait_s
+        )
+        return self.state.status(self.now)
+
+    async def fence(self, term: int) -> tuple[bool, members.MemberStatus]:
+        self._emit("fence.received")
+        granted = self.state.fence(term)
+        self._changed("fence.granted" if granted else "fence.rejected")
+        return granted, self.state.status(self.now)
+
+    async def promote(self, term: int) -> members.MemberStatus:
+        self._emit("promote.received")
+        self._changed("promote.executed" if self.state.promote(term) else "promote.refused")
+        return self.state.status(self.now)
+
+    async def follow(self, term: int, primary_address: str) -> members.MemberStatus:
+        self._emit("follow.received")
+        if self.state.follow(term, primary_address):
+            self._cursor = None
+        self._changed("follow.executed")
+        return self.state.status(self.now)
+
+    async def read(
+        self, body: bytes, min_position: positions.Position, wait_s: float
+    ) -> members.MemberReply:
+        self._work("read", new=True)
+        await self._wait_until(lambda: self.state.applied >= min_position, wait_s)
+        return await self._run("read", lambda: self.state.read(body, min_position, self.now))
+
+    async def write(self, term: int, key: requests.RequestKey, body: bytes) -> members.MemberReply:
+        self._work("write", new=True)
+        return await self._run("write", lambda: self.state.write(term, key, body))
+
+    async def begin(self, connection: network.Connection, term: int) -> members.MemberReply:
+        self._work("begin", new=True)
+        return await self._run("begin", lambda: self.state.begin(connection, term))
+
+    async def statement(self, connection: network.Connection, body: bytes) -> members.MemberReply:
+        self._work("statement", new=False)
+        return await self._run("statement", lambda: self.state.statement(connection, body))
+
+    async def commit(
+        self, connection: network.Connection, key: requests.RequestKey
+    ) -> members.MemberReply:
+        self._work("commit", new=False)
+        return await self._run("commit", lambda: self.state.commit(connection, key))
+
+    async def abort(self, connection: network.Connection) -> members.MemberReply:
+        self._work("abort", new=False)
+        return await self._run("abort", lambda: self.state.abort(connection))
+
+    async def resolve(self, term: int, key: requests.RequestKey) -> members.MemberReply:
+        self._work("resolve", new=False)
+        return await self._run("resolve", lambda: self.state.resolve(term, key))
+
+    async def pull(self, term: int, after: positions.Position) -> member_state.Pulled:
+        """Serves a replica; waits a little for entries."""
+        pulled = self.state.entries_after(term, after)
+        if pulled.accepted and pulled.matched and not pulled.entries:
+            last = self.state.last_log
+            await self._wait_until(
+                lambda: self.state.last_log != last or self.state.promised_term != term,
+                PULL_WAIT_S,
+            )
+            pulled = self.state.entries_after(term, after)
+        return pulled
+
+    async def _run(
+        self, name: str, execute: collections.abc.Callable[[], members.MemberReply]
+    ) -> members.MemberReply:
+        async with self._slots:
+            await asyncio.sleep(self.net.profile.service_s)
+            reply = execute()
+        self.statements += 1
+        self._changed(
+            f"{name}.executed" if isinstance(reply, members.Executed) else f"{name}.refused"
+        )
+        return reply
+
+    async def _replicate(self) -> None:
+        connection: network.Connection | None = None
+        while True:
+            address = self.state.primary_address
+            if address is None:
+                await self._wait_until(lambda: self.state.primary_address is not None, 1.0)
+                continue
+            try:
+                if connection is None or connection.dst != address:
+                    connection = await asyncio.wait_for(
+                        self.net.open(self.party, address), PULL_TIMEOUT_S
+                    )
+                await self._pull_once(connection, self.peers[address])
+            except (interfaces.LinkLost, TimeoutError):
+                if connection is not None:
+                    self.net.close(connection)
+                    connection = None
+                await asyncio.sleep(0.01)
+
+    async def _pull_once(self, connection: network.Connection, primary: "MemberServer") -> None:
+        term = self.state.promised_term
+        after = self._cursor or self.state.pull_after
+        pulled = await asyncio.wait_for(
+            self.net.call(connection, lambda: primary.pull(term, after)), PULL_TIMEOUT_S
+        )
+        if self.receive_lag_s and pulled.entries:
+            self._cursor = pulled.entries[-1].position
+            self.net.loop.call_later(self.receive_lag_s, self._take, term, after, pulled)
+            return
+        self._take(term, after, pulled)
+        if not pulled.accepted:
+            await asyncio.sleep(PULL_WAIT_S / 5)
+
+    def _take(self, term: int, after: positions.Position, pulled: member_state.Pulled) -> None:
+        if not self.state.append(term, after, pulled, self.now) or not pulled.matched:
+            self._cursor = None
+            return
+        if pulled.entries:
+            self._changed("replica.received")
+        self._schedule_apply()
+
+    def _schedule_apply(self) -> None:
+        due = self.state.next_apply_at
+        if due is not None:
+            self.net.loop.call_at(due + 1e-6, self._apply)
+
+    def _apply(self) -> None:
+        self.state.advance(self.now)
+        self._notify()
+
+    def _work(self, kind: str, new: bool) -> None:
+        self._record.work.append(history.Work(self.now, self.party, kind, new))
+        self._emit(f"{kind}.received")
+
+    def _emit(self, name: str) -> None:
+        self.net.emit(name, self.party, group=self.group)
+
+    def _changed(self, event: str) -> None:
+        self._notify()
+        self._emit(event)
+
+    def _notify(self) -> None:
+        waiters, self._waiters = self._waiters, {}
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    async def _wait_until(
+        self, condition: collections.abc.Callable[[], bool], wait_s: float
+    ) -> None:
+        until = self.now + wait_s
+        while not condition() and self.now < until - 1e-9:
+            waiter = self.net.loop.create_future()
+            self._waiters[waiter] = None
+            timer = self.net.loop.call_at(until, _wake, waiter)
+            await waiter
+            timer.cancel()
+            self._waiters.pop(waiter, None)
+
+    def _closed(self, connection: network.Connection) -> None:
+        self._connections.discard(connection)
+        self.state.connection_closed(connection)
+
+
+class DataConnection:
+    """A data connection of an instance to a member."""
+
+    def __init__(self, server: MemberServer, connection: network.Connection) -> None:
+        self._server = server
+        self._connection = connection
+
+    async def read(
+        self, body: bytes, min_position: positions.Position, wait_s: float
+    ) -> members.MemberReply:
+        return await self._call(lambda: self._server.read(body, min_position, wait_s))
+
+    async def write(self, term: int, key: requests.RequestKey, body: bytes) -> members.MemberReply:
+        return await self._call(lambda: self._server.write(term, key, body))
+
+    async def begin(self, term: int) -> members.MemberReply:
+        return await self._call(lambda: self._server.begin(self._connection, term))
+
+    async def statement(self, body: bytes) -> members.MemberReply:
+        return await self._call(lambda: self._server.statement(self._connection, body))
+
+    async def commit(self, key: requests.RequestKey) -> members.MemberReply:
+        return await self._call(lambda: self._server.commit(self._connection, key))
+
+    async def abort(self) -> members.MemberReply:
+        return await self._call(lambda: self._server.abort(self._connection))
+
+    async def resolve(self, term: int, key: requests.RequestKey) -> members.MemberReply:
+        return await self._call(lambda: self._server.resolve(term, key))
+
+    def close(self) -> None:
+        self._server.net.close(self._connection)
+
+    async def _call(self, handler: Any) -> Any:
+        return await self._server.net.call(self._connection, handler)
+
+
+class MemberLink:
+    """What one instance holds of one member; implements interfaces.Member."""
+
+    def __init__(self, server: MemberServer, instance: str) -> None:
+        self._server = server
+        self._instance = instance
+        self._control: network.Connection | None = None
+        self._opening: asyncio.Task[network.Connection] | None = None
+
+    @property
+    def name(self) -> str:
+        return self._server.declaration.name
+
+    @property
+    def address(self) -> str:
+        return self._server.declaration.address
+
+    @property
+    def failure_domain(self) -> str:
+        return self._server.declaration.failure_domain
+
+    async def connect(self) -> DataConnection:
+        return DataConnection(self._server, await self._open())
+
+    async def status(self, wait_for: positions.Position, wait_s: float) -> members.MemberStatus:
+        return await self._call(lambda: self._server.status(wait_for, wait_s))
+
+    async def fence(self, term: int) -> tuple[bool, members.MemberStatus]:
+        return await self._call(lambda: self._server.fence(term))
+
+    async def promote(self, term: int) -> members.MemberStatus:
+        return await self._call(lambda: self._server.promote(term))
+
+    async def follow(self, term: int, primary_address: str) -> members.MemberStatus:
+        return await self._call(lambda: self._server.follow(term, primary_address))
+
+    def close(self) -> None:
+        if self._control is not None:
+            self._server.net.close(self._control)
+            self._control = None
+
+    async def _call(self, handler: Any) -> Any:
+        try:
+            return await self._server.net.call(await self._control_connection(), handler)
+        except interfaces.LinkLost:
+            self.close()
+            raise
+
+    async def _control_connection(self) -> network.Connection:
+        if self._control is None:
+            if self._opening is None or self._opening.done():
+                self._opening = asyncio.get_running_loop().create_task(self._open())
+            self._control = await asyncio.shield(self._opening)
+        return self._control
+
+    async def _open(self) -> network.Connection:
+        net = self._server.net
+        connection = await net.open(self._instance, self._server.party, net.profile.connect_s)
+        if not self._server.accept(connection):
+            net.close(connection)
+            raise interfaces.ConnectionRefused(f"{self.name} is at its connection limit")
+        return connection
+
+
+def _wake(waiter: asyncio.Future[None]) -> None:
+    if not waiter.done():
+        waiter.set_result(None)
