--- a/faults/checker.py
+++ b/faults/checker.py
@@ -304,6 +304,11 @@
                 )
         for accepted in record.accepted:
             found += _check_in_force(record, instance, series, accepted)
+    for instance, declared in record.declared.items():
+        for accepted in record.accepted:
+            if accepted.caller and accepted.caller not in declared:
+                detail = f"the change of version {accepted.version} is not in force at {instance}"
+                found.append(Violation("P9", f"{detail} at the end"))
     return found
 
 
--- a/faults/clients.py
+++ b/faults/clients.py
@@ -109,12 +109,14 @@
         group = f"g{step.group}"
         item = f"{group}.i{step.item}"
         if step.action is programmes.Action.TRANSACTION:
-            return await self._transaction(group, step.item)
+            return await self._transaction(group, step.item, requests.Kind.COMMIT)
+        if step.action is programmes.Action.ABORTED_TRANSACTION:
+            return await self._transaction(group, step.item, requests.Kind.ABORT)
         call = self._new_call(_KINDS[step.action], group, item, step.age)
         await self._complete(call, None)
         return call
 
-    async def _transaction(self, group: str, item: int) -> history.Call:
+    async def _transaction(self, group: str, item: int, end_by: requests.Kind) -> history.Call:
         begin = self._new_call(requests.Kind.BEGIN, group)
         await self._complete(begin, None)
         if not isinstance(begin.outcome, outcomes.Answer):
@@ -126,7 +128,7 @@
             await self._complete(statement, transaction)
             if not statement.answered:
                 break
-        ended = requests.Kind.COMMIT if statement.answered else requests.Kind.ABORT
+        ended = end_by if statement.answered else requests.Kind.ABORT
         end = self._new_call(ended, group, owner=name)
         await self._complete(end, transaction)
         return end
--- a/faults/history.py
+++ b/faults/history.py
@@ -105,10 +105,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Accepted:
-    """A configuration version that was accepted."""
+    """A configuration version that was accepted, and the caller that it declared."""
 
     at: float
     version: int
+    caller: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -141,5 +142,7 @@
     accepted: list[Accepted] = dataclasses.field(default_factory=list)
     applied: list[Applied] = dataclasses.field(default_factory=list)
     absences: list[Absence] = dataclasses.field(default_factory=list)
+    # The callers declared at each live instance at the end.
+    declared: dict[str, frozenset[str]] = dataclasses.field(default_factory=dict)
     ended_at: float = 0.0
     converged: bool = True
--- /dev/null
+++ b/faults/instances.py
@@ -0,0 +1,171 @@
+"""Instances of the proxy put together with fakes instead of sockets."""
+
+import asyncio
+import collections.abc
+import random
+from typing import Any
+from typing import Protocol
+
+from bilberrystack.core import changes
+from bilberrystack.core import declarations
+from bilberrystack.core import errors
+from bilberrystack.core import freshness
+from bilberrystack.core import membership
+from bilberrystack.core import tokens
+from bilberrystack.proxy import acceptance
+from bilberrystack.proxy import configuration
+from bilberrystack.proxy import entry
+from bilberrystack.proxy import group
+from bilberrystack.proxy import interfaces
+from bilberrystack.proxy import node
+from faults import history
+from faults import members
+from faults import network
+from faults import paused_loop
+from faults import peers
+from faults import store
+
+CALLER = "caller"
+TOKEN_KEYS = (b"a token key of thirty-two bytes!",)
+STOP_GRACE_S = 30.0
+
+
+class World(Protocol):
+    """What an instance needs of the run that it is part of."""
+
+    net: network.Network
+    loop: paused_loop.PausedLoop
+    record: history.History
+    store: store.StoreServer
+    by_address: dict[str, members.MemberServer]
+    instances: dict[str, "ProxyInstance"]
+
+
+class ProxyInstance:
+    """One instance: its node and its configuration.
+
+    Attributes:
+      name: Its id, which is also its party.
+      address: Its address for peers.
+      requests: Requests of callers that it works on.
+    """
+
+    def __init__(self, world: World, name: str, failure_domain: str) -> None:
+        self.name = name
+        self.failure_domain = failure_domain
+        self.address = f"{name}:9000"
+        self.requests = 0
+        self.node: node.Node | None = None
+        self.configuration: configuration.Configuration | None = None
+        self._acceptor: acceptance.Acceptor | None = None
+        self._world = world
+        self._follow: asyncio.Task[None] | None = None
+        self._randomness = random.Random(f"{name} {random.random()}")
+
+    @property
+    def leaving(self) -> bool:
+        """Whether it refuses new work."""
+        return self.node is None or self.node.entry.leaving
+
+    @property
+    def version(self) -> int:
+        """The configuration version in force."""
+        return 0 if self.configuration is None else self.configuration.version
+
+    async def start(self) -> None:
+        """Starts the instance; to be called as its own party."""
+        world = self._world
+        link = store.StoreLink(world.store, self.name)
+        neighbours = _Neighbours(self, world)
+        self.configuration = configuration.Configuration(
+            link, neighbours, freshness.may_serve, source=self._randomness
+        )
+        self.configuration.on_change(self._applied)
+        self._acceptor = acceptance.Acceptor(
+            link, self.configuration, neighbours, freshness.may_accept_changes
+        )
+        own = membership.Instance(self.name, self.failure_domain, self.address)
+        self.node = node.Node(
+            own,
+            self.configuration,
+            tokens.Signer(TOKEN_KEYS),
+            link,
+            self._open_owner,
+            self._open_link,
+            self._randomness,
+            world.loop.time,
+        )
+        await self.node.__aenter__()
+        self._follow = asyncio.get_running_loop().create_task(self.configuration.run())
+
+    async def stop(self) -> None:
+        """Stops the instance gracefully."""
+        assert self.node is not None and self._follow is not None
+        await self.node.leave(STOP_GRACE_S, lambda: self.requests > 0)
+        self._follow.cancel()
+        await self.node.__aexit__()
+
+    async def open_session(self, session: str) -> bytes:
+        """Opens a session of the one caller. Raises LinkLost if the instance can't take it."""
+        assert self.node is not None
+        if self.node.entry.leaving or not self.node.entry.serving:
+            raise interfaces.LinkLost(f"{self.name} takes no sessions", sent=False)
+        return self.node.entry.new_token(session, CALLER, True)
+
+    async def execute(self, request: entry.CallerRequest) -> entry.Reply | errors.CallerError:
+        """Runs a request of the one caller."""
+        assert self.node is not None
+        self.requests += 1
+        try:
+            return await self.node.entry.execute(CALLER, request)
+        finally:
+            self.requests -= 1
+
+    async def accept(self, change: changes.Change) -> changes.ChangeOutcome:
+        """Accepts an operator's change."""
+        assert self._acceptor is not None
+        return await self._acceptor.accept(change)
+
+    def _applied(self, document: declarations.Declarations) -> None:
+        now = self._world.loop.time()
+        self._world.record.applied.append(history.Applied(now, self.name, document.version))
+
+    def _open_owner(
+        self, declaration: declarations.GroupDeclaration, rank: int
+    ) -> interfaces.GroupOwner:
+        links = {
+            one.name: members.MemberLink(self._world.by_address[one.address], self.name)
+            for one in declaration.members
+        }
+        return group.open_group(declaration, links, self.name, self.failure_domain, rank)
+
+    def _open_link(
+        self, address: str, on_lost: collections.abc.Callable[[], None]
+    ) -> interfaces.Peer:
+        name = address.partition(":")[0]
+        target = self._world.instances[name]
+
+        def handler() -> Any:
+            assert target.node is not None
+            return target.node
+
+        return peers.PeerLink(self._world.net, self.name, name, handler, on_lost)
+
+
+class _Neighbours:
+    """What the configuration needs to know of the other instances."""
+
+    def __init__(self, instance: ProxyInstance, world: World) -> None:
+        self._instance = instance
+        self._world = world
+
+    def majority_contact_at(self, now: float) -> float | None:
+        node_here = self._instance.node
+        return None if node_here is None else node_here.membership.majority_contact_at(now)
+
+    def lagging(self, version: int) -> list[str]:
+        return []
+
+    async def push_head(self, head: bytes) -> None:
+        assert self._instance.node is not None
+        await self._instance.node.push_head_to_domains(head)
--- a/faults/members.py
+++ b/faults/members.py
@@ -10,6 +10,7 @@
 from bilberrystack.core import requests
 from bilberrystack.proxy import interfaces
 from bilberrystack_standins import member_state
+from bilberrystack_standins import replicated_log
 from faults import history
 from faults import network
 from faults import paused_loop
@@ -77,6 +78,11 @@
         self._record.leaving_endpoints.append(history.Leaving(self.now, self.party))
         self._notify()
 
+    def set_apply_lag(self, lag_s: float) -> None:
+        """Sets how long received entries stay invisible to reads."""
+        self.state.apply_lag_s = lag_s
+        self._apply()
+
     def accept(self, connection: network.Connection) -> bool:
         """Takes a connection, unless the member is at its limit."""
         if len(self._connections) >= self.declaration.connections:
@@ -145,7 +151,7 @@
         self._work("resolve", new=False)
         return await self._run("resolve", lambda: self.state.resolve(term, key))
 
-    async def pull(self, term: int, after: positions.Position) -> member_state.Pulled:
+    async def pull(self, term: int, after: positions.Position) -> replicated_log.Pulled:
         """Serves a replica; waits a little for entries."""
         pulled = self.state.entries_after(term, after)
         if pulled.accepted and pulled.matched and not pulled.entries:
@@ -202,7 +208,7 @@
         if not pulled.accepted:
             await asyncio.sleep(PULL_WAIT_S / 5)
 
-    def _take(self, term: int, after: positions.Position, pulled: member_state.Pulled) -> None:
+    def _take(self, term: int, after: positions.Position, pulled: replicated_log.Pulled) -> None:
         if not self.state.append(term, after, pulled, self.now) or not pulled.matched:
             self._cursor = None
             return
@@ -213,11 +219,14 @@
     def _schedule_apply(self) -> None:
         due = self.state.next_apply_at
         if due is not None:
-            self.net.loop.call_at(due + 1e-6, self._apply)
+            self.net.loop.call_at(max(due, self.now) + 1e-6, self._apply)
 
     def _apply(self) -> None:
+        before = self.state.applied
         self.state.advance(self.now)
-        self._notify()
+        if self.state.applied != before:
+            self._notify()
+        self._schedule_apply()
 
     def _work(self, kind: str, new: bool) -> None:
         self._record.work.append(history.Work(self.now, self.party, kind, new))
--- a/faults/network.py
+++ b/faults/network.py
@@ -88,7 +88,15 @@
 class Connection:
     """One connection between two parties; src sends requests and dst answers them."""
 
-    __slots__ = ("broken", "closed", "dst", "on_server_close", "pending", "src")
+    __slots__ = (
+        "broken",
+        "closed",
+        "dst",
+        "on_client_break",
+        "on_server_close",
+        "pending",
+        "src",
+    )
 
     def __init__(self, src: str, dst: str) -> None:
         self.src = src
@@ -97,6 +105,7 @@
         self.broken = False
         self.pending: dict[asyncio.Future[Any], None] = {}
         self.on_server_close: collections.abc.Callable[[], None] | None = None
+        self.on_client_break: collections.abc.Callable[[], None] | None = None
 
 
 class Network:
@@ -112,7 +121,6 @@
         self._cuts: set[tuple[str, str]] = set()
         self._stuck: dict[tuple[str, str], list[tuple[Any, ...]]] = collections.defaultdict(list)
         self._connections: dict[Connection, None] = {}
-        self._slow: dict[tuple[str, str], float] = {}
 
     def add(self, party: str, domain: str) -> None:
         """Places a party in a failure domain; clients are in the domain "clients"."""
@@ -136,19 +144,13 @@
             if other != party:
                 self.cut(party, other)
 
-    def heal(self) -> None:
-        """Makes every path whole; what was kept arrives after the usual delay."""
-        self._cuts.clear()
-        self._slow.clear()
-        self.late_answers = (0.0, 0.0)
-        stuck, self._stuck = self._stuck, collections.defaultdict(list)
-        for (src, dst), messages in stuck.items():
-            for message in messages:
-                self._send(src, dst, *message)
-
-    def slow(self, src: str, dst: str, extra_s: float) -> None:
-        """Adds a delay to a path."""
-        self._slow[(src, dst)] = extra_s
+    def heal(self, party: str | None = None) -> None:
+        """Makes the paths of a party whole, or all; what was kept arrives after the usual delay."""
+        healed = [path for path in self._cuts if party is None or party in path]
+        self._cuts.difference_update(healed)
+        for path in sorted(healed):
+            for message in self._stuck.pop(path, []):
+                self._send(*path, *message)
 
     def pause(self, party: str) -> None:
         self.loop.pause(party)
@@ -188,7 +190,7 @@
             base = self.profile.client_s
         elif source == destination:
             base = LOCAL_S
-        return base * (1 + JITTER * self.random.random()) + self._slow.get((src, dst), 0.0)
+        return base * (1 + JITTER * self.random.random())
 
     async def open(self, src: str, dst: str, connect_s: float = 0.0) -> Connection:
         """Opens a connection. Raises LinkLost if dst is down; hangs while the path is cut."""
@@ -266,6 +268,8 @@
             self._send(dst, src, _set_exception, answered, error, extra=extra)
 
     def _fail_pending(self, connection: Connection) -> None:
+        if connection.on_client_break is not None:
+            connection.on_client_break()
         for future in list(connection.pending):
             if not future.done():
                 future.set_exception(interfaces.LinkLost("connection reset", sent=True))
--- a/faults/programmes.py
+++ b/faults/programmes.py
@@ -15,6 +15,7 @@
     WRITE = "write"
     IDEMPOTENT_WRITE = "idempotent write"
     TRANSACTION = "transaction"
+    ABORTED_TRANSACTION = "aborted transaction"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,9 +41,10 @@
     wait: bool = True
 
 
-# Weights of the actions READ, WRITE, IDEMPOTENT_WRITE and TRANSACTION.
-MIXED = (50, 25, 10, 15)
-READS_80 = (80, 20, 0, 0)
+# Weights of the actions, in their order.
+MIXED = (50, 25, 10, 12, 3)
+READS_80 = (80, 20, 0, 0, 0)
+WRITES = (0, 100, 0, 0, 0)
 
 
 def programme(
@@ -51,7 +53,7 @@
     think_s: float,
     *,
     groups: int = 1,
-    weights: tuple[int, int, int, int] = MIXED,
+    weights: tuple[int, ...] = MIXED,
     roam: float = 0.2,
     overlap: float = 0.15,
 ) -> list[Step]:
