--- a/faults/members.py
+++ b/faults/members.py
@@ -10,6 +10,7 @@
 from bilberrystack.core import requests
 from bilberrystack.proxy import interfaces
 from bilberrystack_standins import member_state
+from bilberrystack_standins import replicated_log
 from faults import history
 from faults import network
 from faults import paused_loop
@@ -145,7 +146,7 @@
         self._work("resolve", new=False)
         return await self._run("resolve", lambda: self.state.resolve(term, key))
 
-    async def pull(self, term: int, after: positions.Position) -> member_state.Pulled:
+    async def pull(self, term: int, after: positions.Position) -> replicated_log.Pulled:
         """Serves a replica; waits a little for entries."""
         pulled = self.state.entries_after(term, after)
         if pulled.accepted and pulled.matched and not pulled.entries:
@@ -202,7 +203,7 @@
         if not pulled.accepted:
             await asyncio.sleep(PULL_WAIT_S / 5)
 
-    def _take(self, term: int, after: positions.Position, pulled: member_state.Pulled) -> None:
+    def _take(self, term: int, after: positions.Position, pulled: replicated_log.Pulled) -> None:
         if not self.state.append(term, after, pulled, self.now) or not pulled.matched:
             self._cursor = None
             return
