--- a/faults/__main__.py
+++ b/faults/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the fault matrix: `python -m faults`, or one cell: `python -m faults --step ... --fault ...`."""
+"""Runs cells of the fault matrix: `python -m faults --step WORDS --fault NAME --seeds N`."""
 
 import concurrent.futures
 import sys
--- a/faults/instances.py
+++ b/faults/instances.py
@@ -1,6 +1,5 @@
 """Instances of the proxy put together with fakes instead of sockets."""
 
-import asyncio
 import collections.abc
 import random
 from typing import Any
@@ -11,9 +10,11 @@
 from bilberrystack.core import errors
 from bilberrystack.core import freshness
 from bilberrystack.core import membership
+from bilberrystack.core import retries
 from bilberrystack.core import tokens
 from bilberrystack.proxy import acceptance
 from bilberrystack.proxy import configuration
+from bilberrystack.proxy import discovery
 from bilberrystack.proxy import entry
 from bilberrystack.proxy import group
 from bilberrystack.proxy import interfaces
@@ -59,13 +60,12 @@
         self.configuration: configuration.Configuration | None = None
         self._acceptor: acceptance.Acceptor | None = None
         self._world = world
-        self._follow: asyncio.Task[None] | None = None
         self._randomness = random.Random(f"{name} {random.random()}")
 
     @property
     def leaving(self) -> bool:
         """Whether it refuses new work."""
-        return self.node is None or self.node.entry.leaving
+        return self.node is None or self.node.entry_role.leaving
 
     @property
     def version(self) -> int:
@@ -76,48 +76,39 @@
         """Starts the instance; to be called as its own party."""
         world = self._world
         link = store.StoreLink(world.store, self.name)
-        neighbours = _Neighbours(self, world)
-        self.configuration = configuration.Configuration(
-            link, neighbours, freshness.may_serve, source=self._randomness
-        )
-        self.configuration.on_change(self._applied)
-        self._acceptor = acceptance.Acceptor(
-            link, self.configuration, neighbours, freshness.may_accept_changes
-        )
-        own = membership.Instance(self.name, self.failure_domain, self.address)
         self.node = node.Node(
-            own,
-            self.configuration,
-            tokens.Signer(TOKEN_KEYS),
-            link,
-            self._open_owner,
-            self._open_link,
-            self._randomness,
-            world.loop.time,
+            own=membership.Instance(self.name, self.failure_domain, self.address),
+            open_configuration=lambda others: self._open_configuration(link, others),
+            signer=tokens.Signer(TOKEN_KEYS),
+            retries=retries.Budget(),
+            store=link,
+            open_owner=self._open_owner,
+            open_link=self._open_link,
+            chooser=self._randomness,
+            wall_time=world.loop.time,
         )
         await self.node.__aenter__()
-        self._follow = asyncio.get_running_loop().create_task(self.configuration.run())
 
     async def stop(self) -> None:
         """Stops the instance gracefully."""
-        assert self.node is not None and self._follow is not None
+        assert self.node is not None
         await self.node.leave(STOP_GRACE_S, lambda: self.requests > 0)
-        self._follow.cancel()
         await self.node.__aexit__()
 
     async def open_session(self, session: str) -> bytes:
         """Opens a session of the one caller. Raises LinkLost if the instance can't take it."""
         assert self.node is not None
-        if self.node.entry.leaving or not self.node.entry.serving:
+        role = self.node.entry_role
+        if role.leaving or not role.serving:
             raise interfaces.LinkLost(f"{self.name} takes no sessions", sent=False)
-        return self.node.entry.new_token(session, CALLER, True)
+        return role.new_token(session, CALLER, True)
 
     async def execute(self, request: entry.CallerRequest) -> entry.Reply | errors.CallerError:
         """Runs a request of the one caller."""
         assert self.node is not None
         self.requests += 1
         try:
-            return await self.node.entry.execute(CALLER, request)
+            return await self.node.entry_role.execute(CALLER, request)
         finally:
             self.requests -= 1
 
@@ -126,9 +117,21 @@
         assert self._acceptor is not None
         return await self._acceptor.accept(change)
 
-    def _applied(self, document: declarations.Declarations) -> None:
-        now = self._world.loop.time()
-        self._world.record.applied.append(history.Applied(now, self.name, document.version))
+    def _open_configuration(
+        self, link: interfaces.Store, others: discovery.Discovery
+    ) -> configuration.Configuration:
+        self.configuration = configuration.Configuration(
+            link, others, freshness.may_serve, source=self._randomness
+        )
+        self.configuration.on_change(self._applied)
+        self._acceptor = acceptance.Acceptor(
+            link, self.configuration, others, freshness.may_accept_changes
+        )
+        return self.configuration
+
+    def _applied(self, *_document: declarations.Declarations) -> None:
+        applied = history.Applied(self._world.loop.time(), self.name, self.version)
+        self._world.record.applied.append(applied)
 
     def _open_owner(
         self, declaration: declarations.GroupDeclaration, rank: int
@@ -150,22 +153,3 @@
             return target.node
 
         return peers.PeerLink(self._world.net, self.name, name, handler, on_lost)
-
-
-class _Neighbours:
-    """What the configuration needs to know of the other instances."""
-
-    def __init__(self, instance: ProxyInstance, world: World) -> None:
-        self._instance = instance
-        self._world = world
-
-    def majority_contact_at(self, now: float) -> float | None:
-        node_here = self._instance.node
-        return None if node_here is None else node_here.membership.majority_contact_at(now)
-
-    def lagging(self, version: int) -> list[str]:
-        return []
-
-    async def push_head(self, head: bytes) -> None:
-        assert self._instance.node is not None
-        await self._instance.node.push_head_to_domains(head)
--- a/faults/matrix.py
+++ b/faults/matrix.py
@@ -27,16 +27,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Cell:
-    """One cell of the matrix with a seed."""
+    """One cell of the matrix with a seed.
 
-    step: steps.Step
-    faults: tuple[injections.Fault, ...]
+    Attributes:
+      step: The name of the step.
+      faults: The names of the fault, or of two joined by "+".
+      seed: The seed.
+    """
+
+    step: str
+    faults: str
     seed: int
 
     @property
     def name(self) -> str:
-        """The cell's name on the command line."""
-        return f"{self.step.name} x {'+'.join(fault.name for fault in self.faults)}"
+        """The cell's name in reports."""
+        return f"{self.step} x {self.faults}"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,16 +79,13 @@
       fault_filter: Name of a fault, or of two joined by "+"; empty for all.
       seeds: The seeds to run each cell under.
     """
-    combinations = [(fault,) for fault in injections.FAULTS]
-    for first, second in injections.PAIRS:
-        combinations.append((injections.BY_NAME[first], injections.BY_NAME[second]))
+    combinations = [fault.name for fault in injections.FAULTS]
+    combinations += ["+".join(pair) for pair in injections.PAIRS]
     for seed in seeds:
         for step in steps.STEPS:
             for faults in combinations:
-                cell = Cell(step, faults, seed)
-                label = "+".join(fault.name for fault in faults)
-                if step_filter in step.name and fault_filter in ("", label):
-                    yield cell
+                if step_filter in step.name and fault_filter in ("", faults):
+                    yield Cell(step.name, faults, seed)
 
 
 def run(cell: Cell) -> Result:
@@ -106,8 +109,9 @@
     )
     await asyncio.sleep(WARM_UP_S)
     reached = _arm(world, cell, rng)
-    if cell.step.setup is not None:
-        await cell.step.setup(world)
+    step = steps.BY_NAME[cell.step]
+    if step.setup is not None:
+        await step.setup(world)
     await world.until(reached.is_set, REACH_S)
     await world.until(lambda: all(task.done() for task in world.tasks), 60.0)
     record = await world.finish()
@@ -118,15 +122,16 @@
 
 def _arm(world: fleet.Fleet, cell: Cell, rng: random.Random) -> asyncio.Event:
     """Injects the faults at the cell's point; the event tells that it was reached."""
+    step = steps.BY_NAME[cell.step]
     reached = asyncio.Event()
     seen = 0
 
     def observe(event: network.Event) -> None:
         nonlocal seen
-        if reached.is_set() or not cell.step.matches(world, event):
+        if reached.is_set() or not step.matches(world, event):
             return
         seen += 1
-        if seen == cell.step.nth:
+        if seen == step.nth:
             reached.set()
             _inject(world, cell, rng)
 
@@ -137,7 +142,8 @@
 def _inject(world: fleet.Fleet, cell: Cell, rng: random.Random) -> None:
     context = paused_loop.as_party("faults")
     delay_s = 0.0
-    for fault in cell.faults:
+    for name in cell.faults.split("+"):
+        fault = injections.BY_NAME[name]
         duration_s = rng.choice(fault.durations_s)
         world.loop.call_later(delay_s, fault.inject, world, duration_s, context=context)
         delay_s += rng.random() * PAIR_GAP_S
--- a/faults/paused_loop.py
+++ b/faults/paused_loop.py
@@ -13,6 +13,8 @@
 import selectors
 from typing import Any
 
+import loguru
+
 PARTY: contextvars.ContextVar[str | None] = contextvars.ContextVar("party", default=None)
 
 
@@ -127,6 +129,7 @@
     Tasks that are left are dropped with the loop: those of killed and paused parties can't end.
     """
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
+    loguru.logger.disable("bilberrystack")
     loop = PausedLoop()
     asyncio.set_event_loop(loop)
     try:
--- a/faults/steps.py
+++ b/faults/steps.py
@@ -88,3 +88,5 @@
     Step("shutdown: announced", "leaving.received", 1, _stop_owner),
     Step("roam: session moved", "session.roamed", 4),
 )
+
+BY_NAME = {step.name: step for step in STEPS}
