--- a/bilberrystack/gen/members/Member.py
+++ b/bilberrystack/gen/members/Member.py
@@ -1329,7 +1329,7 @@
                 break
             if fid == 0:
                 if ftype == TType.STRUCT:
-                    self.success = Status()
+                    self.success = FenceReply()
                     self.success.read(iprot)
                 else:
                     iprot.skip(ftype)
@@ -1372,7 +1372,7 @@
         return not (self == other)
 all_structs.append(fence_result)
 fence_result.thrift_spec = (
-    (0, TType.STRUCT, 'success', [Status, None], None, ),  # 0
+    (0, TType.STRUCT, 'success', [FenceReply, None], None, ),  # 0
 )
 
 
--- a/bilberrystack/gen/members/ttypes.py
+++ b/bilberrystack/gen/members/ttypes.py
@@ -352,6 +352,91 @@
         return not (self == other)
 
 
+class FenceReply(object):
+    """
+    Attributes:
+     - granted
+     - status
+
+    """
+
+    __slots__ = (
+        'granted',
+        'status',
+    )
+
+
+    def __init__(self, granted=None, status=None,):
+        self.granted = granted
+        self.status = status
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.granted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.status = Status()
+                    self.status.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FenceReply')
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.BOOL, 1)
+            oprot.writeBool(self.granted)
+            oprot.writeFieldEnd()
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.STRUCT, 2)
+            self.status.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.granted is None:
+            raise TProtocolException(message='Required field granted is unset!')
+        if self.status is None:
+            raise TProtocolException(message='Required field status is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Reply(object):
     """
     Attributes:
@@ -833,6 +918,12 @@
     (10, TType.I32, 'connection_limit', None, None, ),  # 10
     (11, TType.STRUCT, 'previous_term_end', [Position, None], None, ),  # 11
 )
+all_structs.append(FenceReply)
+FenceReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'granted', None, None, ),  # 1
+    (2, TType.STRUCT, 'status', [Status, None], None, ),  # 2
+)
 all_structs.append(Reply)
 Reply.thrift_spec = (
     None,  # 0
--- a/bilberrystack_standins/member_state.py
+++ b/bilberrystack_standins/member_state.py
@@ -317,6 +317,13 @@
             True, True, self._log.after(after.index, limit), self._promised
         )
 
+    def contacted(self, term: int, now: float) -> bool:
+        """Notes that the primary answered; returns whether the member follows that term."""
+        if self._primary or term != self._promised:
+            return False
+        self._contact_at = now
+        return True
+
     def append(
         self, term: int, after: positions.Position, pulled: replicated_log.Pulled, now: float
     ) -> bool:
@@ -335,11 +342,8 @@
           Whether the reply was taken: it must be from the primary of the promised term.
         """
         self.advance(now)
-        if not pulled.accepted or self._primary:
-            return False
-        if not term == pulled.term == self._promised:
+        if not pulled.accepted or term != pulled.term or not self.contacted(term, now):
             return False
-        self._contact_at = now
         if not self._log.contains(after):
             return False
         if not pulled.matched:
--- a/schema/members.thrift
+++ b/schema/members.thrift
@@ -23,6 +23,12 @@
   11: required Position previous_term_end
 }
 
+struct FenceReply {
+  1: required bool granted
+  // The status after the call.
+  2: required Status status
+}
+
 enum Refusal {
   NOT_PRIMARY = 1
   STALE_TERM = 2
@@ -73,8 +79,8 @@
   Reply hello(1: string instance, 2: bool control)
   // Answers when the last log position reaches wait_for, the promised term changes, or wait_ms passed.
   Status status(1: Position wait_for, 2: i32 wait_ms)
-  // Granted only if term is greater than the promised term. The status is the one after the call.
-  Status fence(1: i64 term)
+  // Granted only if term is greater than the promised term.
+  FenceReply fence(1: i64 term)
   Status promote(1: i64 term)
   Status follow(1: i64 term, 2: string primary_address)
   Reply read(1: binary body, 2: Position min_position, 3: i32 wait_ms)
