Add the owner role of a database group

Cause: entries and the supervisor need an owner that runs reads, writes and transactions. Ruled out: one task and timer for each wait, since they cost more than the statement's own work; waits share signals, rounds and long polls instead.

--- /dev/null
+++ b/bilberrystack/proxy/group.py
@@ -0,0 +1,212 @@
+"""The owner role of one instance for one database group."""
+
+import asyncio
+import collections.abc
+
+from loguru import logger
+
+from bilberrystack.core import admission
+from bilberrystack.core import declarations
+from bilberrystack.core import outcomes
+from bilberrystack.core import quorum
+from bilberrystack.core import requests
+from bilberrystack.proxy import counters
+from bilberrystack.proxy import group_state
+from bilberrystack.proxy import interfaces
+from bilberrystack.proxy import reads
+from bilberrystack.proxy import transactions
+from bilberrystack.proxy import writes
+
+
+class Group:
+    """Runs the requests of one database group; see interfaces.GroupOwner."""
+
+    __slots__ = (
+        "_closed",
+        "_last_change",
+        "_loop",
+        "_rank",
+        "_reads",
+        "_state",
+        "_transactions",
+        "_writes",
+    )
+
+    def __init__(self, state: group_state.GroupState, instance_id: str, rank: int) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._state = state
+        self._rank = rank
+        self._reads = reads.Reads(state)
+        self._writes = writes.Writes(state)
+        self._transactions = transactions.Transactions(state, self._writes, instance_id)
+        self._last_change = ""
+        self._closed = False
+
+    @property
+    def name(self) -> str:
+        """The group's declared name."""
+        return self._state.declaration.name
+
+    @property
+    def quorum(self) -> quorum.Quorum:
+        """The evidence about the group."""
+        return self._state.quorum
+
+    @property
+    def members(self) -> dict[str, interfaces.Member]:
+        """The links to the members by name."""
+        return self._state.members
+
+    @property
+    def counters(self) -> counters.GroupCounters:
+        """The counts of this owner."""
+        return self._state.counters
+
+    @property
+    def rank(self) -> int:
+        """The owner's rank, from 0."""
+        return self._rank
+
+    @property
+    def open_transaction_count(self) -> int:
+        """The number of transactions pinned here."""
+        return self._transactions.open_count
+
+    async def execute(self, request: requests.GroupRequest) -> outcomes.Outcome:
+        """Runs a request; never raises but when cancelled, and answers by the deadline."""
+        if self._closed:
+            outcome: outcomes.Outcome = outcomes.NotRun(
+                outcomes.NotRunReason.LEAVING, "this instance no longer serves the group"
+            )
+        else:
+            try:
+                outcome = await self._dispatch(request)
+            except Exception:
+                logger.exception("group {}: request {} failed", self.name, request.key)
+                outcome = outcomes.Unknown(
+                    outcomes.UnknownReason.CONNECTION_LOST, "internal error of the proxy"
+                )
+        self._count(outcome)
+        return outcome
+
+    def last_contact(self, name: str) -> float | None:
+        """Returns the instant of a member's last answer of any kind, None if it never answered."""
+        return self._state.last_contact(name)
+
+    def note_contact(self, name: str) -> None:
+        """Takes the news that a member answered just now."""
+        self._state.note_contact(name)
+
+    def hold_new_transactions(self) -> None:
+        """Holds new transactions in the queue, within their deadlines."""
+        self._state.slots.hold(admission.Lane.BEGIN)
+
+    def hold_writes(self) -> None:
+        """Holds new writes in the queue, within their deadlines."""
+        self._state.slots.hold(admission.Lane.WRITE)
+
+    def hold_new_work(self) -> None:
+        """Holds new writes and transactions in the queue, within their deadlines."""
+        self.hold_new_transactions()
+        self.hold_writes()
+
+    def release(self) -> None:
+        """Lets new writes and transactions through again."""
+        self._state.slots.resume()
+
+    def primary_changed(self) -> None:
+        """Takes the primary from the evidence and wakes those who wait for a new one."""
+        self._state.refresh_primary()
+        self._state.primary_signal.wake()
+        self._state.slots.pump()
+
+    def record_change(self, text: str) -> None:
+        """Keeps who decided the last change of primary, and why, for operators."""
+        self._last_change = text
+
+    def set_rank(self, rank: int) -> None:
+        """Changes the owner's rank, and with it its share of connections."""
+        self._rank = rank
+        self._state.set_rank(rank)
+
+    def set_leaving_endpoints(self, addresses: frozenset[str]) -> None:
+        """Tells which endpoint addresses are leaving; reads avoid them."""
+        self._state.router.set_leaving(addresses)
+        self._state.slots.pump()
+
+    def view(self) -> interfaces.GroupView:
+        """Returns what this owner knows about the group."""
+        state = self._state
+        return interfaces.GroupView(
+            group=self.name,
+            rank=self._rank,
+            primary=state.primary,
+            term=state.quorum.promised_term,
+            confirmed=state.quorum.confirmed,
+            members=tuple(self._member_view(name) for name in state.members),
+            queue_depth=state.admission.depth,
+            in_flight=state.admission.in_flight,
+            open_transactions=self._transactions.open_count,
+            last_change=self._last_change,
+        )
+
+    async def close(self) -> None:
+        """Ends the role; open transactions are aborted."""
+        self._closed = True
+        self._transactions.close()
+        self._state.close()
+
+    async def _dispatch(self, request: requests.GroupRequest) -> outcomes.Outcome:
+        match request.kind:
+            case requests.Kind.READ:
+                return await self._reads.run(request)
+            case requests.Kind.WRITE | requests.Kind.IDEMPOTENT_WRITE:
+                return await self._writes.run(request)
+            case requests.Kind.BEGIN:
+                return await self._transactions.begin(request)
+            case requests.Kind.STATEMENT:
+                return await self._transactions.statement(request)
+            case requests.Kind.COMMIT:
+                return await self._transactions.commit(request)
+            case requests.Kind.ABORT:
+                return await self._transactions.abort(request)
+            case requests.Kind.RESOLVE:
+                return await self._writes.resolve(request)
+
+    def _count(self, outcome: outcomes.Outcome) -> None:
+        counts = self._state.counters
+        match outcome:
+            case outcomes.Answer(duplicate=True):
+                counts.duplicates += 1
+            case outcomes.NotRun(reason):
+                counts.refusals[reason.name] += 1
+            case outcomes.Unknown(reason):
+                counts.unknowns[reason.name] += 1
+
+    def _member_view(self, name: str) -> interfaces.MemberView:
+        instant = self._state.last_contact(name)
+        age_s = None if instant is None else self._loop.time() - instant
+        return interfaces.MemberView(name, self._state.quorum.status(name), age_s)
+
+
+def open_group(
+    declaration: declarations.GroupDeclaration,
+    member_links: collections.abc.Mapping[str, interfaces.Member],
+    instance_id: str,
+    failure_domain: str,
+    rank: int,
+) -> Group:
+    """Begins the owner role for a group. To be called on the running loop.
+
+    Args:
+      declaration: The group.
+      member_links: Links to its members, by declared name. They stay open when the role ends.
+      instance_id: The instance's id, which transaction ids carry.
+      failure_domain: The instance's failure domain.
+      rank: The owner's rank, from 0.
+    Returns:
+      The owner; close it at the end of the role.
+    """
+    state = group_state.GroupState(declaration, member_links, failure_domain, rank)
+    state.warm_up()
+    return Group(state, instance_id, rank)
--- /dev/null
+++ b/bilberrystack/proxy/writes.py
@@ -0,0 +1,179 @@
+"""Writes and the resolution of their outcomes."""
+
+import asyncio
+import collections.abc
+from typing import Any
+
+from bilberrystack.core import admission
+from bilberrystack.core import members
+from bilberrystack.core import outcomes
+from bilberrystack.core import positions
+from bilberrystack.core import requests
+from bilberrystack.proxy import confirmations
+from bilberrystack.proxy import group_state
+from bilberrystack.proxy import interfaces
+from bilberrystack.proxy import statements
+
+
+class Writes:
+    """Runs writes so that each runs at most once and is acknowledged only when durable."""
+
+    __slots__ = ("_loop", "_state")
+
+    def __init__(self, state: group_state.GroupState) -> None:
+        self._state = state
+        self._loop = asyncio.get_running_loop()
+
+    async def run(self, request: requests.GroupRequest) -> outcomes.Outcome:
+        """Runs a write; a second copy is sent only if the write is idempotent."""
+        self._state.retries.record_request(self._loop.time())
+        answer_by = statements.resolve_from(self._loop.time(), request.deadline)
+        result = await self._send(request, answer_by)
+        outcome = await self._outcome(request, result)
+        while outcome is None and self._may_resend(request):
+            result = await self._send(request, request.deadline)
+            outcome = await self._outcome(request, result)
+            if isinstance(outcome, outcomes.NotRun) and not _is_cancelled(outcome):
+                # This copy did not run, which says nothing about the one sent before.
+                break
+        else:
+            if outcome is not None:
+                return outcome
+        return await self.resolve(request, _reason(result))
+
+    async def resolve(
+        self, request: requests.GroupRequest, unresolved: outcomes.Unknown | None = None
+    ) -> outcomes.Outcome:
+        """Makes the outcome of a request's key definite.
+
+        Args:
+          request: The request.
+          unresolved: What to return if that is not possible by the deadline.
+        Returns:
+          The recorded answer, NotRun if the key is cancelled now, or Unknown.
+        """
+        self._state.counters.resolves += 1
+
+        def call(
+            connection: interfaces.MemberConnection, term: int
+        ) -> collections.abc.Coroutine[Any, Any, members.MemberReply]:
+            return connection.resolve(term, request.key)
+
+        deadline = request.deadline
+        while True:
+            result = await statements.at_primary(
+                self._state,
+                admission.Lane.TRANSACTION,
+                request.caller,
+                call,
+                deadline=deadline,
+                answer_by=deadline,
+            )
+            outcome: outcomes.Outcome | None = None
+            if isinstance(result, statements.Replied):
+                outcome = await self.settle(request, result)
+            if outcome is not None:
+                return outcome
+            if isinstance(result, outcomes.NotRun) or self._loop.time() >= deadline:
+                return unresolved or _reason(result)
+            await statements.pause(self._state, deadline)
+
+    async def settle(
+        self, request: requests.GroupRequest, replied: statements.Replied
+    ) -> outcomes.Outcome | None:
+        """Turns a member's reply to a write, commit or resolve into an outcome once it is durable.
+
+        Returns:
+          The outcome; None if the request has to be resolved.
+        """
+        match replied.reply:
+            case members.Executed() as reply:
+                self._state.record_executed(replied.member, reply)
+                outcome: outcomes.Outcome = outcomes.Answer(
+                    body=reply.body,
+                    position=reply.position,
+                    served_by=replied.member,
+                    from_replica=False,
+                    duplicate=reply.duplicate,
+                )
+                return await self._confirmed(request, reply.position, outcome)
+            case members.Refused(members.Refusal.CANCELLED, detail, _, position):
+                outcome = outcomes.NotRun(outcomes.NotRunReason.CANCELLED, detail)
+                if position is None:
+                    return None
+                return await self._confirmed(request, position, outcome)
+            case members.Refused(members.Refusal.KEY_TOO_OLD, detail):
+                return outcomes.Unknown(outcomes.UnknownReason.KEY_TOO_OLD, detail)
+            case members.Refused(members.Refusal.INVALID_STATEMENT, detail):
+                return outcomes.NotRun(outcomes.NotRunReason.INVALID_STATEMENT, detail)
+            case members.Refused(_, detail):
+                return outcomes.NotRun(outcomes.NotRunReason.TRANSACTION_ABORTED, detail)
+
+    async def _send(self, request: requests.GroupRequest, answer_by: float) -> statements.Result:
+        def call(
+            connection: interfaces.MemberConnection, term: int
+        ) -> collections.abc.Coroutine[Any, Any, members.MemberReply]:
+            return connection.write(term, request.key, request.body)
+
+        return await statements.at_primary(
+            self._state,
+            admission.Lane.WRITE,
+            request.caller,
+            call,
+            deadline=request.deadline,
+            answer_by=answer_by,
+        )
+
+    async def _confirmed(
+        self,
+        request: requests.GroupRequest,
+        position: positions.Position,
+        outcome: outcomes.Outcome,
+    ) -> outcomes.Outcome | None:
+        """Returns the outcome once the position is durable, None if it may be lost."""
+        verdict = await self._state.confirmations.wait(position, request.deadline)
+        match verdict:
+            case confirmations.Verdict.DURABLE:
+                return outcome
+            case confirmations.Verdict.LATE:
+                detail = f"{position} is not on a majority yet"
+                return outcomes.Unknown(outcomes.UnknownReason.NOT_CONFIRMED, detail)
+            case _:
+                return None
+
+    async def _outcome(
+        self, request: requests.GroupRequest, result: statements.Result
+    ) -> outcomes.Outcome | None:
+        """Returns the outcome of a sent write, None if it may have run."""
+        match result:
+            case outcomes.NotRun():
+                return result
+            case statements.Replied():
+                return await self.settle(request, result)
+            case statements.Interrupted():
+                return None
+
+    def _may_resend(self, request: requests.GroupRequest) -> bool:
+        if request.kind is not requests.Kind.IDEMPOTENT_WRITE:
+            return False
+        if self._state.retries.take(self._loop.time()):
+            self._state.counters.retries += 1
+            return True
+        self._state.counters.denied_retries += 1
+        return False
+
+
+def _is_cancelled(outcome: outcomes.NotRun) -> bool:
+    return outcome.reason is outcomes.NotRunReason.CANCELLED
+
+
+def _reason(result: statements.Result) -> outcomes.Unknown:
+    match result:
+        case statements.Interrupted(reason, detail):
+            return outcomes.Unknown(reason, detail)
+        case outcomes.NotRun(_, detail):
+            detail = f"not resolved: {detail}"
+            return outcomes.Unknown(outcomes.UnknownReason.DEADLINE_AFTER_SEND, detail)
+        case _:
+            detail = "its log entry was not confirmed"
+            return outcomes.Unknown(outcomes.UnknownReason.NOT_CONFIRMED, detail)
