--- a/bilberrystack/gen/peers/Peer.py
+++ b/bilberrystack/gen/peers/Peer.py
@@ -19,6 +19,26 @@
 
 
 class Iface(object):
+    def ping(self):
+        pass
+
+    def hello(self, instance, nonce):
+        """
+        Parameters:
+         - instance
+         - nonce
+
+        """
+        pass
+
+    def prove(self, proof):
+        """
+        Parameters:
+         - proof
+
+        """
+        pass
+
     def forward(self, request):
         """
         Parameters:
@@ -68,6 +88,100 @@
             self._oprot = oprot
         self._seqid = 0
 
+    def ping(self):
+        self.send_ping()
+        self.recv_ping()
+
+    def send_ping(self):
+        self._oprot.writeMessageBegin('ping', TMessageType.CALL, self._seqid)
+        args = ping_args()
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_ping(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = ping_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.failure is not None:
+            raise result.failure
+        return
+
+    def hello(self, instance, nonce):
+        """
+        Parameters:
+         - instance
+         - nonce
+
+        """
+        self.send_hello(instance, nonce)
+        return self.recv_hello()
+
+    def send_hello(self, instance, nonce):
+        self._oprot.writeMessageBegin('hello', TMessageType.CALL, self._seqid)
+        args = hello_args()
+        args.instance = instance
+        args.nonce = nonce
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_hello(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = hello_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.failure is not None:
+            raise result.failure
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "hello failed: unknown result")
+
+    def prove(self, proof):
+        """
+        Parameters:
+         - proof
+
+        """
+        self.send_prove(proof)
+        self.recv_prove()
+
+    def send_prove(self, proof):
+        self._oprot.writeMessageBegin('prove', TMessageType.CALL, self._seqid)
+        args = prove_args()
+        args.proof = proof
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_prove(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = prove_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.failure is not None:
+            raise result.failure
+        return
+
     def forward(self, request):
         """
         Parameters:
@@ -98,6 +212,8 @@
         iprot.readMessageEnd()
         if result.success is not None:
             return result.success
+        if result.failure is not None:
+            raise result.failure
         raise TApplicationException(TApplicationException.MISSING_RESULT, "forward failed: unknown result")
 
     def digest(self, sender):
@@ -130,6 +246,8 @@
         iprot.readMessageEnd()
         if result.success is not None:
             return result.success
+        if result.failure is not None:
+            raise result.failure
         raise TApplicationException(TApplicationException.MISSING_RESULT, "digest failed: unknown result")
 
     def leaving(self, sender):
@@ -162,6 +280,8 @@
         iprot.readMessageEnd()
         if result.success is not None:
             return result.success
+        if result.failure is not None:
+            raise result.failure
         raise TApplicationException(TApplicationException.MISSING_RESULT, "leaving failed: unknown result")
 
     def push_head(self, sender, head):
@@ -194,6 +314,8 @@
         result = push_head_result()
         result.read(iprot)
         iprot.readMessageEnd()
+        if result.failure is not None:
+            raise result.failure
         return
 
     def fetch_configuration(self, known_parts):
@@ -226,6 +348,8 @@
         iprot.readMessageEnd()
         if result.success is not None:
             return result.success
+        if result.failure is not None:
+            raise result.failure
         raise TApplicationException(TApplicationException.MISSING_RESULT, "fetch_configuration failed: unknown result")
 
 
@@ -233,6 +357,9 @@
     def __init__(self, handler):
         self._handler = handler
         self._processMap = {}
+        self._processMap["ping"] = Processor.process_ping
+        self._processMap["hello"] = Processor.process_hello
+        self._processMap["prove"] = Processor.process_prove
         self._processMap["forward"] = Processor.process_forward
         self._processMap["digest"] = Processor.process_digest
         self._processMap["leaving"] = Processor.process_leaving
@@ -260,6 +387,84 @@
             self._processMap[name](self, seqid, iprot, oprot)
         return True
 
+    def process_ping(self, seqid, iprot, oprot):
+        args = ping_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = ping_result()
+        try:
+            self._handler.ping()
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerFailure as failure:
+            msg_type = TMessageType.REPLY
+            result.failure = failure
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("ping", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_hello(self, seqid, iprot, oprot):
+        args = hello_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = hello_result()
+        try:
+            result.success = self._handler.hello(args.instance, args.nonce)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerFailure as failure:
+            msg_type = TMessageType.REPLY
+            result.failure = failure
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("hello", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_prove(self, seqid, iprot, oprot):
+        args = prove_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = prove_result()
+        try:
+            self._handler.prove(args.proof)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerFailure as failure:
+            msg_type = TMessageType.REPLY
+            result.failure = failure
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("prove", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_forward(self, seqid, iprot, oprot):
         args = forward_args()
         args.read(iprot)
@@ -270,6 +475,9 @@
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
+        except PeerFailure as failure:
+            msg_type = TMessageType.REPLY
+            result.failure = failure
         except TApplicationException as ex:
             logging.exception('TApplication exception in handler')
             msg_type = TMessageType.EXCEPTION
@@ -293,6 +501,9 @@
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
+        except PeerFailure as failure:
+            msg_type = TMessageType.REPLY
+            result.failure = failure
         except TApplicationException as ex:
             logging.exception('TApplication exception in handler')
             msg_type = TMessageType.EXCEPTION
@@ -316,6 +527,9 @@
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
+        except PeerFailure as failure:
+            msg_type = TMessageType.REPLY
+            result.failure = failure
         except TApplicationException as ex:
             logging.exception('TApplication exception in handler')
             msg_type = TMessageType.EXCEPTION
@@ -339,6 +553,9 @@
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
+        except PeerFailure as failure:
+            msg_type = TMessageType.REPLY
+            result.failure = failure
         except TApplicationException as ex:
             logging.exception('TApplication exception in handler')
             msg_type = TMessageType.EXCEPTION
@@ -362,6 +579,9 @@
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
+        except PeerFailure as failure:
+            msg_type = TMessageType.REPLY
+            result.failure = failure
         except TApplicationException as ex:
             logging.exception('TApplication exception in handler')
             msg_type = TMessageType.EXCEPTION
@@ -378,21 +598,12 @@
 # HELPER FUNCTIONS AND STRUCTURES
 
 
-class forward_args(object):
-    """
-    Attributes:
-     - request
-
-    """
+class ping_args(object):
 
     __slots__ = (
-        'request',
     )
 
 
-    def __init__(self, request=None,):
-        self.request = request
-
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
@@ -402,12 +613,6 @@
             (fname, ftype, fid) = iprot.readFieldBegin()
             if ftype == TType.STOP:
                 break
-            if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.request = Forward()
-                    self.request.read(iprot)
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -417,11 +622,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('forward_args')
-        if self.request is not None:
-            oprot.writeFieldBegin('request', TType.STRUCT, 1)
-            self.request.write(oprot)
-            oprot.writeFieldEnd()
+        oprot.writeStructBegin('ping_args')
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -445,27 +646,25 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(forward_args)
-forward_args.thrift_spec = (
-    None,  # 0
-    (1, TType.STRUCT, 'request', [Forward, None], None, ),  # 1
+all_structs.append(ping_args)
+ping_args.thrift_spec = (
 )
 
 
-class forward_result(object):
+class ping_result(object):
     """
     Attributes:
-     - success
+     - failure
 
     """
 
     __slots__ = (
-        'success',
+        'failure',
     )
 
 
-    def __init__(self, success=None,):
-        self.success = success
+    def __init__(self, failure=None,):
+        self.failure = failure
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -476,10 +675,9 @@
             (fname, ftype, fid) = iprot.readFieldBegin()
             if ftype == TType.STOP:
                 break
-            if fid == 0:
+            if fid == 1:
                 if ftype == TType.STRUCT:
-                    self.success = Outcome()
-                    self.success.read(iprot)
+                    self.failure = PeerFailure.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -491,10 +689,10 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('forward_result')
-        if self.success is not None:
-            oprot.writeFieldBegin('success', TType.STRUCT, 0)
-            self.success.write(oprot)
+        oprot.writeStructBegin('ping_result')
+        if self.failure is not None:
+            oprot.writeFieldBegin('failure', TType.STRUCT, 1)
+            self.failure.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -519,26 +717,30 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(forward_result)
-forward_result.thrift_spec = (
-    (0, TType.STRUCT, 'success', [Outcome, None], None, ),  # 0
+all_structs.append(ping_result)
+ping_result.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'failure', [PeerFailure, None], None, ),  # 1
 )
 
 
-class digest_args(object):
+class hello_args(object):
     """
     Attributes:
-     - sender
+     - instance
+     - nonce
 
     """
 
     __slots__ = (
-        'sender',
+        'instance',
+        'nonce',
     )
 
 
-    def __init__(self, sender=None,):
-        self.sender = sender
+    def __init__(self, instance=None, nonce=None,):
+        self.instance = instance
+        self.nonce = nonce
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -550,9 +752,13 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.sender = Digest()
-                    self.sender.read(iprot)
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.nonce = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             else:
@@ -564,10 +770,14 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('digest_args')
-        if self.sender is not None:
-            oprot.writeFieldBegin('sender', TType.STRUCT, 1)
-            self.sender.write(oprot)
+        oprot.writeStructBegin('hello_args')
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 1)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.nonce is not None:
+            oprot.writeFieldBegin('nonce', TType.STRING, 2)
+            oprot.writeBinary(self.nonce)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -592,27 +802,31 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(digest_args)
-digest_args.thrift_spec = (
+all_structs.append(hello_args)
+hello_args.thrift_spec = (
     None,  # 0
-    (1, TType.STRUCT, 'sender', [Digest, None], None, ),  # 1
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'nonce', 'BINARY', None, ),  # 2
 )
 
 
-class digest_result(object):
+class hello_result(object):
     """
     Attributes:
      - success
+     - failure
 
     """
 
     __slots__ = (
         'success',
+        'failure',
     )
 
 
-    def __init__(self, success=None,):
+    def __init__(self, success=None, failure=None,):
         self.success = success
+        self.failure = failure
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -625,10 +839,15 @@
                 break
             if fid == 0:
                 if ftype == TType.STRUCT:
-                    self.success = Digest()
+                    self.success = Challenge()
                     self.success.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.failure = PeerFailure.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -638,11 +857,15 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('digest_result')
+        oprot.writeStructBegin('hello_result')
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.STRUCT, 0)
             self.success.write(oprot)
             oprot.writeFieldEnd()
+        if self.failure is not None:
+            oprot.writeFieldBegin('failure', TType.STRUCT, 1)
+            self.failure.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -666,26 +889,27 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(digest_result)
-digest_result.thrift_spec = (
-    (0, TType.STRUCT, 'success', [Digest, None], None, ),  # 0
+all_structs.append(hello_result)
+hello_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [Challenge, None], None, ),  # 0
+    (1, TType.STRUCT, 'failure', [PeerFailure, None], None, ),  # 1
 )
 
 
-class leaving_args(object):
+class prove_args(object):
     """
     Attributes:
-     - sender
+     - proof
 
     """
 
     __slots__ = (
-        'sender',
+        'proof',
     )
 
 
-    def __init__(self, sender=None,):
-        self.sender = sender
+    def __init__(self, proof=None,):
+        self.proof = proof
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -697,9 +921,8 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.sender = Digest()
-                    self.sender.read(iprot)
+                if ftype == TType.STRING:
+                    self.proof = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             else:
@@ -711,10 +934,10 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('leaving_args')
-        if self.sender is not None:
-            oprot.writeFieldBegin('sender', TType.STRUCT, 1)
-            self.sender.write(oprot)
+        oprot.writeStructBegin('prove_args')
+        if self.proof is not None:
+            oprot.writeFieldBegin('proof', TType.STRING, 1)
+            oprot.writeBinary(self.proof)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -739,27 +962,27 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(leaving_args)
-leaving_args.thrift_spec = (
+all_structs.append(prove_args)
+prove_args.thrift_spec = (
     None,  # 0
-    (1, TType.STRUCT, 'sender', [Digest, None], None, ),  # 1
+    (1, TType.STRING, 'proof', 'BINARY', None, ),  # 1
 )
 
 
-class leaving_result(object):
+class prove_result(object):
     """
     Attributes:
-     - success
+     - failure
 
     """
 
     __slots__ = (
-        'success',
+        'failure',
     )
 
 
-    def __init__(self, success=None,):
-        self.success = success
+    def __init__(self, failure=None,):
+        self.failure = failure
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -770,10 +993,9 @@
             (fname, ftype, fid) = iprot.readFieldBegin()
             if ftype == TType.STOP:
                 break
-            if fid == 0:
+            if fid == 1:
                 if ftype == TType.STRUCT:
-                    self.success = Digest()
-                    self.success.read(iprot)
+                    self.failure = PeerFailure.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -785,10 +1007,10 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('leaving_result')
-        if self.success is not None:
-            oprot.writeFieldBegin('success', TType.STRUCT, 0)
-            self.success.write(oprot)
+        oprot.writeStructBegin('prove_result')
+        if self.failure is not None:
+            oprot.writeFieldBegin('failure', TType.STRUCT, 1)
+            self.failure.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -813,29 +1035,27 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(leaving_result)
-leaving_result.thrift_spec = (
-    (0, TType.STRUCT, 'success', [Digest, None], None, ),  # 0
+all_structs.append(prove_result)
+prove_result.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'failure', [PeerFailure, None], None, ),  # 1
 )
 
 
-class push_head_args(object):
+class forward_args(object):
     """
     Attributes:
-     - sender
-     - head
+     - request
 
     """
 
     __slots__ = (
-        'sender',
-        'head',
+        'request',
     )
 
 
-    def __init__(self, sender=None, head=None,):
-        self.sender = sender
-        self.head = head
+    def __init__(self, request=None,):
+        self.request = request
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -848,13 +1068,496 @@
                 break
             if fid == 1:
                 if ftype == TType.STRUCT:
-                    self.sender = Digest()
-                    self.sender.read(iprot)
+                    self.request = Forward()
+                    self.request.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.head = iprot.readBinary()
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('forward_args')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRUCT, 1)
+            self.request.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(forward_args)
+forward_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'request', [Forward, None], None, ),  # 1
+)
+
+
+class forward_result(object):
+    """
+    Attributes:
+     - success
+     - failure
+
+    """
+
+    __slots__ = (
+        'success',
+        'failure',
+    )
+
+
+    def __init__(self, success=None, failure=None,):
+        self.success = success
+        self.failure = failure
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = Outcome()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.failure = PeerFailure.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('forward_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.failure is not None:
+            oprot.writeFieldBegin('failure', TType.STRUCT, 1)
+            self.failure.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(forward_result)
+forward_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [Outcome, None], None, ),  # 0
+    (1, TType.STRUCT, 'failure', [PeerFailure, None], None, ),  # 1
+)
+
+
+class digest_args(object):
+    """
+    Attributes:
+     - sender
+
+    """
+
+    __slots__ = (
+        'sender',
+    )
+
+
+    def __init__(self, sender=None,):
+        self.sender = sender
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.sender = Digest()
+                    self.sender.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('digest_args')
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.STRUCT, 1)
+            self.sender.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(digest_args)
+digest_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'sender', [Digest, None], None, ),  # 1
+)
+
+
+class digest_result(object):
+    """
+    Attributes:
+     - success
+     - failure
+
+    """
+
+    __slots__ = (
+        'success',
+        'failure',
+    )
+
+
+    def __init__(self, success=None, failure=None,):
+        self.success = success
+        self.failure = failure
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = Digest()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.failure = PeerFailure.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('digest_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.failure is not None:
+            oprot.writeFieldBegin('failure', TType.STRUCT, 1)
+            self.failure.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(digest_result)
+digest_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [Digest, None], None, ),  # 0
+    (1, TType.STRUCT, 'failure', [PeerFailure, None], None, ),  # 1
+)
+
+
+class leaving_args(object):
+    """
+    Attributes:
+     - sender
+
+    """
+
+    __slots__ = (
+        'sender',
+    )
+
+
+    def __init__(self, sender=None,):
+        self.sender = sender
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.sender = Digest()
+                    self.sender.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('leaving_args')
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.STRUCT, 1)
+            self.sender.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(leaving_args)
+leaving_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'sender', [Digest, None], None, ),  # 1
+)
+
+
+class leaving_result(object):
+    """
+    Attributes:
+     - success
+     - failure
+
+    """
+
+    __slots__ = (
+        'success',
+        'failure',
+    )
+
+
+    def __init__(self, success=None, failure=None,):
+        self.success = success
+        self.failure = failure
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = Digest()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.failure = PeerFailure.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('leaving_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.failure is not None:
+            oprot.writeFieldBegin('failure', TType.STRUCT, 1)
+            self.failure.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(leaving_result)
+leaving_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [Digest, None], None, ),  # 0
+    (1, TType.STRUCT, 'failure', [PeerFailure, None], None, ),  # 1
+)
+
+
+class push_head_args(object):
+    """
+    Attributes:
+     - sender
+     - head
+
+    """
+
+    __slots__ = (
+        'sender',
+        'head',
+    )
+
+
+    def __init__(self, sender=None, head=None,):
+        self.sender = sender
+        self.head = head
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.sender = Digest()
+                    self.sender.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.head = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             else:
@@ -907,11 +1610,20 @@
 
 
 class push_head_result(object):
+    """
+    Attributes:
+     - failure
+
+    """
 
     __slots__ = (
+        'failure',
     )
 
 
+    def __init__(self, failure=None,):
+        self.failure = failure
+
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
@@ -921,6 +1633,11 @@
             (fname, ftype, fid) = iprot.readFieldBegin()
             if ftype == TType.STOP:
                 break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.failure = PeerFailure.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -931,6 +1648,10 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('push_head_result')
+        if self.failure is not None:
+            oprot.writeFieldBegin('failure', TType.STRUCT, 1)
+            self.failure.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -956,6 +1677,8 @@
         return not (self == other)
 all_structs.append(push_head_result)
 push_head_result.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'failure', [PeerFailure, None], None, ),  # 1
 )
 
 
@@ -1044,16 +1767,19 @@
     """
     Attributes:
      - success
+     - failure
 
     """
 
     __slots__ = (
         'success',
+        'failure',
     )
 
 
-    def __init__(self, success=None,):
+    def __init__(self, success=None, failure=None,):
         self.success = success
+        self.failure = failure
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1070,6 +1796,11 @@
                     self.success.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.failure = PeerFailure.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1084,6 +1815,10 @@
             oprot.writeFieldBegin('success', TType.STRUCT, 0)
             self.success.write(oprot)
             oprot.writeFieldEnd()
+        if self.failure is not None:
+            oprot.writeFieldBegin('failure', TType.STRUCT, 1)
+            self.failure.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1110,6 +1845,7 @@
 all_structs.append(fetch_configuration_result)
 fetch_configuration_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [Configuration, None], None, ),  # 0
+    (1, TType.STRUCT, 'failure', [PeerFailure, None], None, ),  # 1
 )
 fix_spec(all_structs)
 del all_structs
--- a/bilberrystack/gen/peers/ttypes.py
+++ b/bilberrystack/gen/peers/ttypes.py
@@ -1038,6 +1038,192 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class Challenge(object):
+    """
+    Attributes:
+     - nonce
+     - proof
+
+    """
+
+    __slots__ = (
+        'nonce',
+        'proof',
+    )
+
+
+    def __init__(self, nonce=None, proof=None,):
+        self.nonce = nonce
+        self.proof = proof
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.nonce = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.proof = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Challenge')
+        if self.nonce is not None:
+            oprot.writeFieldBegin('nonce', TType.STRING, 1)
+            oprot.writeBinary(self.nonce)
+            oprot.writeFieldEnd()
+        if self.proof is not None:
+            oprot.writeFieldBegin('proof', TType.STRING, 2)
+            oprot.writeBinary(self.proof)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.nonce is None:
+            raise TProtocolException(message='Required field nonce is unset!')
+        if self.proof is None:
+            raise TProtocolException(message='Required field proof is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PeerFailure(TException):
+    """
+    Attributes:
+     - code
+     - detail
+
+    """
+
+    __slots__ = (
+        'code',
+        'detail',
+    )
+
+
+    def __init__(self, code=None, detail=None,):
+        super(PeerFailure, self).__setattr__('code', code)
+        super(PeerFailure, self).__setattr__('detail', detail)
+
+    def __setattr__(self, *args):
+        raise TypeError("can't modify immutable instance")
+
+    def __delattr__(self, *args):
+        raise TypeError("can't modify immutable instance")
+
+    def __hash__(self):
+        return hash(self.__class__) ^ hash((self.code, self.detail, ))
+
+    @classmethod
+    def read(cls, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and cls.thrift_spec is not None:
+            return iprot._fast_decode(None, iprot, [cls, cls.thrift_spec])
+        iprot.readStructBegin()
+        code = None
+        detail = None
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    code = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+        return cls(
+            code=code,
+            detail=detail,
+        )
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PeerFailure')
+        if self.code is not None:
+            oprot.writeFieldBegin('code', TType.I32, 1)
+            oprot.writeI32(self.code)
+            oprot.writeFieldEnd()
+        if self.detail is not None:
+            oprot.writeFieldBegin('detail', TType.STRING, 2)
+            oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.code is None:
+            raise TProtocolException(message='Required field code is unset!')
+        if self.detail is None:
+            raise TProtocolException(message='Required field detail is unset!')
+        return
+
+    def __str__(self):
+        return repr(self)
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Position)
 Position.thrift_spec = (
     None,  # 0
@@ -1111,5 +1297,17 @@
     (2, TType.STRING, 'head', 'BINARY', None, ),  # 2
     (3, TType.LIST, 'parts', (TType.STRUCT, [Part, None], False), None, ),  # 3
 )
+all_structs.append(Challenge)
+Challenge.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'nonce', 'BINARY', None, ),  # 1
+    (2, TType.STRING, 'proof', 'BINARY', None, ),  # 2
+)
+all_structs.append(PeerFailure)
+PeerFailure.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'code', None, None, ),  # 1
+    (2, TType.STRING, 'detail', 'UTF8', None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/bilberrystack/wire/rpc.py
+++ b/bilberrystack/wire/rpc.py
@@ -31,6 +31,11 @@
     state: Any = None
     _transport: asyncio.Transport | None = None
 
+    @property
+    def closed(self) -> bool:
+        """Whether the connection is closed or closing."""
+        return self._transport is None or self._transport.is_closing()
+
     def close(self) -> None:
         """Closes the connection after what was written has been sent."""
         if self._transport is not None:
--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -67,11 +67,27 @@
   3: required list<Part> parts
 }
 
+// Answer to hello: the accepting side's nonce and its proof that it knows the fleet's secret.
+struct Challenge {
+  1: required binary nonce
+  2: required binary proof
+}
+
+exception PeerFailure {
+  1: required i32 code
+  2: required string detail
+}
+
+// hello and prove come first on every connection; before them every other call fails.
 service Peer {
-  Outcome forward(1: Forward request)
-  Digest digest(1: Digest sender)
-  Digest leaving(1: Digest sender)
-  void push_head(1: Digest sender, 2: binary head)
+  // Shows that the connection and the peer are alive.
+  void ping() throws (1: PeerFailure failure)
+  Challenge hello(1: string instance, 2: binary nonce) throws (1: PeerFailure failure)
+  void prove(1: binary proof) throws (1: PeerFailure failure)
+  Outcome forward(1: Forward request) throws (1: PeerFailure failure)
+  Digest digest(1: Digest sender) throws (1: PeerFailure failure)
+  Digest leaving(1: Digest sender) throws (1: PeerFailure failure)
+  void push_head(1: Digest sender, 2: binary head) throws (1: PeerFailure failure)
   // Parts whose keys are in known_parts are left out of the answer.
-  Configuration fetch_configuration(1: list<string> known_parts)
+  Configuration fetch_configuration(1: list<string> known_parts) throws (1: PeerFailure failure)
 }
