Bound the links to peers in time whatever the connection below does

Cause: only the socket adapter probed links and enforced deadlines, so in-memory links did neither. Change: a link around any peer bounds every call and probes with digests while requests are in flight; background jobs that fail are logged and started again.

--- a/bilberrystack/gen/peers/Peer.py
+++ b/bilberrystack/gen/peers/Peer.py
@@ -19,9 +19,6 @@
 
 
 class Iface(object):
-    def ping(self):
-        pass
-
     def hello(self, instance, nonce):
         """
         Parameters:
@@ -88,32 +85,6 @@
             self._oprot = oprot
         self._seqid = 0
 
-    def ping(self):
-        self.send_ping()
-        self.recv_ping()
-
-    def send_ping(self):
-        self._oprot.writeMessageBegin('ping', TMessageType.CALL, self._seqid)
-        args = ping_args()
-        args.write(self._oprot)
-        self._oprot.writeMessageEnd()
-        self._oprot.trans.flush()
-
-    def recv_ping(self):
-        iprot = self._iprot
-        (fname, mtype, rseqid) = iprot.readMessageBegin()
-        if mtype == TMessageType.EXCEPTION:
-            x = TApplicationException()
-            x.read(iprot)
-            iprot.readMessageEnd()
-            raise x
-        result = ping_result()
-        result.read(iprot)
-        iprot.readMessageEnd()
-        if result.failure is not None:
-            raise result.failure
-        return
-
     def hello(self, instance, nonce):
         """
         Parameters:
@@ -357,7 +328,6 @@
     def __init__(self, handler):
         self._handler = handler
         self._processMap = {}
-        self._processMap["ping"] = Processor.process_ping
         self._processMap["hello"] = Processor.process_hello
         self._processMap["prove"] = Processor.process_prove
         self._processMap["forward"] = Processor.process_forward
@@ -387,32 +357,6 @@
             self._processMap[name](self, seqid, iprot, oprot)
         return True
 
-    def process_ping(self, seqid, iprot, oprot):
-        args = ping_args()
-        args.read(iprot)
-        iprot.readMessageEnd()
-        result = ping_result()
-        try:
-            self._handler.ping()
-            msg_type = TMessageType.REPLY
-        except TTransport.TTransportException:
-            raise
-        except PeerFailure as failure:
-            msg_type = TMessageType.REPLY
-            result.failure = failure
-        except TApplicationException as ex:
-            logging.exception('TApplication exception in handler')
-            msg_type = TMessageType.EXCEPTION
-            result = ex
-        except Exception:
-            logging.exception('Unexpected exception in handler')
-            msg_type = TMessageType.EXCEPTION
-            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
-        oprot.writeMessageBegin("ping", msg_type, seqid)
-        result.write(oprot)
-        oprot.writeMessageEnd()
-        oprot.trans.flush()
-
     def process_hello(self, seqid, iprot, oprot):
         args = hello_args()
         args.read(iprot)
@@ -598,132 +542,6 @@
 # HELPER FUNCTIONS AND STRUCTURES
 
 
-class ping_args(object):
-
-    __slots__ = (
-    )
-
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('ping_args')
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-all_structs.append(ping_args)
-ping_args.thrift_spec = (
-)
-
-
-class ping_result(object):
-    """
-    Attributes:
-     - failure
-
-    """
-
-    __slots__ = (
-        'failure',
-    )
-
-
-    def __init__(self, failure=None,):
-        self.failure = failure
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.failure = PeerFailure.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('ping_result')
-        if self.failure is not None:
-            oprot.writeFieldBegin('failure', TType.STRUCT, 1)
-            self.failure.write(oprot)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-all_structs.append(ping_result)
-ping_result.thrift_spec = (
-    None,  # 0
-    (1, TType.STRUCT, 'failure', [PeerFailure, None], None, ),  # 1
-)
-
-
 class hello_args(object):
     """
     Attributes:
--- a/bilberrystack/proxy/discovery.py
+++ b/bilberrystack/proxy/discovery.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import dataclasses
 import random
 from typing import Literal
 
@@ -11,12 +10,16 @@
 
 from bilberrystack.core import membership
 from bilberrystack.proxy import interfaces
+from bilberrystack.proxy import links
 
 DIGEST_INTERVAL_S = 1.0
 
 # A pending watch counts as a call of the store, so it is renewed rarely.
 WATCH_WAIT_S = 60.0
 
+# Time beyond the wait that the store has for its answer.
+ANSWER_LIMIT_S = 5.0
+
 # Pause before the store is asked again after it did not answer, randomised by half.
 STORE_PAUSE_S = 1.0
 
@@ -44,73 +47,72 @@
 _DECODER = msgspec.json.Decoder(list[ListedInstance])
 
 
-class Links:
-    """One link to each instance, created at first use."""
-
-    __slots__ = ("_addresses", "_links", "_open_link")
-
-    def __init__(self, open_link: collections.abc.Callable[[str, str], interfaces.Peer]) -> None:
-        """Takes the factory of links, which gets an instance's id and its address."""
-        self._open_link = open_link
-        self._links: dict[str, interfaces.Peer] = {}
-        self._addresses: dict[str, str] = {}
-
-    def to(self, instance: membership.Instance) -> interfaces.Peer:
-        """Returns the link to an instance at its current address."""
-        link = self._links.get(instance.id)
-        if link is not None and self._addresses[instance.id] == instance.address:
-            return link
-        if link is not None:
-            link.close()
-        link = self._open_link(instance.id, instance.address)
-        self._links[instance.id] = link
-        self._addresses[instance.id] = instance.address
-        return link
-
-    def keep_only(self, instance_ids: collections.abc.Collection[str]) -> None:
-        """Closes the links to all other instances."""
-        for instance_id in set(self._links).difference(instance_ids):
-            self._links.pop(instance_id).close()
-            del self._addresses[instance_id]
-
-    def close(self) -> None:
-        """Closes all links."""
-        self.keep_only(())
-
-
-@dataclasses.dataclass(slots=True)
 class Discovery:
-    """Keeps a membership up to date.
-
-    Attributes:
-      own: This instance.
-      view: The membership.
-      links: The links to other instances.
-      own_digest: Returns the digest that this instance sends.
-      heard: Called with every digest of a peer.
-      changed: Called after the membership may have changed.
-      endpoints_leaving: Called with the addresses of leaving endpoints after every new list.
-      chooser: Chooses the peers of a round.
-    """
-
-    own: membership.Instance
-    view: membership.Membership
-    links: Links
-    own_digest: collections.abc.Callable[[], interfaces.Digest]
-    heard: collections.abc.Callable[[interfaces.Digest], None]
-    changed: collections.abc.Callable[[], None]
-    endpoints_leaving: collections.abc.Callable[[frozenset[str]], None]
-    chooser: random.Random
-    _exchanges: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
-    _versions: dict[str, int] = dataclasses.field(default_factory=dict)
+    """Keeps the view of the other instances up to date and tells them about this one."""
+
+    __slots__ = (
+        "_changed",
+        "_chooser",
+        "_endpoints_leaving",
+        "_exchanges",
+        "_heard",
+        "_links",
+        "_own",
+        "_own_digest",
+        "_versions",
+        "_view",
+    )
+
+    def __init__(
+        self,
+        *,
+        own: membership.Instance,
+        open_link: links.OpenLink,
+        own_digest: links.OwnDigest,
+        heard: collections.abc.Callable[[interfaces.Digest], None],
+        changed: collections.abc.Callable[[], None],
+        endpoints_leaving: collections.abc.Callable[[frozenset[str]], None],
+        chooser: random.Random,
+    ) -> None:
+        """Starts with a view of this instance alone.
+
+        Args:
+          own: This instance.
+          open_link: Opens a link to an address.
+          own_digest: Returns the digest that this instance sends.
+          heard: Called with every digest that a peer answers with.
+          changed: Called after the view may have changed.
+          endpoints_leaving: Called with the addresses of leaving endpoints after every new list.
+          chooser: Chooses the peers of a round.
+        """
+        self._own = own
+        self._own_digest = own_digest
+        self._heard = heard
+        self._changed = changed
+        self._endpoints_leaving = endpoints_leaving
+        self._chooser = chooser
+        self._view = membership.Membership(own, asyncio.get_running_loop().time())
+        self._links = links.Links(open_link, own_digest, self.link_lost)
+        self._exchanges: set[asyncio.Task[None]] = set()
+        self._versions: dict[str, int] = {}
+
+    @property
+    def view(self) -> membership.Membership:
+        """The view of all instances."""
+        return self._view
+
+    @property
+    def links(self) -> links.Links:
+        """The links to the other instances."""
+        return self._links
 
     def majority_contact_at(self, now: float) -> float | None:
         """Returns the latest instant since which most failure domains were heard from."""
-        return self.view.majority_contact_at(now)
+        return self._view.majority_contact_at(now)
 
     def lagging(self, version: int) -> list[str]:
         """Returns the live instances that aren't known to have at least a version."""
-        others = (name for name in self.view.live if name != self.own.id)
+        others = (name for name in self._view.live if name != self._own.id)
         return [name for name in others if self._versions.get(name, 0) < version]
 
     async def push_head(self, head: bytes) -> None:
@@ -118,31 +120,31 @@
 
         async def push(instance: membership.Instance) -> None:
             try:
-                await self.links.to(instance).push_head(self.own_digest(), head)
+                await self._links.to(instance).push_head(self._own_digest(), head)
             except interfaces.LinkLost:
-                self.link_lost(instance.id)
+                return
 
         await asyncio.gather(*(push(instance) for instance in self._one_of_each_domain()))
 
     def take_digest(self, digest: interfaces.Digest) -> membership.Instance:
         """Takes a message that came from an instance directly; returns the instance."""
         instance = membership.Instance(digest.instance, digest.failure_domain, digest.address)
-        self.view.heard(asyncio.get_running_loop().time(), instance, digest.leaving)
+        self._view.heard(asyncio.get_running_loop().time(), instance, digest.leaving)
         self._versions[instance.id] = digest.configuration_version
-        self.changed()
+        self._changed()
         return instance
 
     def link_lost(self, instance_id: str) -> None:
         """Takes the loss of a link, or a failed attempt to open one."""
-        self.view.link_broken(asyncio.get_running_loop().time(), instance_id)
-        self.changed()
+        self._view.link_broken(asyncio.get_running_loop().time(), instance_id)
+        self._changed()
 
     async def send_digests(self) -> None:
         """Exchanges digests with one instance of each failure domain, forever."""
         loop = asyncio.get_running_loop()
         while True:
-            self.view.expire(loop.time())
-            self.changed()
+            self._view.expire(loop.time())
+            self._changed()
             for instance in self._targets():
                 task = loop.create_task(self._exchange(instance))
                 self._exchanges.add(task)
@@ -155,12 +157,13 @@
         available = True
         while True:
             try:
-                found = await store.watch(INSTANCES_KEY, version, WATCH_WAIT_S)
-            except interfaces.StoreUnavailable as failure:
+                async with asyncio.timeout(WATCH_WAIT_S + ANSWER_LIMIT_S):
+                    found = await store.watch(INSTANCES_KEY, version, WATCH_WAIT_S)
+            except (interfaces.StoreUnavailable, TimeoutError) as failure:
                 if available:
-                    _LOG.warning("The list of instances is not available: {}", failure)
+                    _LOG.warning("The list of instances is not available: {!r}", failure)
                 available = False
-                await asyncio.sleep(STORE_PAUSE_S * self.chooser.uniform(0.5, 1.5))
+                await asyncio.sleep(STORE_PAUSE_S * self._chooser.uniform(0.5, 1.5))
                 continue
             available = True
             if found is None:
@@ -178,31 +181,33 @@
         async def notify(instance: membership.Instance) -> None:
             async with limit:
                 try:
-                    await self.links.to(instance).leaving(self.own_digest())
+                    await self._links.to(instance).leaving(self._own_digest())
                 except interfaces.LinkLost:
                     return
 
-        await asyncio.gather(*(notify(instance) for instance in self.view.others))
+        await asyncio.gather(*(notify(instance) for instance in self._view.others))
 
     def _targets(self) -> list[membership.Instance]:
-        suspects = self.view.suspects
-        probed = self.chooser.sample(suspects, min(_PROBED_SUSPECTS, len(suspects)))
+        suspects = self._view.suspects
+        probed = self._chooser.sample(suspects, min(_PROBED_SUSPECTS, len(suspects)))
         return self._one_of_each_domain() + probed
 
     def _one_of_each_domain(self) -> list[membership.Instance]:
         by_domain: dict[str, list[membership.Instance]] = {}
-        for instance in self.view.live.values():
-            if instance.id != self.own.id:
+        for instance in self._view.live.values():
+            if instance.id != self._own.id:
                 by_domain.setdefault(instance.failure_domain, []).append(instance)
-        return [self.chooser.choice(instances) for instances in by_domain.values()]
+        return [self._chooser.choice(instances) for instances in by_domain.values()]
 
     async def _exchange(self, instance: membership.Instance) -> None:
         try:
-            digest = await self.links.to(instance).digest(self.own_digest())
+            digest = await self._links.to(instance).digest(self._own_digest())
         except interfaces.LinkLost:
-            self.link_lost(instance.id)
             return
-        self.heard(digest)
+        if digest.instance != instance.id:
+            # Another instance has taken over the address.
+            self.link_lost(instance.id)
+        self._heard(digest)
 
     def _take_list(self, listed: collections.abc.Iterable[ListedInstance]) -> None:
         proxies = {}
@@ -213,8 +218,8 @@
                 proxies[instance] = membership.InstanceState(one.state)
             elif one.state == "leaving":
                 leaving.add(one.address)
-        self.view.take_list(asyncio.get_running_loop().time(), proxies)
-        known = {instance.id for instance in self.view.others}
+        self._view.take_list(asyncio.get_running_loop().time(), proxies)
+        known = {instance.id for instance in self._view.others}
         self._versions = {name: one for name, one in self._versions.items() if name in known}
-        self.changed()
-        self.endpoints_leaving(frozenset(leaving))
+        self._changed()
+        self._endpoints_leaving(frozenset(leaving))
--- a/bilberrystack/proxy/node.py
+++ b/bilberrystack/proxy/node.py
@@ -4,6 +4,7 @@
 import collections.abc
 import random
 import time
+from typing import Any
 from typing import Protocol
 
 import loguru
@@ -16,9 +17,11 @@
 from bilberrystack.proxy import discovery
 from bilberrystack.proxy import entry
 from bilberrystack.proxy import interfaces
+from bilberrystack.proxy import links
 from bilberrystack.proxy import owned_groups
 
 _POLL_S = 0.02
+_RESTART_PAUSE_S = 1.0
 
 
 class Configuration(entry.ConfigurationView, Protocol):
@@ -73,9 +76,7 @@
         retries: entry.RetryBudget,
         store: interfaces.Store,
         open_owner: owned_groups.OpenOwner,
-        open_link: collections.abc.Callable[
-            [str, collections.abc.Callable[[], None]], interfaces.Peer
-        ],
+        open_link: links.OpenLink,
         chooser: random.Random,
         wall_time: collections.abc.Callable[[], float] = time.time,
     ) -> None:
@@ -100,24 +101,19 @@
         self._leaving = False
         self._applied = (0, -1)
         self._tasks: list[asyncio.Task[None]] = []
-        self._view = membership.Membership(own, self._loop_time())
         self._owners = ownership.OwnerTable()
         self._groups = owned_groups.OwnedGroups(open_owner)
-        self._links = discovery.Links(
-            lambda instance_id, address: open_link(
-                address, lambda: self._discovery.link_lost(instance_id)
-            )
-        )
         self._discovery = discovery.Discovery(
-            own,
-            self._view,
-            self._links,
-            self._own_digest,
-            self._heard,
-            self._apply,
-            self._groups.set_leaving_endpoints,
-            chooser,
+            own=own,
+            open_link=open_link,
+            own_digest=self._own_digest,
+            heard=self._heard,
+            changed=self._apply,
+            endpoints_leaving=self._groups.set_leaving_endpoints,
+            chooser=chooser,
         )
+        self._view = self._discovery.view
+        self._links = self._discovery.links
         self._configuration = open_configuration(self._discovery)
         self._entry = entry.Entry(self._configuration, self, signer, retries, wall_time)
 
@@ -141,9 +137,9 @@
         self._apply()
         loop = asyncio.get_running_loop()
         self._tasks = [
-            loop.create_task(self._configuration.run()),
-            loop.create_task(self._discovery.send_digests()),
-            loop.create_task(self._discovery.watch_list(self._store)),
+            loop.create_task(self._keep_running(self._configuration.run)),
+            loop.create_task(self._keep_running(self._discovery.send_digests)),
+            loop.create_task(self._keep_running(lambda: self._discovery.watch_list(self._store))),
         ]
         return self
 
@@ -211,6 +207,17 @@
         """Returns the current configuration for a peer."""
         return await self._configuration.transfer(known_parts)
 
+    async def _keep_running(
+        self, job: collections.abc.Callable[[], collections.abc.Coroutine[Any, Any, None]]
+    ) -> None:
+        """Runs a job that has no end; a defect in it must not silently end it."""
+        while True:
+            try:
+                await job()
+            except Exception:
+                self._log.exception("A background job failed and starts again")
+            await asyncio.sleep(_RESTART_PAUSE_S)
+
     def _own_digest(self) -> interfaces.Digest:
         contact_at = self._configuration.store_contact_at
         return interfaces.Digest(
--- a/bilberrystack/proxy/peers.py
+++ b/bilberrystack/proxy/peers.py
@@ -24,6 +24,7 @@
 from bilberrystack.gen.peers import Peer
 from bilberrystack.gen.peers import ttypes
 from bilberrystack.proxy import interfaces
+from bilberrystack.proxy import links
 from bilberrystack.proxy import peer_messages
 from bilberrystack.wire import codec
 from bilberrystack.wire import failures
@@ -34,20 +35,9 @@
 # Opening a connection takes a few milliseconds; an unreachable host answers nothing at all.
 CONNECT_TIMEOUT_S = 0.5
 
-# Limit for calls that have no deadline of their own.
-CALL_TIMEOUT_S = 1.0
-
-# A link with calls in flight is probed at this interval and given up after this silence, since a
-# cut path reports no error for minutes. The silence is longer than a pause that must do no harm.
-PROBE_INTERVAL_S = 0.2
-SILENCE_LIMIT_S = 0.75
-
 # A link without calls is closed after this time.
 IDLE_LIMIT_S = 30.0
 
-# The owner's deadline is earlier by this time, so that its last answer still arrives in time.
-ANSWER_MARGIN_S = 0.005
-
 _NONCE_BYTES = 16
 _ACCEPTING = b"accepting"
 _OPENING = b"opening"
@@ -120,10 +110,6 @@
             raise self._refused(context, errors.PeerError.AUTHENTICATION_FAILED)
         context.state = True
 
-    async def ping(self, context: rpc.Context) -> None:
-        """Shows that this instance is alive."""
-        self._check(context)
-
     async def forward(self, context: rpc.Context, request: ttypes.Forward) -> ttypes.Outcome:
         """Runs a request that another instance took from a caller."""
         handler = self._check(context)
@@ -180,14 +166,12 @@
 
     __slots__ = (
         "_address",
-        "_answered_at",
         "_connecting",
         "_connection",
         "_in_flight",
         "_instance_id",
         "_loop",
         "_on_lost",
-        "_probe",
         "_secret",
         "_tls",
         "_used_at",
@@ -219,20 +203,14 @@
         self._connection: rpc.Connection | None = None
         self._connecting: asyncio.Task[rpc.Connection] | None = None
         self._in_flight = 0
-        self._answered_at = 0.0
         self._used_at = self._loop.time()
-        self._probe: asyncio.TimerHandle | None = None
 
     async def forward(self, request: requests.GroupRequest) -> outcomes.Outcome:
-        """Runs a request at the peer, until its deadline. Raises LinkLost."""
-        now = self._loop.time()
-        if request.deadline - now <= ANSWER_MARGIN_S:
-            raise interfaces.LinkLost("the deadline has passed", sent=False)
-        connection = await self._connected(request.deadline)
-        remaining_s = request.deadline - self._loop.time() - ANSWER_MARGIN_S
+        """Runs a request at the peer. Raises LinkLost."""
+        connection = await self._connected()
+        remaining_s = request.deadline - self._loop.time() - links.ANSWER_MARGIN_S
         message = peer_messages.to_forward(request, remaining_s)
-        answer = await self._call(connection, request.deadline, "forward", message)
-        outcome = peer_messages.from_outcome(answer)
+        outcome = peer_messages.from_outcome(await self._call(connection, "forward", message))
         if outcome is None:
             raise interfaces.LinkLost(f"{self._address}: an outcome of no known kind", sent=True)
         return outcome
@@ -263,30 +241,17 @@
         """Closes the connection; calls in flight fail with LinkLost."""
         if self._connecting is not None:
             self._connecting.cancel()
-        if self._probe is not None:
-            self._probe.cancel()
-            self._probe = None
         connection, self._connection = self._connection, None
         if connection is not None:
             connection.close()
 
     async def _control(self, method: str, *fields: Any) -> Any:
-        deadline = self._loop.time() + CALL_TIMEOUT_S
-        connection = await self._connected(deadline)
-        return await self._call(connection, deadline, method, *fields)
+        return await self._call(await self._connected(), method, *fields)
 
-    async def _call(
-        self, connection: rpc.Connection, deadline: float, method: str, *fields: Any
-    ) -> Any:
+    async def _call(self, connection: rpc.Connection, method: str, *fields: Any) -> Any:
         self._in_flight += 1
-        if self._probe is None:
-            self._answered_at = self._loop.time()
-            self._probe = self._loop.call_later(PROBE_INTERVAL_S, self._tick, self._answered_at)
         try:
-            async with asyncio.timeout_at(deadline):
-                answer = await connection.call(method, *fields)
-        except TimeoutError:
-            raise interfaces.LinkLost(f"{self._address}: no answer in time", sent=True) from None
+            return await connection.call(method, *fields)
         except failures.ConnectionClosed as closed:
             raise interfaces.LinkLost(f"{self._address}: {closed}", closed.sent) from closed
         except (failures.WireFailure, Thrift.TException) as failure:
@@ -295,29 +260,24 @@
         finally:
             self._in_flight -= 1
             self._used_at = self._loop.time()
-        self._answered_at = self._used_at
-        return answer
 
-    async def _connected(self, deadline: float) -> rpc.Connection:
+    async def _connected(self) -> rpc.Connection:
         """Returns the open connection, opening it if needed. Raises LinkLost."""
         if self._connection is not None and not self._connection.closed:
             return self._connection
         if self._connecting is None:
             self._connecting = self._loop.create_task(self._connect())
             self._connecting.add_done_callback(self._opened)
-        # One caller's deadline must not cancel the attempt that others wait for.
-        done, _pending = await asyncio.wait(
-            (self._connecting,), timeout=deadline - self._loop.time()
-        )
-        if not done:
-            raise interfaces.LinkLost(f"{self._address}: not open in time", sent=False)
-        task = done.pop()
-        if task.cancelled():
+        attempt = self._connecting
+        # One waiting call that is cancelled must not cancel the attempt that others wait for.
+        await asyncio.wait((attempt,))
+        if attempt.cancelled():
             raise interfaces.LinkLost(f"{self._address}: closed by this side", sent=False)
-        error = task.exception()
+        error = attempt.exception()
         if error is not None:
-            raise interfaces.LinkLost(f"{self._address}: {error}", sent=False) from error
-        return task.result()
+            detail = str(error) or type(error).__name__
+            raise interfaces.LinkLost(f"{self._address}: {detail}", sent=False) from error
+        return attempt.result()
 
     async def _connect(self) -> rpc.Connection:
         host, _, port = self._address.rpartition(":")
@@ -364,30 +324,6 @@
         else:
             self._loop.call_later(IDLE_LIMIT_S - idle_s, self._close_if_idle, connection)
 
-    def _tick(self, planned_after: float) -> None:
-        """Probes the link while calls are in flight, and gives it up after a long silence."""
-        self._probe = None
-        connection = self._connection
-        if not self._in_flight or connection is None:
-            return
-        now = self._loop.time()
-        if now - planned_after > 2 * PROBE_INTERVAL_S:
-            # This loop did not run, so answers may wait unread.
-            self._answered_at = now
-        if now - self._answered_at > SILENCE_LIMIT_S:
-            connection.close()
-            return
-        if now - self._answered_at >= PROBE_INTERVAL_S:
-            self._loop.create_task(self._ping(connection))
-        self._probe = self._loop.call_later(PROBE_INTERVAL_S, self._tick, now)
-
-    async def _ping(self, connection: rpc.Connection) -> None:
-        try:
-            await connection.call("ping")
-        except (failures.WireFailure, Thrift.TException):
-            return
-        self._answered_at = self._loop.time()
-
 
 def _proof(secret: bytes, role: bytes, opening_nonce: bytes, accepting_nonce: bytes) -> bytes:
     return hmac.digest(secret, role + opening_nonce + accepting_nonce, "sha256")
--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -80,8 +80,6 @@
 
 // hello and prove come first on every connection; before them every other call fails.
 service Peer {
-  // Shows that the connection and the peer are alive.
-  void ping() throws (1: PeerFailure failure)
   Challenge hello(1: string instance, 2: binary nonce) throws (1: PeerFailure failure)
   void prove(1: binary proof) throws (1: PeerFailure failure)
   Outcome forward(1: Forward request) throws (1: PeerFailure failure)
