--- a/bilberrystack/core/changes.py
+++ b/bilberrystack/core/changes.py
@@ -75,6 +75,51 @@
         return hashlib.sha256(content).hexdigest()[:16]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """The change is in force, or would be after a dry run.
+
+    Attributes:
+      version: The version that it produced.
+    """
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rejected:
+    """The change did not and will not take effect.
+
+    Attributes:
+      problems: Why.
+    """
+
+    problems: Problems
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conflict:
+    """Another change came first; this one did not and will not take effect.
+
+    Attributes:
+      mine: The version that the change is based on.
+      current: The version in force.
+    """
+
+    mine: int
+    current: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Undetermined:
+    """The change may or may not have taken effect; repeat it with the same operation id."""
+
+    detail: str
+
+
+ChangeOutcome = Accepted | Rejected | Conflict | Undetermined
+
+
 def apply(
     change: Change, current: declarations.Declarations
 ) -> result.Result[declarations.Declarations, Problems]:
