--- a/faults/members.py
+++ b/faults/members.py
@@ -78,6 +78,11 @@
         self._record.leaving_endpoints.append(history.Leaving(self.now, self.party))
         self._notify()
 
+    def set_apply_lag(self, lag_s: float) -> None:
+        """Sets how long received entries stay invisible to reads."""
+        self.state.apply_lag_s = lag_s
+        self._apply()
+
     def accept(self, connection: network.Connection) -> bool:
         """Takes a connection, unless the member is at its limit."""
         if len(self._connections) >= self.declaration.connections:
@@ -214,11 +219,14 @@
     def _schedule_apply(self) -> None:
         due = self.state.next_apply_at
         if due is not None:
-            self.net.loop.call_at(due + 1e-6, self._apply)
+            self.net.loop.call_at(max(due, self.now) + 1e-6, self._apply)
 
     def _apply(self) -> None:
+        before = self.state.applied
         self.state.advance(self.now)
-        self._notify()
+        if self.state.applied != before:
+            self._notify()
+        self._schedule_apply()
 
     def _work(self, kind: str, new: bool) -> None:
         self._record.work.append(history.Work(self.now, self.party, kind, new))
