--- a/bilberrystack/proxy/supervisor.py
+++ b/bilberrystack/proxy/supervisor.py
@@ -102,7 +102,7 @@
 OnChange = collections.abc.Callable[[Change], None]
 
 
-def _ignore_change(_change: Change) -> None:
+def ignore_change(_change: Change) -> None:
     """Default when nobody listens for changes."""
 
 
@@ -131,7 +131,7 @@
         instance_id: str,
         failure_domain: str,
         randomness: random.Random,
-        on_change: OnChange = _ignore_change,
+        on_change: OnChange = ignore_change,
     ) -> None:
         self._group = group
         self._instance_id = instance_id
@@ -148,12 +148,16 @@
         self._task: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> "Supervisor":
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self.start()
         return self
 
     async def __aexit__(self, *_exception: object) -> None:
         await self.close()
 
+    def start(self) -> None:
+        """Starts to supervise."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
     async def close(self) -> None:
         """Stops supervising. A change that is under way is given up."""
         tasks: list[asyncio.Future[Any]] = [*self._beats]
--- a/faults/__main__.py
+++ b/faults/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the fault matrix: `python -m faults`, or one cell: `python -m faults --step ... --fault ...`."""
+"""Runs the fault matrix with `python -m faults`, or one cell with `--step` and `--fault`."""
 
 import concurrent.futures
 import sys
--- a/faults/measure.py
+++ b/faults/measure.py
@@ -131,9 +131,7 @@
     latencies = sorted(1000 * (call.finished_at - call.sent_at) for call in answered)
     violations = len(checker.check(record))
     label = f"{lag} {lag_s:g} s"
-    return ReadFigures(
-        profile, label, proxy, len(served), sum(served), latencies, violations
-    )
+    return ReadFigures(profile, label, proxy, len(served), sum(served), latencies, violations)
 
 
 def measure_gap(profile: str, kind: str, seed: int) -> Gap:
@@ -203,8 +201,7 @@
     await world.start()
     rng = random.Random(seed)
     world.run_clients(
-        programmes.programme(rng, 150, 0.1, weights=programmes.MIXED)
-        for _ in range(WRITE_SESSIONS)
+        programmes.programme(rng, 150, 0.1, weights=programmes.MIXED) for _ in range(WRITE_SESSIONS)
     )
     primary = world.primary("g0")
     assert primary is not None
@@ -251,7 +248,9 @@
     violations: int = 0
 
     def reads(self, all_figures: list[ReadFigures]) -> None:
-        print(f"{'site':8}{'lag':16}{'proxy':26}{'reads':>7}{'replica':>9}{'p50 ms':>9}{'p99 ms':>9}")
+        print(
+            f"{'site':8}{'lag':16}{'proxy':26}{'reads':>7}{'replica':>9}{'p50 ms':>9}{'p99 ms':>9}"
+        )
         for one in all_figures:
             p50, p99 = percentile(one.latencies_ms, 0.5), percentile(one.latencies_ms, 0.99)
             print(
