Bound the work of rounds and of the search for a free slot

Cause: each change of a slot looked at up to sixteen waiting reads, also when no replica was free. Change: reads for replicas and reads for any member wait in lanes of their own, and the search ends when no replica has a free slot; rounds start at most every 2 ms; slots without a connection count as taken; closing a group lets running requests end.

--- a/bilberrystack/core/admission.py
+++ b/bilberrystack/core/admission.py
@@ -24,16 +24,22 @@
     """What a ticket waits for.
 
     TRANSACTION holds the statements of open transactions and the resolution of requests: what
-    finishes work goes first. The other lanes take turns.
+    finishes work goes first. The other lanes take turns. READ is for replicas only, PRIMARY_READ
+    for any member.
     """
 
     TRANSACTION = 0
     WRITE = 1
     BEGIN = 2
     READ = 3
+    PRIMARY_READ = 4
 
 
 _NEW_WORK = (Lane.WRITE, Lane.BEGIN)
+_READS = (Lane.READ, Lane.PRIMARY_READ)
+
+# What Ticket.place returns when no ticket of its lane could be placed.
+NO_SLOT = ""
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -44,7 +50,7 @@
       caller: The caller's declared name, between which the queue is fair.
       lane: What the request waits for.
       deadline: Instant on the runtime's clock after which the slot is of no use.
-      place: Returns the member whose free slot the request can take now, or None.
+      place: Returns the member whose free slot the request can take now, None, or NO_SLOT.
       granted: The member whose slot the ticket holds.
     """
 
@@ -103,6 +109,8 @@
             member = ticket.place()
             if member is None:
                 continue
+            if member == NO_SLOT:
+                return None
             waiting.popleft()
             self.depth -= 1
             if waiting:
@@ -124,7 +132,7 @@
         self._queues = {lane: _FairQueue() for lane in Lane}
         self._service_s = INITIAL_SERVICE_S
         self._held: set[Lane] = set()
-        self._turns = [Lane.WRITE, Lane.BEGIN, Lane.READ]
+        self._turns = [Lane.WRITE, Lane.BEGIN, Lane.READ, Lane.PRIMARY_READ]
 
     @property
     def depth(self) -> int:
@@ -140,6 +148,10 @@
         """Returns the number of tickets that wait in a lane."""
         return self._queues[lane].depth
 
+    def set_slots(self, slots: dict[str, int]) -> None:
+        """Changes the members' slots; those that are taken stay taken."""
+        self._slots.update(slots)
+
     def free(self, member: str) -> int:
         """Returns the number of a member's free slots."""
         return self._slots[member] - self._in_use[member]
@@ -159,7 +171,7 @@
         """
         if self._may_pass(ticket.lane):
             member = ticket.place()
-            if member is not None:
+            if member:
                 self._grant(ticket, member)
                 return None
         wait_s = self.expected_wait(ticket.lane)
@@ -218,8 +230,8 @@
 
     def expected_wait(self, lane: Lane) -> float:
         """Returns the expected wait of a new ticket: depth per slot times the service time."""
-        if lane is Lane.READ:
-            depth = self._queues[Lane.READ].depth
+        if lane in _READS:
+            depth = sum(self._queues[one].depth for one in _READS)
             slots = sum(self._slots.values())
         else:
             depth = self._queues[Lane.TRANSACTION].depth
--- a/bilberrystack/core/routing.py
+++ b/bilberrystack/core/routing.py
@@ -3,11 +3,18 @@
 import collections.abc
 import dataclasses
 
+from bilberrystack.core import admission
 from bilberrystack.core import members
 from bilberrystack.core import positions
 
-# How long a member that could not be reached is left out of the choice, in seconds.
+# How long a member that could not be reached is left out of the choice, in seconds. The time
+# doubles with each failure until the member answers.
 UNREACHABLE_S = 0.5
+MAX_UNREACHABLE_S = 4.0
+
+# After a member was behind at a position that it had received, only what it has applied counts for
+# this long, in seconds: with a steady apply lag each such read would wait for nothing.
+UNEXPECTED_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -18,7 +25,9 @@
       received: The highest log position it has reported.
       applied: The highest position it has reported as visible to reads.
       missed: The position at which it last answered that it is behind.
+      unexpected_until: Instant on the runtime's clock until which only its applied position counts.
       avoided_until: Instant on the runtime's clock until which it counts as unreachable.
+      failures: How often in succession it could not be reached.
       leaving: Whether it last reported that its endpoint is leaving.
       primary: Whether it last reported to be primary.
     """
@@ -29,7 +38,9 @@
     received: positions.Position = positions.ZERO
     applied: positions.Position = positions.ZERO
     missed: positions.Position | None = None
+    unexpected_until: float = 0.0
     avoided_until: float = 0.0
+    failures: int = 0
     leaving: bool = False
     primary: bool = False
 
@@ -106,19 +117,25 @@
         """Takes the position of a read's answer; returns whether the member has advanced."""
         return self._advance(self._candidates[name], position, position)
 
-    def record_behind(self, name: str, min_position: positions.Position) -> None:
+    def record_behind(self, name: str, min_position: positions.Position, now: float) -> None:
         """Keeps the member from reads at or past a position until it reports to be there."""
         candidate = self._candidates[name]
+        candidate.unexpected_until = now + UNEXPECTED_S
         if candidate.missed is None or min_position < candidate.missed:
             candidate.missed = min_position
 
     def record_unreachable(self, name: str, now: float) -> None:
         """Leaves a member out of the choice for a while."""
-        self._candidates[name].avoided_until = now + UNREACHABLE_S
+        candidate = self._candidates[name]
+        pause_s = min(UNREACHABLE_S * 2**candidate.failures, MAX_UNREACHABLE_S)
+        candidate.failures += 1
+        candidate.avoided_until = now + pause_s
 
     def record_reachable(self, name: str) -> None:
         """Ends the effect of record_unreachable."""
-        self._candidates[name].avoided_until = 0.0
+        candidate = self._candidates[name]
+        candidate.avoided_until = 0.0
+        candidate.failures = 0
 
     def record_fruitless_wait(self, min_position: positions.Position) -> None:
         """Keeps reads at or past a position from waiting until a replica reports to be there."""
@@ -134,11 +151,11 @@
     ) -> Prospect:
         """Tells what a read may expect of the replicas, apart from free slots."""
         found = False
-        for one in self._usable(now, excluded):
-            if one.name == primary:
+        for one in self._candidates.values():
+            if one.name == primary or not self._is_usable(one, now, excluded):
                 continue
             found = True
-            if self._is_ready(one, min_position):
+            if self._is_ready(one, min_position, now):
                 return _READY
         if not found:
             return _NO_REPLICA
@@ -154,7 +171,7 @@
         load: collections.abc.Callable[[str], float],
         excluded: collections.abc.Container[str],
     ) -> str | None:
-        """Returns a replica with a free slot for a read, None if there is none.
+        """Returns a replica with a free slot for a read.
 
         Args:
           min_position: The position that the read has to see.
@@ -162,34 +179,44 @@
           now: Seconds of the runtime's clock.
           load: Returns the used share of a member's slots, 1.0 or more if none is free.
           excluded: Members that the read has tried.
+        Returns:
+          The replica; None if no replica with a free slot is ready for the read; NO_SLOT if no
+          replica has a free slot.
         """
         best: _Candidate | None = None
         best_rank = (True, 0.0, True)
-        for one in self._usable(now, excluded):
-            if one.name == primary or not self._is_ready(one, min_position):
+        saturated = True
+        for one in self._candidates.values():
+            if one.name == primary:
                 continue
             used = load(one.name)
             if used >= 1.0:
                 continue
+            saturated = False
+            if not self._is_usable(one, now, excluded):
+                continue
+            if not self._is_ready(one, min_position, now):
+                continue
             rank = (one.applied < min_position, used, not one.near)
             if best is None or rank < best_rank:
                 best, best_rank = one, rank
-        return None if best is None else best.name
+        if best is not None:
+            return best.name
+        return admission.NO_SLOT if saturated else None
 
-    def _usable(
-        self, now: float, excluded: collections.abc.Container[str]
-    ) -> collections.abc.Iterator[_Candidate]:
-        for one in self._candidates.values():
-            if one.avoided_until > now or one.name in excluded:
-                continue
-            if one.leaving or one.address in self._leaving_addresses:
-                continue
-            yield one
+    def _is_usable(
+        self, one: _Candidate, now: float, excluded: collections.abc.Container[str]
+    ) -> bool:
+        if one.avoided_until > now or one.name in excluded:
+            return False
+        return not one.leaving and one.address not in self._leaving_addresses
 
-    def _is_ready(self, one: _Candidate, min_position: positions.Position) -> bool:
+    def _is_ready(self, one: _Candidate, min_position: positions.Position, now: float) -> bool:
         """A member that has received a position is about to apply it, unless it said otherwise."""
         if one.applied >= min_position:
             return True
+        if one.unexpected_until > now:
+            return False
         if one.missed is not None and min_position >= one.missed:
             return False
         return one.received >= min_position
--- a/bilberrystack/proxy/confirmations.py
+++ b/bilberrystack/proxy/confirmations.py
@@ -46,6 +46,7 @@
         "_members",
         "_polls",
         "_quorum",
+        "_term",
         "_waits",
     )
 
@@ -69,6 +70,7 @@
         self._counters = counts
         self._waits: set[_Wait] = set()
         self._polls: dict[str, asyncio.Task[None]] = {}
+        self._term = 0
         self._accepted: dict[str, positions.Position] = dict.fromkeys(links, positions.ZERO)
 
     async def wait(self, position: positions.Position, deadline: float) -> Verdict:
@@ -83,6 +85,8 @@
         """
         if self._quorum.is_durable(position):
             return Verdict.DURABLE
+        if position.term < self._term:
+            return Verdict.SUPERSEDED
         waiting = _Wait(position, self._loop.create_future())
         self._waits.add(waiting)
         self._poll_members()
@@ -107,6 +111,7 @@
 
     def primary_changed(self, term: int) -> None:
         """Ends the waits for positions of older terms that are still undecided."""
+        self._term = term
         self.evidence_arrived()
         for waiting in tuple(self._waits):
             if waiting.position.term < term:
--- a/bilberrystack/proxy/group.py
+++ b/bilberrystack/proxy/group.py
@@ -15,14 +15,21 @@
 from bilberrystack.proxy import interfaces
 from bilberrystack.proxy import reads
 from bilberrystack.proxy import transactions
+from bilberrystack.proxy import waits
 from bilberrystack.proxy import writes
 
+# How long the end of the role waits for running requests, in seconds; callers' deadlines are
+# usually shorter.
+CLOSE_LIMIT_S = 30.0
+
 
 class Group:
     """Runs the requests of one database group; see interfaces.GroupOwner."""
 
     __slots__ = (
         "_closed",
+        "_idle",
+        "_in_flight",
         "_last_change",
         "_loop",
         "_rank",
@@ -41,6 +48,8 @@
         self._transactions = transactions.Transactions(state, self._writes, instance_id)
         self._last_change = ""
         self._closed = False
+        self._in_flight = 0
+        self._idle = waits.Signal()
 
     @property
     def name(self) -> str:
@@ -75,17 +84,21 @@
     async def execute(self, request: requests.GroupRequest) -> outcomes.Outcome:
         """Runs a request; never raises but when cancelled, and answers by the deadline."""
         if self._closed:
-            outcome: outcomes.Outcome = outcomes.NotRun(
-                outcomes.NotRunReason.LEAVING, "this instance no longer serves the group"
-            )
-        else:
-            try:
-                outcome = await self._dispatch(request)
-            except Exception:
-                logger.exception("group {}: request {} failed", self.name, request.key)
-                outcome = outcomes.Unknown(
-                    outcomes.UnknownReason.CONNECTION_LOST, "internal error of the proxy"
-                )
+            detail = "this instance no longer serves the group"
+            outcome: outcomes.Outcome = outcomes.NotRun(outcomes.NotRunReason.LEAVING, detail)
+            self._count(outcome)
+            return outcome
+        self._in_flight += 1
+        try:
+            outcome = await self._dispatch(request)
+        except Exception:
+            logger.exception("group {}: request {} failed", self.name, request.key)
+            detail = "internal error of the proxy"
+            outcome = outcomes.Unknown(outcomes.UnknownReason.CONNECTION_LOST, detail)
+        finally:
+            self._in_flight -= 1
+            if self._closed and not self._in_flight:
+                self._idle.wake()
         self._count(outcome)
         return outcome
 
@@ -151,8 +164,12 @@
         )
 
     async def close(self) -> None:
-        """Ends the role; open transactions are aborted."""
+        """Ends the role: refuses new requests, lets running ones end, aborts open transactions."""
         self._closed = True
+        self._transactions.close_idle()
+        limit = self._loop.time() + CLOSE_LIMIT_S
+        while self._in_flight and self._loop.time() < limit:
+            await self._idle.wait(limit)
         self._transactions.close()
         self._state.close()
 
--- a/bilberrystack/proxy/group_state.py
+++ b/bilberrystack/proxy/group_state.py
@@ -23,6 +23,9 @@
 # It equals the stated detection time, so that a shorter pause holds no write back.
 CONTACT_S = 0.5
 
+# How long a silent member may take to answer a status call, in seconds.
+SILENCE_CHECK_S = 0.1
+
 # Pause between status rounds while requests wait for a primary or a majority, in seconds.
 SEEK_PAUSE_S = 0.02
 
@@ -103,10 +106,12 @@
             routing.Endpoint(one.name, one.address, one.failure_domain == failure_domain)
             for one in declaration.members
         )
-        self.slots = slots.Slots({one.name: one.slots for one in declaration.members})
+        self.slots = slots.Slots(self._usable_slots(rank))
         self.admission = self.slots.queue
         self.pools = {
-            one.name: pool.Pool(self.members[one.name], data_share(one.connections, rank))
+            one.name: pool.Pool(
+                self.members[one.name], data_share(one.connections, rank), self.slots.pump
+            )
             for one in declaration.members
         }
         self.rounds = rounds.Rounds(self.members, self.quorum, self.last_contact, self.counters)
@@ -127,6 +132,11 @@
         """The primary of the highest promised term, None if there is none."""
         return self._primary if self._term >= self._promised else None
 
+    @property
+    def last_primary(self) -> str | None:
+        """The primary before the current change, or the current one; None if none was known."""
+        return self._last_primary
+
     @property
     def term(self) -> int:
         """The term of the last known primary."""
@@ -188,13 +198,31 @@
         self.primary_signal.wake()
         self.slots.pump()
 
+    async def is_silent(self, name: str, silence_s: float) -> bool:
+        """Tells whether a member has answered nothing for a time and does not do so now."""
+        asked_at = self._loop.time()
+        if self._contacts.get(name, -silence_s) >= asked_at - silence_s:
+            return False
+        try:
+            async with asyncio.timeout(SILENCE_CHECK_S):
+                self.quorum.record(await self.members[name].status(positions.ZERO, 0.0))
+        except (interfaces.LinkLost, TimeoutError):
+            return True
+        return False
+
     def place_at_primary(self) -> str | None:
         """Returns the primary if it can take a new statement now, None otherwise."""
         if not self.is_ready():
             self._seek()
             return None
         primary = self.primary
-        return primary if primary is not None and self.admission.free(primary) > 0 else None
+        return primary if primary is not None and self.load(primary) < 1.0 else None
+
+    def load(self, name: str) -> float:
+        """Returns the used share of a member's slots; 1.0 or more without a free connection."""
+        if not self.pools[name].available:
+            return 1.0
+        return self.admission.load(name)
 
     def is_ready(self) -> bool:
         """Tells whether the primary is known, and it and a majority have answered lately."""
@@ -226,8 +254,10 @@
 
     def set_rank(self, rank: int) -> None:
         """Changes the connection shares to those of a rank."""
+        self.admission.set_slots(self._usable_slots(rank))
         for one in self.declaration.members:
             self.pools[one.name].set_share(data_share(one.connections, rank))
+        self.slots.pump()
 
     def close(self) -> None:
         """Ends background work and closes the connections."""
@@ -239,6 +269,13 @@
         for one in self.pools.values():
             one.close()
 
+    def _usable_slots(self, rank: int) -> dict[str, int]:
+        """A slot without a connection is of no use."""
+        return {
+            one.name: min(one.slots, data_share(one.connections, rank))
+            for one in self.declaration.members
+        }
+
     def _reported(self, status: members.MemberStatus) -> None:
         """Acts on a member's report after it was recorded as evidence."""
         if status.member not in self.members:
--- a/bilberrystack/proxy/pool.py
+++ b/bilberrystack/proxy/pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import collections.abc
 import types
 
 from bilberrystack.proxy import interfaces
@@ -85,14 +86,28 @@
         "_leased",
         "_loop",
         "_member",
+        "_on_available",
         "_opener",
         "_share",
         "_waiters",
         "_warm",
     )
 
-    def __init__(self, member: interfaces.Member, share: int) -> None:
+    def __init__(
+        self,
+        member: interfaces.Member,
+        share: int,
+        on_available: collections.abc.Callable[[], None],
+    ) -> None:
+        """Prepares a pool without connections.
+
+        Args:
+          member: The member.
+          share: How many data connections the pool may hold.
+          on_available: Called when a connection may have become available.
+        """
         self._member = member
+        self._on_available = on_available
         self._share = share
         self._loop = asyncio.get_running_loop()
         self._idle: list[Lease] = []
@@ -113,6 +128,11 @@
         """The number of data connections that the pool may hold."""
         return self._share
 
+    @property
+    def available(self) -> bool:
+        """Whether one more statement can have a connection, perhaps after it was opened."""
+        return self._share - len(self._leased) > len(self._waiters)
+
     def set_share(self, share: int) -> None:
         """Changes the bound; connections above it are closed once they are idle."""
         self._share = share
@@ -182,12 +202,14 @@
         if self._closed or stale or self.size >= self._share:
             lease.connection.close()
             self._open_more()
-            return
-        self._hand_out(lease.connection)
+        else:
+            self._hand_out(lease.connection)
+        self._on_available()
 
     def _discarded(self, lease: Lease) -> None:
         self._leased.discard(lease)
         self._open_more()
+        self._on_available()
 
     def _hand_out(self, connection: interfaces.MemberConnection) -> None:
         lease = Lease(self, connection, self._generation)
@@ -226,6 +248,8 @@
                     async with asyncio.timeout(OPEN_TIMEOUT_S):
                         connection = await self._member.connect()
                 except interfaces.ConnectionRefused:
+                    if not self._waiters:
+                        return
                     await asyncio.sleep(pause_s)
                     pause_s = min(2 * pause_s, LAST_REFUSAL_PAUSE_S)
                     continue
--- a/bilberrystack/proxy/reads.py
+++ b/bilberrystack/proxy/reads.py
@@ -8,6 +8,7 @@
 from bilberrystack.core import outcomes
 from bilberrystack.core import positions
 from bilberrystack.core import requests
+from bilberrystack.core import routing
 from bilberrystack.proxy import confirmations
 from bilberrystack.proxy import group_state
 from bilberrystack.proxy import interfaces
@@ -26,6 +27,14 @@
 # wait takes one of its slots.
 MEMBER_WAIT_S = 0.01
 
+# How long a read waits for a connection before another member is tried, in seconds. Opening the 7
+# connections to one of the smallest members, one after the other, takes 84 ms.
+CONNECTION_PATIENCE_S = 0.15
+
+# A member that has answered nothing for this long while it has a read is asked for its status, in
+# seconds; if it does not answer that either, another member is tried.
+SILENCE_S = 0.25
+
 # How long an answer's position may stay unconfirmed before another member is tried, in seconds.
 CONFIRM_LIMIT_S = 0.3
 
@@ -95,15 +104,18 @@
         name = ticket.granted
         assert name is not None
         request = progress.request
-        lease = await statements.lease_for(self._state, ticket, request.deadline)
+        patience = min(request.deadline, self._loop.time() + CONNECTION_PATIENCE_S)
+        lease = await statements.lease_for(self._state, ticket, patience)
         if lease is None:
+            self._state.router.record_unreachable(name, self._loop.time())
             return None
         call = lease.connection.read(request.body, progress.min_position, MEMBER_WAIT_S)
         try:
-            reply = await statements.perform(self._state, ticket, lease, call, request.deadline)
+            reply = await statements.perform(
+                self._state, ticket, lease, call, request.deadline, silence_s=SILENCE_S
+            )
         except statements.Outstanding:
-            progress.executed = True
-            return None
+            return self._outstanding(progress, name)
         except interfaces.LinkLost as failure:
             return self._link_lost(progress, name, failure)
         lease.give_back()
@@ -128,8 +140,10 @@
             verdict = await state.confirmations.wait(reply.position, limit)
             if verdict is not confirmations.Verdict.DURABLE:
                 progress.tried.add(name)
+                if len(progress.tried) == len(state.members):
+                    progress.tried.clear()
                 return None
-        from_replica = name != state.primary
+        from_replica = name != state.last_primary
         if from_replica:
             state.counters.replica_reads += 1
         else:
@@ -145,7 +159,7 @@
                 return outcomes.NotRun(outcomes.NotRunReason.INVALID_STATEMENT, reply.detail)
             case members.Refusal.BEHIND:
                 self._state.counters.behind_replies += 1
-                self._state.router.record_behind(name, progress.min_position)
+                self._state.router.record_behind(name, progress.min_position, self._loop.time())
                 if name == self._state.primary:
                     await statements.pause(self._state, progress.request.deadline)
             case _:
@@ -155,18 +169,33 @@
     def _link_lost(
         self, progress: _Progress, name: str, failure: interfaces.LinkLost
     ) -> outcomes.Outcome | None:
-        """Decides whether the read is sent again, which the retry budget bounds."""
-        now = self._loop.time()
-        self._state.router.record_unreachable(name, now)
+        self._state.router.record_unreachable(name, self._loop.time())
         if not failure.sent:
             return None
         progress.executed = True
-        if self._state.retries.take(now):
-            self._state.counters.retries += 1
+        if self._may_resend():
             return None
-        self._state.counters.denied_retries += 1
         return outcomes.Unknown(outcomes.UnknownReason.CONNECTION_LOST, str(failure))
 
+    def _outstanding(self, progress: _Progress, name: str) -> outcomes.Outcome | None:
+        progress.executed = True
+        now = self._loop.time()
+        if now >= progress.request.deadline:
+            return None
+        self._state.router.record_unreachable(name, now)
+        if self._may_resend():
+            return None
+        detail = f"{name} has not answered"
+        return outcomes.Unknown(outcomes.UnknownReason.CONNECTION_LOST, detail)
+
+    def _may_resend(self) -> bool:
+        """Tells whether a read may be sent again, which the retry budget bounds."""
+        if self._state.retries.take(self._loop.time()):
+            self._state.counters.retries += 1
+            return True
+        self._state.counters.denied_retries += 1
+        return False
+
     async def _place(self, progress: _Progress) -> admission.Ticket | outcomes.NotRun | None:
         """Waits for a slot: of a replica first, of the primary as the last resort."""
         if not progress.primary_reason:
@@ -179,14 +208,14 @@
         def place() -> str | None:
             name = self._replica(progress)
             primary = state.primary
-            if name is not None or primary is None or primary in progress.tried:
-                return name
-            return primary if state.admission.free(primary) > 0 else None
+            if name or primary is None or primary in progress.tried:
+                return name or None
+            return primary if state.load(primary) < 1.0 else None
 
         state.read_waits()
         try:
             return await state.slots.acquire(
-                admission.Lane.READ, request.caller, request.deadline, place
+                admission.Lane.PRIMARY_READ, request.caller, request.deadline, place
             )
         finally:
             state.read_waits_no_longer()
@@ -198,7 +227,7 @@
         state = self._state
         now = self._loop.time()
         request = progress.request
-        prospect = state.router.prospect(progress.min_position, state.primary, now, progress.tried)
+        prospect = self._prospect(progress)
         if not prospect.worth_waiting:
             progress.primary_reason = prospect.reason
             return None
@@ -221,18 +250,24 @@
             if not prospect.ready:
                 state.read_waits_no_longer()
         if ticket is None:
-            progress.primary_reason = "busy" if prospect.ready else "behind"
-            if not prospect.ready:
+            ready = self._prospect(progress).ready
+            progress.primary_reason = "busy" if ready else "behind"
+            if not ready:
                 state.router.record_fruitless_wait(progress.min_position)
         return ticket
 
+    def _prospect(self, progress: _Progress) -> routing.Prospect:
+        state = self._state
+        now = self._loop.time()
+        return state.router.prospect(progress.min_position, state.last_primary, now, progress.tried)
+
     def _replica(self, progress: _Progress) -> str | None:
         state = self._state
         return state.router.choose(
             progress.min_position,
-            state.primary,
+            state.last_primary,
             self._loop.time(),
-            state.admission.load,
+            state.load,
             progress.tried,
         )
 
--- a/bilberrystack/proxy/rounds.py
+++ b/bilberrystack/proxy/rounds.py
@@ -14,6 +14,10 @@
 # already. Between failure domains an answer takes about 1 ms.
 LAST_ANSWER_WAIT_S = 0.003
 
+# Shortest time from the start of one round to the start of the next, in seconds. It bounds the work
+# of rounds under load and adds at most itself to a read of age 0.
+ROUND_SPACING_S = 0.002
+
 # When a round without a majority is given up, in seconds.
 ROUND_TIMEOUT_S = 0.5
 
@@ -48,9 +52,11 @@
         "_counters",
         "_current",
         "_last_contact",
+        "_last_start",
         "_loop",
         "_members",
         "_next",
+        "_next_timer",
         "_outstanding",
         "_quorum",
     )
@@ -78,6 +84,8 @@
         self._counters = counts
         self._current: _Round | None = None
         self._next: _Round | None = None
+        self._next_timer: asyncio.TimerHandle | None = None
+        self._last_start = -ROUND_SPACING_S
         self._outstanding = dict.fromkeys(links, 0)
         self._calls: set[asyncio.Task[None]] = set()
 
@@ -105,24 +113,40 @@
             timer.cancel()
 
     def _timers(self) -> list[asyncio.TimerHandle]:
-        if self._current is None:
-            return []
-        timers = (self._current.timer, self._current.last_answer_timer)
+        timers = [self._next_timer]
+        if self._current is not None:
+            timers += [self._current.timer, self._current.last_answer_timer]
         return [timer for timer in timers if timer is not None]
 
     def _join(self) -> asyncio.Future[positions.Position | None]:
-        if self._current is None:
-            started = _Round(self._loop.create_future())
-            self._start(started)
-            return started.done
         if self._next is None:
             self._next = _Round(self._loop.create_future())
-        return self._next.done
+        joined = self._next
+        if self._current is None:
+            self._start_next()
+        return joined.done
+
+    def _start_next(self) -> None:
+        """Starts the next round, or sets a timer for it if the last start was too recent."""
+        if self._next is None or self._next_timer is not None:
+            return
+        due = self._last_start + ROUND_SPACING_S
+        if self._loop.time() < due:
+            self._next_timer = self._loop.call_at(due, self._next_due)
+            return
+        following, self._next = self._next, None
+        self._start(following)
+
+    def _next_due(self) -> None:
+        self._next_timer = None
+        following, self._next = self._next, None
+        if following is not None:
+            self._start(following)
 
     def _start(self, started: _Round) -> None:
         self._current = started
         self._counters.rounds += 1
-        started.sent_at = self._loop.time()
+        started.sent_at = self._last_start = self._loop.time()
         started.timer = self._loop.call_later(ROUND_TIMEOUT_S, self._finish, started)
         for name in self._members:
             if self._outstanding[name] >= MAX_OUTSTANDING:
@@ -165,8 +189,9 @@
     def _finish(self, finished: _Round) -> None:
         if finished is not self._current:
             return
-        for timer in self._timers():
-            timer.cancel()
+        for timer in (finished.timer, finished.last_answer_timer):
+            if timer is not None:
+                timer.cancel()
         index = quorum.read_index(finished.reported, self._quorum.member_count)
         if index is None:
             self._counters.failed_rounds += 1
@@ -175,6 +200,4 @@
         if not finished.done.done():
             finished.done.set_result(index)
         self._current = None
-        following, self._next = self._next, None
-        if following is not None:
-            self._start(following)
+        self._start_next()
--- a/bilberrystack/proxy/statements.py
+++ b/bilberrystack/proxy/statements.py
@@ -82,6 +82,7 @@
     *,
     term: int | None = None,
     reusable: bool = True,
+    silence_s: float | None = None,
 ) -> members.MemberReply:
     """Runs a statement on a leased connection and gives its slot back.
 
@@ -95,6 +96,8 @@
       deadline: Instant on the runtime's clock at which the wait ends.
       term: The term of the primary that the statement is for; a newer primary ends the wait.
       reusable: Whether the connection may be returned to the pool after a late answer.
+      silence_s: The wait ends when the member answers nothing at all for this long, not even a
+        request for its status.
     Returns:
       The answer.
     Raises:
@@ -107,10 +110,15 @@
     started = loop.time()
     work = loop.create_task(call)
     interrupt = None if term is None else state.primary_signal
+    check_at = deadline if silence_s is None else min(deadline, started + silence_s)
     try:
-        while not await waits.until(work, deadline, interrupt):
+        while not await waits.until(work, check_at, interrupt):
             if loop.time() >= deadline or (term is not None and state.term > term):
                 break
+            if silence_s is not None and loop.time() >= check_at:
+                if await state.is_silent(name, silence_s) and not work.done():
+                    break
+                check_at = min(deadline, loop.time() + silence_s)
     except asyncio.CancelledError:
         _drain(state, ticket, lease, work, reusable)
         raise
--- a/bilberrystack/proxy/transactions.py
+++ b/bilberrystack/proxy/transactions.py
@@ -174,6 +174,12 @@
                 self._drop(transaction)
         return _provisional(request, transaction, b"")
 
+    def close_idle(self) -> None:
+        """Aborts the transactions that run no statement."""
+        for transaction in tuple(self._open.values()):
+            if not transaction.busy:
+                self._drop(transaction)
+
     def close(self) -> None:
         """Aborts every transaction by closing its connection."""
         for transaction in tuple(self._open.values()):
@@ -250,7 +256,7 @@
         name = transaction.member
 
         def place() -> str | None:
-            if commits or transaction.term < self._state.term:
+            if transaction.term < self._state.term or (commits and not self._state.is_ready()):
                 return self._state.place_at_primary()
             return name if self._state.admission.free(name) > 0 else None
 
--- a/bilberrystack/proxy/writes.py
+++ b/bilberrystack/proxy/writes.py
@@ -35,11 +35,8 @@
             outcome = await self._outcome(request, result)
             if isinstance(outcome, outcomes.NotRun) and not _is_cancelled(outcome):
                 # This copy did not run, which says nothing about the one sent before.
-                break
-        else:
-            if outcome is not None:
-                return outcome
-        return await self.resolve(request, _reason(result))
+                return await self.resolve(request, _reason(result))
+        return outcome or await self.resolve(request, _reason(result))
 
     async def resolve(
         self, request: requests.GroupRequest, unresolved: outcomes.Unknown | None = None
