--- a/bilberrystack/proxy/entry.py
+++ b/bilberrystack/proxy/entry.py
@@ -299,7 +299,7 @@
                 failure = lost
             maybe_ran = maybe_ran or failure.sent
             if failure.sent and request.kind is requests.Kind.COMMIT:
-                return await self._resolve(request, str(failure))
+                return await self._resolve(request, owner_id, str(failure))
             if failure.sent and request.kind is requests.Kind.STATEMENT:
                 break
             if not await self._pause(pause_s, request.deadline):
@@ -309,20 +309,32 @@
             return outcomes.Unknown(outcomes.UnknownReason.CONNECTION_LOST, str(failure))
         return outcomes.NotRun(outcomes.NotRunReason.OWNER_UNREACHABLE, str(failure))
 
-    async def _run_at_owners(self, request: requests.GroupRequest) -> outcomes.Outcome:
-        """Takes a request to the owners of its group in the order of their ranks."""
+    async def _run_at_owners(
+        self, request: requests.GroupRequest, last: str | None = None
+    ) -> outcomes.Outcome:
+        """Takes a request to the owners of its group in the order of their ranks.
+
+        Args:
+          request: The request.
+          last: The owner to try after the others, if any.
+        Returns:
+          The outcome.
+        """
         pause_s = MIN_PAUSE_S
         maybe_ran = False
         refused = outcomes.NotRun(outcomes.NotRunReason.OWNER_UNREACHABLE, "no owner is reachable")
         while True:
-            for owner_id in self._router.owners(request.group):
+            owners = self._router.owners(request.group)
+            if last is not None:
+                owners = sorted(owners, key=lambda one: one == last)
+            for owner_id in owners:
                 try:
                     outcome = await self._attempt(owner_id, request)
                 except interfaces.LinkLost as lost:
                     if not lost.sent:
                         continue
                     if request.kind not in _REPEATABLE:
-                        return await self._resolve(request, str(lost))
+                        return await self._resolve(request, owner_id, str(lost))
                     maybe_ran = maybe_ran or request.kind in _HAS_EFFECT
                     if not self._retries.take(self._loop_time()):
                         return outcomes.Unknown(outcomes.UnknownReason.CONNECTION_LOST, str(lost))
@@ -334,12 +346,14 @@
                 return _definite(refused, maybe_ran)
             pause_s = min(2 * pause_s, MAX_PAUSE_S)
 
-    async def _resolve(self, request: requests.GroupRequest, detail: str) -> outcomes.Outcome:
+    async def _resolve(
+        self, request: requests.GroupRequest, lost_owner: str, detail: str
+    ) -> outcomes.Outcome:
         """Finds out what became of a request that may have reached a member, without sending it."""
         resolve = dataclasses.replace(
             request, kind=requests.Kind.RESOLVE, body=b"", transaction=None
         )
-        outcome = await self._run_at_owners(resolve)
+        outcome = await self._run_at_owners(resolve, last=lost_owner)
         if isinstance(outcome, outcomes.Answer):
             return outcome
         if isinstance(outcome, outcomes.NotRun) and outcome.reason is _CANCELLED:
--- a/bilberrystack/proxy/fakes_test.py
+++ b/bilberrystack/proxy/fakes_test.py
@@ -4,6 +4,8 @@
 import hashlib
 import json
 
+import looptime
+
 from bilberrystack.core import declarations
 from bilberrystack.core import outcomes
 from bilberrystack.core import positions
@@ -228,3 +230,9 @@
     """Waits for a condition."""
     while not condition():
         await asyncio.sleep(0.001)
+
+
+def paused(main):
+    """Runs a coroutine function on a loop whose clock jumps to the next timer."""
+    with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
+        return runner.run(main())
--- /dev/null
+++ b/bilberrystack/proxy/peers_test.py
@@ -0,0 +1,216 @@
+"""Tests of the connections among instances over sockets on the loopback interface."""
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from bilberrystack.core import outcomes
+from bilberrystack.core import positions
+from bilberrystack.core import requests
+from bilberrystack.gen.peers import ttypes
+from bilberrystack.proxy import fakes_test as fakes
+from bilberrystack.proxy import interfaces
+from bilberrystack.proxy import peer_messages
+from bilberrystack.proxy import peers
+from bilberrystack.wire import rpc
+
+HOST = "127.0.0.1"
+DIGEST = interfaces.Digest("a", "d1", "127.0.0.1:1", True, 7, 1.5)
+ANSWER = outcomes.Answer(b"x", positions.Position(3, 9), "m", True, "i/1", True)
+
+
+class Handler:
+    def __init__(self, outcome=ANSWER):
+        self.outcome = outcome
+        self.seen = []
+        self.hold = False
+
+    async def forwarded(self, request):
+        self.seen.append(request)
+        if self.hold:
+            await asyncio.Event().wait()
+        if isinstance(self.outcome, Exception):
+            raise self.outcome
+        return self.outcome
+
+    def digest(self, sender):
+        self.seen.append(sender)
+        return dataclasses.replace(sender, instance="b", store_contact_s=None)
+
+    async def push_head(self, sender, head):
+        self.seen.append((sender, head))
+
+    async def fetch_configuration(self, known_parts):
+        return interfaces.ConfigurationTransfer(3, b"head", {part: b"p" for part in known_parts})
+
+
+def request(timeout_s=5.0, **fields):
+    deadline = asyncio.get_running_loop().time() + timeout_s
+    key = requests.RequestKey("s", 4)
+    made = requests.GroupRequest(key, "c", "g", fakes.K.READ, b"body", None, 0.25, deadline)
+    return dataclasses.replace(made, **fields)
+
+
+class Fixture:
+    def __init__(self, server, handler):
+        self.server = server
+        self.handler = handler
+        self.lost = []
+
+    def link(self, secret=b"fleet", port=None):
+        address = f"{HOST}:{port or self.server.port}"
+        return peers.Link(address, "a", secret, lambda: self.lost.append(1))
+
+
+def check(test, outcome=ANSWER):
+    async def main():
+        handler = Handler(outcome)
+        listener = peers.Listener(b"fleet")
+        listener.bind(handler)
+        async with listener.server() as server:
+            await server.start(HOST, 0)
+            await test(Fixture(server, handler))
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    "outcome",
+    [
+        ANSWER,
+        outcomes.NotRun(fakes.R.QUEUE_FULL, "full", 0.5),
+        outcomes.Unknown(outcomes.UnknownReason.NOT_CONFIRMED, "lost"),
+    ],
+)
+def test_request_and_outcome_arrive_unchanged(outcome):
+    """Guards against a field that gets lost between entry and owner."""
+
+    async def test(fixture):
+        link = fixture.link()
+        mark = positions.Position(2, 8)
+        for sent in (request(), request(watermark=mark, transaction="i/1", kind=fakes.K.COMMIT)):
+            assert await link.forward(sent) == outcome
+            (seen,) = fixture.handler.seen
+            assert dataclasses.replace(seen, deadline=sent.deadline) == sent
+            assert seen.deadline < sent.deadline
+            fixture.handler.seen.clear()
+        link.close()
+
+    check(test, outcome)
+
+
+def test_control_calls_arrive_unchanged():
+    """Guards against losing the leaving flag, versions or parts on the way."""
+
+    async def test(fixture):
+        link = fixture.link()
+        answered = dataclasses.replace(DIGEST, instance="b", store_contact_s=None)
+        assert await link.digest(DIGEST) == await link.leaving(DIGEST) == answered
+        await link.push_head(DIGEST, b"head")
+        assert fixture.handler.seen == [DIGEST, DIGEST, (DIGEST, b"head")]
+        assert (await link.fetch_configuration(["k"])).parts == {"k": b"p"}
+        assert len(fixture.server.connections) == 1
+        link.close()
+
+    check(test)
+
+
+def test_peer_with_another_secret_is_rejected_before_anything_is_sent():
+    """Guards against a foreign process that takes or answers requests of the fleet."""
+
+    async def test(fixture):
+        link = fixture.link(secret=b"other")
+        with pytest.raises(interfaces.LinkLost) as raised:
+            await link.forward(request())
+        assert not raised.value.sent and fixture.lost and not fixture.handler.seen
+
+    check(test)
+
+
+def test_calls_before_authentication_are_refused_and_close_the_connection():
+    """Guards against requests of anybody who reaches the peers' port."""
+
+    async def test(fixture):
+        connection = await rpc.connect(peers.SERVICE, HOST, fixture.server.port)
+        message = peer_messages.to_forward(request(), 1.0)
+        with pytest.raises(ttypes.PeerFailure):
+            await connection.call("forward", message)
+        await fakes.until(lambda: connection.closed)
+        connection = await rpc.connect(peers.SERVICE, HOST, fixture.server.port)
+        challenge = await connection.call("hello", "a", bytes(16))
+        with pytest.raises(ttypes.PeerFailure):
+            await connection.call("prove", challenge.proof)
+        await fakes.until(lambda: connection.closed)
+        assert not fixture.handler.seen
+
+    check(test)
+
+
+def test_lost_link_tells_whether_the_request_was_sent():
+    """Guards against "not run" for a request that reached an owner that died."""
+
+    async def test(fixture):
+        fixture.handler.hold = True
+        link = fixture.link()
+        call = asyncio.create_task(link.forward(request()))
+        await fakes.until(lambda: fixture.handler.seen)
+        port = fixture.server.port
+        fixture.server.close()
+        with pytest.raises(interfaces.LinkLost) as raised:
+            await call
+        assert raised.value.sent and fixture.lost
+        with pytest.raises(interfaces.LinkLost) as raised:
+            await fixture.link(port=port).forward(request())
+        assert not raised.value.sent
+
+    check(test)
+
+
+def test_failed_handler_may_have_run_the_request():
+    """Guards against "not run" after a defect at the owner."""
+
+    async def test(fixture):
+        link = fixture.link()
+        with pytest.raises(interfaces.LinkLost) as raised:
+            await link.forward(request())
+        assert raised.value.sent
+        link.close()
+
+    check(test, ValueError("defect"))
+
+
+def test_idle_connection_is_closed_and_reopened_at_need(monkeypatch):
+    """Guards against connections to all instances that stay open forever."""
+    monkeypatch.setattr(peers, "IDLE_LIMIT_S", 0.01)
+
+    async def test(fixture):
+        link = fixture.link()
+        for _ in range(2):
+            await link.digest(DIGEST)
+            await fakes.until(lambda: not fixture.server.connections)
+        assert not fixture.lost
+
+    check(test)
+
+
+def test_waiting_calls_share_one_attempt_to_connect():
+    """Guards against a connection for every request after a link broke."""
+
+    async def test(fixture):
+        link = fixture.link()
+        cancelled = asyncio.create_task(link.forward(request()))
+        calls = [asyncio.create_task(link.forward(request())) for _ in range(20)]
+        await asyncio.sleep(0)
+        cancelled.cancel()
+        assert set(await asyncio.gather(*calls)) == {ANSWER}
+        assert len(fixture.server.connections) == 1
+        link.close()
+
+    check(test)
+
+
+def test_unknown_outcome_is_not_taken_for_an_answer():
+    """Guards against a newer version's outcome that this version can't read."""
+    assert peer_messages.from_outcome(ttypes.Outcome()) is None
+    assert peer_messages.from_outcome(ttypes.Outcome(not_run=ttypes.NotRun(99, "", 0))) is None
