--- a/bilberrystack/gen/peers/Peer.py
+++ b/bilberrystack/gen/peers/Peer.py
@@ -19,6 +19,23 @@
 
 
 class Iface(object):
+    def hello(self, instance, nonce):
+        """
+        Parameters:
+         - instance
+         - nonce
+
+        """
+        pass
+
+    def prove(self, proof):
+        """
+        Parameters:
+         - proof
+
+        """
+        pass
+
     def forward(self, request):
         """
         Parameters:
@@ -68,6 +85,74 @@
             self._oprot = oprot
         self._seqid = 0
 
+    def hello(self, instance, nonce):
+        """
+        Parameters:
+         - instance
+         - nonce
+
+        """
+        self.send_hello(instance, nonce)
+        return self.recv_hello()
+
+    def send_hello(self, instance, nonce):
+        self._oprot.writeMessageBegin('hello', TMessageType.CALL, self._seqid)
+        args = hello_args()
+        args.instance = instance
+        args.nonce = nonce
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_hello(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = hello_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.failure is not None:
+            raise result.failure
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "hello failed: unknown result")
+
+    def prove(self, proof):
+        """
+        Parameters:
+         - proof
+
+        """
+        self.send_prove(proof)
+        self.recv_prove()
+
+    def send_prove(self, proof):
+        self._oprot.writeMessageBegin('prove', TMessageType.CALL, self._seqid)
+        args = prove_args()
+        args.proof = proof
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_prove(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = prove_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.failure is not None:
+            raise result.failure
+        return
+
     def forward(self, request):
         """
         Parameters:
@@ -98,6 +183,8 @@
         iprot.readMessageEnd()
         if result.success is not None:
             return result.success
+        if result.failure is not None:
+            raise result.failure
         raise TApplicationException(TApplicationException.MISSING_RESULT, "forward failed: unknown result")
 
     def digest(self, sender):
@@ -130,6 +217,8 @@
         iprot.readMessageEnd()
         if result.success is not None:
             return result.success
+        if result.failure is not None:
+            raise result.failure
         raise TApplicationException(TApplicationException.MISSING_RESULT, "digest failed: unknown result")
 
     def leaving(self, sender):
@@ -162,6 +251,8 @@
         iprot.readMessageEnd()
         if result.success is not None:
             return result.success
+        if result.failure is not None:
+            raise result.failure
         raise TApplicationException(TApplicationException.MISSING_RESULT, "leaving failed: unknown result")
 
     def push_head(self, sender, head):
@@ -194,6 +285,8 @@
         result = push_head_result()
         result.read(iprot)
         iprot.readMessageEnd()
+        if result.failure is not None:
+            raise result.failure
         return
 
     def fetch_configuration(self, known_parts):
@@ -226,6 +319,8 @@
         iprot.readMessageEnd()
         if result.success is not None:
             return result.success
+        if result.failure is not None:
+            raise result.failure
         raise TApplicationException(TApplicationException.MISSING_RESULT, "fetch_configuration failed: unknown result")
 
 
@@ -233,6 +328,8 @@
     def __init__(self, handler):
         self._handler = handler
         self._processMap = {}
+        self._processMap["hello"] = Processor.process_hello
+        self._processMap["prove"] = Processor.process_prove
         self._processMap["forward"] = Processor.process_forward
         self._processMap["digest"] = Processor.process_digest
         self._processMap["leaving"] = Processor.process_leaving
@@ -260,6 +357,58 @@
             self._processMap[name](self, seqid, iprot, oprot)
         return True
 
+    def process_hello(self, seqid, iprot, oprot):
+        args = hello_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = hello_result()
+        try:
+            result.success = self._handler.hello(args.instance, args.nonce)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerFailure as failure:
+            msg_type = TMessageType.REPLY
+            result.failure = failure
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("hello", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_prove(self, seqid, iprot, oprot):
+        args = prove_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = prove_result()
+        try:
+            self._handler.prove(args.proof)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerFailure as failure:
+            msg_type = TMessageType.REPLY
+            result.failure = failure
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("prove", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_forward(self, seqid, iprot, oprot):
         args = forward_args()
         args.read(iprot)
@@ -270,6 +419,9 @@
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
+        except PeerFailure as failure:
+            msg_type = TMessageType.REPLY
+            result.failure = failure
         except TApplicationException as ex:
             logging.exception('TApplication exception in handler')
             msg_type = TMessageType.EXCEPTION
@@ -293,6 +445,9 @@
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
+        except PeerFailure as failure:
+            msg_type = TMessageType.REPLY
+            result.failure = failure
         except TApplicationException as ex:
             logging.exception('TApplication exception in handler')
             msg_type = TMessageType.EXCEPTION
@@ -316,6 +471,9 @@
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
+        except PeerFailure as failure:
+            msg_type = TMessageType.REPLY
+            result.failure = failure
         except TApplicationException as ex:
             logging.exception('TApplication exception in handler')
             msg_type = TMessageType.EXCEPTION
@@ -339,6 +497,9 @@
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
+        except PeerFailure as failure:
+            msg_type = TMessageType.REPLY
+            result.failure = failure
         except TApplicationException as ex:
             logging.exception('TApplication exception in handler')
             msg_type = TMessageType.EXCEPTION
@@ -362,6 +523,9 @@
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
+        except PeerFailure as failure:
+            msg_type = TMessageType.REPLY
+            result.failure = failure
         except TApplicationException as ex:
             logging.exception('TApplication exception in handler')
             msg_type = TMessageType.EXCEPTION
@@ -378,6 +542,324 @@
 # HELPER FUNCTIONS AND STRUCTURES
 
 
+class hello_args(object):
+    """
+    Attributes:
+     - instance
+     - nonce
+
+    """
+
+    __slots__ = (
+        'instance',
+        'nonce',
+    )
+
+
+    def __init__(self, instance=None, nonce=None,):
+        self.instance = instance
+        self.nonce = nonce
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.nonce = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('hello_args')
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 1)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.nonce is not None:
+            oprot.writeFieldBegin('nonce', TType.STRING, 2)
+            oprot.writeBinary(self.nonce)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(hello_args)
+hello_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'nonce', 'BINARY', None, ),  # 2
+)
+
+
+class hello_result(object):
+    """
+    Attributes:
+     - success
+     - failure
+
+    """
+
+    __slots__ = (
+        'success',
+        'failure',
+    )
+
+
+    def __init__(self, success=None, failure=None,):
+        self.success = success
+        self.failure = failure
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = Challenge()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.failure = PeerFailure.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('hello_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.failure is not None:
+            oprot.writeFieldBegin('failure', TType.STRUCT, 1)
+            self.failure.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(hello_result)
+hello_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [Challenge, None], None, ),  # 0
+    (1, TType.STRUCT, 'failure', [PeerFailure, None], None, ),  # 1
+)
+
+
+class prove_args(object):
+    """
+    Attributes:
+     - proof
+
+    """
+
+    __slots__ = (
+        'proof',
+    )
+
+
+    def __init__(self, proof=None,):
+        self.proof = proof
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.proof = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('prove_args')
+        if self.proof is not None:
+            oprot.writeFieldBegin('proof', TType.STRING, 1)
+            oprot.writeBinary(self.proof)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(prove_args)
+prove_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'proof', 'BINARY', None, ),  # 1
+)
+
+
+class prove_result(object):
+    """
+    Attributes:
+     - failure
+
+    """
+
+    __slots__ = (
+        'failure',
+    )
+
+
+    def __init__(self, failure=None,):
+        self.failure = failure
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.failure = PeerFailure.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('prove_result')
+        if self.failure is not None:
+            oprot.writeFieldBegin('failure', TType.STRUCT, 1)
+            self.failure.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(prove_result)
+prove_result.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'failure', [PeerFailure, None], None, ),  # 1
+)
+
+
 class forward_args(object):
     """
     Attributes:
@@ -456,16 +938,19 @@
     """
     Attributes:
      - success
+     - failure
 
     """
 
     __slots__ = (
         'success',
+        'failure',
     )
 
 
-    def __init__(self, success=None,):
+    def __init__(self, success=None, failure=None,):
         self.success = success
+        self.failure = failure
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -482,6 +967,11 @@
                     self.success.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.failure = PeerFailure.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -496,6 +986,10 @@
             oprot.writeFieldBegin('success', TType.STRUCT, 0)
             self.success.write(oprot)
             oprot.writeFieldEnd()
+        if self.failure is not None:
+            oprot.writeFieldBegin('failure', TType.STRUCT, 1)
+            self.failure.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -522,6 +1016,7 @@
 all_structs.append(forward_result)
 forward_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [Outcome, None], None, ),  # 0
+    (1, TType.STRUCT, 'failure', [PeerFailure, None], None, ),  # 1
 )
 
 
@@ -603,16 +1098,19 @@
     """
     Attributes:
      - success
+     - failure
 
     """
 
     __slots__ = (
         'success',
+        'failure',
     )
 
 
-    def __init__(self, success=None,):
+    def __init__(self, success=None, failure=None,):
         self.success = success
+        self.failure = failure
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -629,6 +1127,11 @@
                     self.success.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.failure = PeerFailure.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -643,6 +1146,10 @@
             oprot.writeFieldBegin('success', TType.STRUCT, 0)
             self.success.write(oprot)
             oprot.writeFieldEnd()
+        if self.failure is not None:
+            oprot.writeFieldBegin('failure', TType.STRUCT, 1)
+            self.failure.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -669,6 +1176,7 @@
 all_structs.append(digest_result)
 digest_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [Digest, None], None, ),  # 0
+    (1, TType.STRUCT, 'failure', [PeerFailure, None], None, ),  # 1
 )
 
 
@@ -750,16 +1258,19 @@
     """
     Attributes:
      - success
+     - failure
 
     """
 
     __slots__ = (
         'success',
+        'failure',
     )
 
 
-    def __init__(self, success=None,):
+    def __init__(self, success=None, failure=None,):
         self.success = success
+        self.failure = failure
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -776,6 +1287,11 @@
                     self.success.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.failure = PeerFailure.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -790,6 +1306,10 @@
             oprot.writeFieldBegin('success', TType.STRUCT, 0)
             self.success.write(oprot)
             oprot.writeFieldEnd()
+        if self.failure is not None:
+            oprot.writeFieldBegin('failure', TType.STRUCT, 1)
+            self.failure.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -816,6 +1336,7 @@
 all_structs.append(leaving_result)
 leaving_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [Digest, None], None, ),  # 0
+    (1, TType.STRUCT, 'failure', [PeerFailure, None], None, ),  # 1
 )
 
 
@@ -907,11 +1428,20 @@
 
 
 class push_head_result(object):
+    """
+    Attributes:
+     - failure
+
+    """
 
     __slots__ = (
+        'failure',
     )
 
 
+    def __init__(self, failure=None,):
+        self.failure = failure
+
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
@@ -921,6 +1451,11 @@
             (fname, ftype, fid) = iprot.readFieldBegin()
             if ftype == TType.STOP:
                 break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.failure = PeerFailure.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -931,6 +1466,10 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('push_head_result')
+        if self.failure is not None:
+            oprot.writeFieldBegin('failure', TType.STRUCT, 1)
+            self.failure.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -956,6 +1495,8 @@
         return not (self == other)
 all_structs.append(push_head_result)
 push_head_result.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'failure', [PeerFailure, None], None, ),  # 1
 )
 
 
@@ -1044,16 +1585,19 @@
     """
     Attributes:
      - success
+     - failure
 
     """
 
     __slots__ = (
         'success',
+        'failure',
     )
 
 
-    def __init__(self, success=None,):
+    def __init__(self, success=None, failure=None,):
         self.success = success
+        self.failure = failure
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1070,6 +1614,11 @@
                     self.success.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.failure = PeerFailure.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1084,6 +1633,10 @@
             oprot.writeFieldBegin('success', TType.STRUCT, 0)
             self.success.write(oprot)
             oprot.writeFieldEnd()
+        if self.failure is not None:
+            oprot.writeFieldBegin('failure', TType.STRUCT, 1)
+            self.failure.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1110,6 +1663,7 @@
 all_structs.append(fetch_configuration_result)
 fetch_configuration_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [Configuration, None], None, ),  # 0
+    (1, TType.STRUCT, 'failure', [PeerFailure, None], None, ),  # 1
 )
 fix_spec(all_structs)
 del all_structs
