Run instances on the real node and tell a stop's effects from those of other faults

Cause: the fakes had no node to run, and the check of P8 blamed stops for what isolated primaries did, and for requests that were still on their way to the instance. Ruled out: leaving the arrival out of the history; a request that arrives after the announcement is a new one. Change: faults/instances.py on node, owner and configuration; Call.received_at; History.faults.

--- a/faults/checker.py
+++ b/faults/checker.py
@@ -266,26 +266,31 @@
     found = []
     for stop in record.stops:
         for call in record.calls:
-            in_flight = call.sent_at < stop.at and (
-                call.finished_at is None or call.finished_at > stop.at
-            )
-            if call.instance == stop.name and in_flight and _cut_off(call):
+            in_flight = call.received_at is not None and call.received_at <= stop.at
+            in_flight &= call.finished_at is None or call.finished_at > stop.at
+            if call.instance == stop.name and in_flight and _cut_off(call, bool(record.faults)):
                 found.append(Violation("P8", f"{call.name} was cut off by the stop of {stop.name}"))
     return found
 
 
-def _cut_off(call: history.Call) -> bool:
+def _cut_off(call: history.Call, faults: bool) -> bool:
+    """Tells whether a stop is why a request was not answered.
+
+    Without any other fault every request has to be answered, but for commits that conflict. With
+    one, only the reasons of a stop are held against it.
+    """
     match call.outcome:
         case outcomes.Answer():
             return False
         case outcomes.NotRun(reason=reason):
+            if not faults:
+                return call.kind is not requests.Kind.COMMIT
             return reason in (
                 outcomes.NotRunReason.LEAVING,
-                outcomes.NotRunReason.TRANSACTION_ABORTED,
                 outcomes.NotRunReason.OWNER_UNREACHABLE,
             )
         case _:
-            return True
+            return not faults
 
 
 def _check_configuration(record: history.History) -> list[Violation]:
--- a/faults/clients.py
+++ b/faults/clients.py
@@ -202,7 +202,12 @@
         )
         instance = self._fleet.instance(self._instance)
         patience = left + checker.DEADLINE_SLACK_S / 2
-        reply = await self._call(lambda: instance.execute(request), patience)
+
+        async def execute() -> entry.Reply | errors.CallerError:
+            call.received_at = call.received_at or self._fleet.net.loop.time()
+            return await instance.execute(request)
+
+        reply = await self._call(execute, patience)
         if isinstance(reply, errors.CallerError):
             raise AssertionError(f"{call.name}: {errors.describe(reply)}")
         if reply.token is not None:
--- a/faults/fleet.py
+++ b/faults/fleet.py
@@ -109,6 +109,8 @@
         self._publish()
         for number in range(self._sizes.instances):
             await self.add_instance(f"n{number}")
+        self._publish()
+        await self.until(self._views_agree)
         await self.until(lambda: all(self.primary(group) for group in self.members))
         await asyncio.sleep(0.3)
 
@@ -204,7 +206,9 @@
 
     async def _stop(self, name: str) -> None:
         await self.run_as(name, self.instances[name].stop)
-        self.kill(name)
+        self._impaired.setdefault(name, self.now)
+        self.net.kill(name)
+        self.publish_later()
 
     def replace_instance(self) -> None:
         """Starts a new instance for one that was killed or stopped."""
@@ -302,6 +306,13 @@
             for group in self.members
         )
 
+    def _views_agree(self) -> bool:
+        nodes = [one.node for one in self.instances.values() if one.node is not None]
+        return all(
+            len(one.view.live) == len(nodes) and one.view.majority_contact_at(self.now) is not None
+            for one in nodes
+        )
+
     def _alive(self, group: str) -> list[members.MemberServer]:
         servers = self.members[group].values()
         return [one for one in servers if not self.loop.is_dead(one.party)]
@@ -326,6 +337,7 @@
             self.members[group] = servers
 
     def _impair(self, party: str) -> None:
+        self.record.faults.append(party)
         self._impaired.setdefault(party, self.now)
 
     def _recover(self, party: str) -> None:
--- a/faults/history.py
+++ b/faults/history.py
@@ -24,6 +24,7 @@
       age: The stated age of a read, in seconds.
       sent_at: When it was sent.
       deadline: When the caller stops to wait.
+      received_at: When an instance began to work on it; None if it never arrived.
       transaction: The caller's own name of the transaction it belongs to.
       outcome: Its outcome; None if there was none.
       finished_at: When the outcome arrived.
@@ -39,6 +40,7 @@
     kind: requests.Kind
     sent_at: float
     deadline: float
+    received_at: float | None = None
     item: str = ""
     value: str = ""
     age: float = 0.0
@@ -132,7 +134,11 @@
 
 @dataclasses.dataclass(slots=True)
 class History:
-    """The record of one run."""
+    """The record of one run.
+
+    Attributes:
+      faults: What failed, apart from lags, planned changes and the store.
+    """
 
     calls: list[Call] = dataclasses.field(default_factory=list)
     logs: dict[str, list[LogEntry]] = dataclasses.field(default_factory=dict)
@@ -144,5 +150,6 @@
     absences: list[Absence] = dataclasses.field(default_factory=list)
     # The callers declared at each live instance at the end.
     declared: dict[str, frozenset[str]] = dataclasses.field(default_factory=dict)
+    faults: list[str] = dataclasses.field(default_factory=list)
     ended_at: float = 0.0
     converged: bool = True
--- a/faults/injections.py
+++ b/faults/injections.py
@@ -85,6 +85,7 @@
         ends = [_owner(world), _primary(world)]
         if not outward:
             ends.reverse()
+        world.record.faults.append("cut")
         world.net.cut(*ends, both=both)
         _later(world, duration_s, lambda: world.net.heal(ends[0]))
 
@@ -93,6 +94,7 @@
 
 def _cut_primary_from_replicas(world: fleet.Fleet, duration_s: float) -> None:
     """The primary still answers the proxy, but none of its writes reaches a majority."""
+    world.record.faults.append("cut")
     primary = _primary(world)
     for server in world.members["g0"].values():
         if server.party != primary:
@@ -112,6 +114,7 @@
 
 
 def _reset(world: fleet.Fleet, duration_s: float) -> None:
+    world.record.faults.append("reset")
     world.net.reset_between(_owner(world), _primary(world))
 
 
@@ -119,6 +122,7 @@
     def end() -> None:
         world.net.late_answers = (0.0, 0.0)
 
+    world.record.faults.append("late answers")
     world.net.late_answers = (0.2, 0.4)
     _later(world, duration_s, end)
 
--- a/faults/instances.py
+++ b/faults/instances.py
@@ -16,9 +16,9 @@
 from bilberrystack.proxy import configuration
 from bilberrystack.proxy import discovery
 from bilberrystack.proxy import entry
-from bilberrystack.proxy import group
 from bilberrystack.proxy import interfaces
 from bilberrystack.proxy import node
+from bilberrystack.proxy import owner
 from faults import history
 from faults import members
 from faults import network
@@ -136,11 +136,16 @@
     def _open_owner(
         self, declaration: declarations.GroupDeclaration, rank: int
     ) -> interfaces.GroupOwner:
-        links = {
-            one.name: members.MemberLink(self._world.by_address[one.address], self.name)
-            for one in declaration.members
-        }
-        return group.open_group(declaration, links, self.name, self.failure_domain, rank)
+        return owner.open_owner(
+            declaration,
+            rank,
+            instance_id=self.name,
+            failure_domain=self.failure_domain,
+            open_member=lambda one: members.MemberLink(
+                self._world.by_address[one.address], self.name
+            ),
+            randomness=self._randomness,
+        )
 
     def _open_link(
         self, address: str, on_lost: collections.abc.Callable[[], None]
--- a/faults/network.py
+++ b/faults/network.py
@@ -61,6 +61,9 @@
     connections=55,
 )
 
+# The domain of all callers.
+CLIENTS = "clients"
+
 # Inside one failure domain.
 LOCAL_S = 0.0001
 
@@ -186,7 +189,7 @@
         """Returns the one-way delay of the next message, in seconds."""
         source, destination = self.domains[src], self.domains[dst]
         base = self.profile.between_s
-        if "clients" in (source, destination):
+        if CLIENTS in (source, destination):
             base = self.profile.client_s
         elif source == destination:
             base = LOCAL_S
@@ -259,7 +262,8 @@
         if connection.broken or done.cancelled():
             return
         src, dst = connection.src, connection.dst
-        share, most_s = self.late_answers
+        # An answer that is late on its way to a caller says nothing about the proxy.
+        share, most_s = (0.0, 0.0) if self.domains[src] == CLIENTS else self.late_answers
         extra = self.random.random() * most_s if self.random.random() < share else 0.0
         error = done.exception()
         if error is None:
