Give some requests a short timeout and data connections no request ids

Cause: without short timeouts no answer was outstanding when a request ended, and fakes that match answers to requests hide a connection that is reused too early. Change: programmes with hurried steps, stream-like data connections, a late answer of the store.

--- a/faults/checker.py
+++ b/faults/checker.py
@@ -268,7 +268,10 @@
         for call in record.calls:
             in_flight = call.received_at is not None and call.received_at <= stop.at
             in_flight &= call.finished_at is None or call.finished_at > stop.at
-            if call.instance == stop.name and in_flight and _cut_off(call, bool(record.faults)):
+            broken = stop.name in call.cut_off_by or (
+                call.instance == stop.name and _cut_off(call, bool(record.faults))
+            )
+            if in_flight and broken:
                 found.append(Violation("P8", f"{call.name} was cut off by the stop of {stop.name}"))
     return found
 
--- a/faults/clients.py
+++ b/faults/clients.py
@@ -18,7 +18,6 @@
 from faults import programmes
 
 CALLER = "caller"
-TIMEOUT_S = 3.0
 RESOLVE_TIMEOUT_S = 3.0
 
 _KINDS = {
@@ -109,27 +108,31 @@
         group = f"g{step.group}"
         item = f"{group}.i{step.item}"
         if step.action is programmes.Action.TRANSACTION:
-            return await self._transaction(group, step.item, requests.Kind.COMMIT)
+            return await self._transaction(group, step, requests.Kind.COMMIT)
         if step.action is programmes.Action.ABORTED_TRANSACTION:
-            return await self._transaction(group, step.item, requests.Kind.ABORT)
-        call = self._new_call(_KINDS[step.action], group, item, step.age)
+            return await self._transaction(group, step, requests.Kind.ABORT)
+        call = self._new_call(_KINDS[step.action], group, step.timeout_s, item, age=step.age)
         await self._complete(call, None)
         return call
 
-    async def _transaction(self, group: str, item: int, end_by: requests.Kind) -> history.Call:
-        begin = self._new_call(requests.Kind.BEGIN, group)
+    async def _transaction(
+        self, group: str, step: programmes.Step, end_by: requests.Kind
+    ) -> history.Call:
+        begin = self._new_call(requests.Kind.BEGIN, group, step.timeout_s)
         await self._complete(begin, None)
         if not isinstance(begin.outcome, outcomes.Answer):
             return begin
         name, transaction = f"{self.name}/{begin.sequence}", begin.outcome.transaction
         for offset in (0, 1):
-            written = f"{group}.i{(item + offset) % programmes.ITEMS}"
-            statement = self._new_call(requests.Kind.STATEMENT, group, written, owner=name)
+            written = f"{group}.i{(step.item + offset) % programmes.ITEMS}"
+            statement = self._new_call(
+                requests.Kind.STATEMENT, group, step.timeout_s, written, owner=name
+            )
             await self._complete(statement, transaction)
             if not statement.answered:
                 break
         ended = end_by if statement.answered else requests.Kind.ABORT
-        end = self._new_call(ended, group, owner=name)
+        end = self._new_call(ended, group, step.timeout_s, owner=name)
         await self._complete(end, transaction)
         return end
 
@@ -137,7 +140,9 @@
         self,
         kind: requests.Kind,
         group: str,
+        timeout_s: float,
         item: str = "",
+        *,
         age: float = 0.0,
         owner: str | None = None,
     ) -> history.Call:
@@ -151,7 +156,7 @@
             group=group,
             kind=kind,
             sent_at=now,
-            deadline=now + TIMEOUT_S,
+            deadline=now + timeout_s,
             item=item,
             value=f"{item}={self.name}/{self._sequence}" if writes else "",
             age=age,
@@ -179,6 +184,8 @@
             try:
                 return await self._send(call, kind, body, transaction)
             except interfaces.LinkLost as lost:
+                if lost.sent:
+                    call.cut_off_by.append(instance)
                 if lost.sent and kind in _RESOLVED:
                     kind, body, transaction = requests.Kind.RESOLVE, b"", None
                 elif lost.sent and kind is requests.Kind.STATEMENT:
--- a/faults/fleet.py
+++ b/faults/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import functools
 import random
 from typing import Any
 
@@ -14,6 +15,7 @@
 from bilberrystack.core import parts
 from bilberrystack.proxy import configuration
 from bilberrystack.proxy import discovery
+from bilberrystack.proxy import interfaces
 from bilberrystack_standins import replicated_log
 from bilberrystack_standins import statements
 from faults import checker
@@ -68,6 +70,7 @@
         self._impaired: dict[str, float] = {}
         self._sessions = 0
         self._changes = 0
+        self._first_head: interfaces.StoredObject | None = None
         self._replacements = 0
         self._add_members()
 
@@ -231,6 +234,15 @@
         if isinstance(outcome, changes.Accepted):
             self.record.accepted.append(history.Accepted(self.now, outcome.version, name))
 
+    def deliver_first_configuration(self) -> None:
+        """Hands the first configuration to every instance, as a late answer of the store does."""
+        assert self._first_head is not None
+        for name in self.open_instances:
+            current = self.instances[name].configuration
+            assert current is not None
+            work = functools.partial(current.apply_stored, self._first_head)
+            self.operators.append(self.loop.create_task(self.run_as(name, work)))
+
     def publish_later(self, lag_s: float = LIST_LAG_S) -> None:
         """Lets the platform's list show the present state after its lag."""
         self.loop.call_later(lag_s, self._publish)
@@ -323,6 +335,7 @@
             self.store.write(configuration.PART_PREFIX + key, content)
         head = parts.next_head(parts.EMPTY_HEAD, digests, "first", "")
         self.store.write(configuration.HEAD_KEY, parts.encode_head(head))
+        self._first_head = self.store.objects[configuration.HEAD_KEY]
 
     def _add_members(self) -> None:
         for group, declaration in self.declarations.groups.items():
--- a/faults/history.py
+++ b/faults/history.py
@@ -30,6 +30,7 @@
       finished_at: When the outcome arrived.
       outcomes: How many outcomes arrived.
       overdue: Whether a reachable instance gave no outcome in time.
+      cut_off_by: Instances that broke the connection while they worked on the request.
       answer: The item and value that the answer to a read holds.
     """
 
@@ -49,6 +50,7 @@
     finished_at: float | None = None
     outcomes: int = 0
     overdue: bool = False
+    cut_off_by: list[str] = dataclasses.field(default_factory=list)
     answer: tuple[str, str] | None = None
 
     @property
--- a/faults/injections.py
+++ b/faults/injections.py
@@ -146,6 +146,12 @@
     world.apply_configuration()
 
 
+def _late_configuration(world: fleet.Fleet, duration_s: float) -> None:
+    """An answer of the store from before the latest change arrives after it."""
+    world.apply_configuration()
+    _later(world, duration_s, world.deliver_first_configuration)
+
+
 def _primary_leaves(world: fleet.Fleet, duration_s: float) -> None:
     server = world.by_address[_primary(world)]
     if not server.state.leaving:
@@ -185,6 +191,7 @@
     Fault("store-slow", _store_slow, (1.0, 8.0)),
     Fault("store-loses-answers", _store_loses_answers),
     Fault("racing-operators", _racing_operators),
+    Fault("late-configuration", _late_configuration),
     Fault("primary-leaves", _primary_leaves),
 )
 
--- a/faults/matrix.py
+++ b/faults/matrix.py
@@ -17,6 +17,7 @@
 SESSIONS = 5
 STEPS_PER_SESSION = 25
 THINK_S = 0.1
+HURRIED = 0.15
 WARM_UP_S = 0.3
 
 # A point that the run did not reach within this time is not reached at all.
@@ -105,7 +106,8 @@
     await world.start()
     rng = random.Random(seed)
     world.run_clients(
-        programmes.programme(rng, STEPS_PER_SESSION, THINK_S) for _ in range(SESSIONS)
+        programmes.programme(rng, STEPS_PER_SESSION, THINK_S, hurried=HURRIED)
+        for _ in range(SESSIONS)
     )
     await asyncio.sleep(WARM_UP_S)
     reached = _arm(world, cell, rng)
--- a/faults/members.py
+++ b/faults/members.py
@@ -263,11 +263,16 @@
 
 
 class DataConnection:
-    """A data connection of an instance to a member."""
+    """A data connection of an instance to a member.
+
+    It is a stream without request ids: whoever waits gets the next answer, so that using it while
+    an answer is outstanding gives one request the answer of another.
+    """
 
     def __init__(self, server: MemberServer, connection: network.Connection) -> None:
         self._server = server
         self._connection = connection
+        self._waiter: asyncio.Future[Any] | None = None
 
     async def read(
         self, body: bytes, min_position: positions.Position, wait_s: float
@@ -296,7 +301,22 @@
         self._server.net.close(self._connection)
 
     async def _call(self, handler: Any) -> Any:
-        return await self._server.net.call(self._connection, handler)
+        loop = asyncio.get_running_loop()
+        waiter = self._waiter = loop.create_future()
+        loop.create_task(self._server.net.call(self._connection, handler)).add_done_callback(
+            self._arrived
+        )
+        return await waiter
+
+    def _arrived(self, call: asyncio.Task[Any]) -> None:
+        waiter = self._waiter
+        if call.cancelled() or waiter is None or waiter.done():
+            return
+        error = call.exception()
+        if error is None:
+            waiter.set_result(call.result())
+        else:
+            waiter.set_exception(error)
 
 
 class MemberLink:
--- a/faults/programmes.py
+++ b/faults/programmes.py
@@ -7,6 +7,10 @@
 AGES_S = (0.0, 1.0, 60.0)
 ITEMS = 6
 
+# The long timeout outlasts a failover; the short one leaves answers outstanding.
+LONG_TIMEOUT_S = 3.0
+SHORT_TIMEOUT_S = 0.25
+
 
 class Action(enum.Enum):
     """What a step does."""
@@ -30,6 +34,7 @@
       think_s: Time before the step.
       roam: Whether the session moves to another instance first.
       wait: Whether the session waits for the outcome before it goes on.
+      timeout_s: How long each of its requests may take.
     """
 
     action: Action
@@ -39,6 +44,7 @@
     think_s: float = 0.0
     roam: bool = False
     wait: bool = True
+    timeout_s: float = LONG_TIMEOUT_S
 
 
 # Weights of the actions, in their order.
@@ -56,6 +62,7 @@
     weights: tuple[int, ...] = MIXED,
     roam: float = 0.2,
     overlap: float = 0.15,
+    hurried: float = 0.0,
 ) -> list[Step]:
     """Returns the steps of one session.
 
@@ -67,6 +74,7 @@
       weights: Weights of the actions.
       roam: Share of the steps before which the session moves to another instance.
       overlap: Share of the steps that are not waited for.
+      hurried: Share of the steps with the short timeout.
     """
     actions = rng.choices(list(Action), weights=weights, k=steps)
     return [
@@ -78,6 +86,7 @@
             think_s=rng.expovariate(1 / think_s),
             roam=rng.random() < roam,
             wait=rng.random() >= overlap,
+            timeout_s=SHORT_TIMEOUT_S if rng.random() < hurried else LONG_TIMEOUT_S,
         )
         for action in actions
     ]
