--- a/bilberrystack/wire/rpc_test.py
+++ b/bilberrystack/wire/rpc_test.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+import uvloop
 
 from bilberrystack.gen.callers import Caller
 from bilberrystack.gen.callers import ttypes
@@ -127,3 +128,15 @@
             assert not raised.value.sent
 
     asyncio.run(run())
+
+
+def test_calls_on_uvloop():
+    """Guards against relying on classes that only asyncio's own loop uses."""
+
+    async def run():
+        async with await started(Handler()) as server:
+            with await rpc.connect(SERVICE, HOST, server.port) as connection:
+                result = await connection.call("execute", request(1, b"x"))
+                assert result.answer.body == b"x"
+
+    uvloop.run(run())
