--- a/bilberrystack_standins/process.py
+++ b/bilberrystack_standins/process.py
@@ -7,6 +7,9 @@
 import msgspec
 from aiohttp import web
 
+# Calls still waiting when a process stops are cut after this time.
+STOP_S = 0.1
+
 
 def split_address(address: str) -> tuple[str, int]:
     """Returns host and port of "host:port". Raises ValueError."""
@@ -25,7 +28,9 @@
     Returns:
       The runner, to be cleaned up, and the address. Raises OSError and ValueError.
     """
-    runner = web.AppRunner(web_app, access_log=None)
+    runner = web.AppRunner(
+        web_app, access_log=None, handler_cancellation=True, shutdown_timeout=STOP_S
+    )
     await runner.setup()
     host, port = split_address(address)
     await web.TCPSite(runner, host, port).start()
