--- a/faults/__main__.py
+++ b/faults/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the fault matrix with `python -m faults`, or one cell with `--step` and `--fault`."""
+"""Runs cells of the fault matrix: `python -m faults --step WORDS --fault NAME --seeds N`."""
 
 import concurrent.futures
 import sys
