--- /dev/null
+++ b/faults/mutations.py
@@ -0,0 +1,187 @@
+"""Replaces mechanisms of the product by naive ones, to show that the checker can fail.
+
+Each function is a context manager that patches the product for the runs inside the block.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+from typing import Any
+from unittest import mock
+
+from bilberrystack.core import failover
+from bilberrystack.core import outcomes
+from bilberrystack.core import parts
+from bilberrystack.core import positions
+from bilberrystack.core import quorum
+from bilberrystack.core import requests
+from bilberrystack.core import routing
+from bilberrystack.core import tokens
+from bilberrystack.proxy import acceptance
+from bilberrystack.proxy import configuration
+from bilberrystack.proxy import node
+from bilberrystack.proxy import reads
+from bilberrystack.proxy import statements
+from bilberrystack.proxy import supervisor
+from bilberrystack.proxy import transactions
+from bilberrystack.proxy import writes
+
+Mutation = collections.abc.Callable[[], contextlib.AbstractContextManager[None]]
+
+
+@contextlib.contextmanager
+def _patched(*replacements: tuple[Any, str, Any]) -> collections.abc.Iterator[None]:
+    with contextlib.ExitStack() as stack:
+        for owner, name, replacement in replacements:
+            stack.enter_context(mock.patch.object(owner, name, replacement))
+        yield
+
+
+def nothing() -> contextlib.AbstractContextManager[None]:
+    """Leaves the product as it is."""
+    return contextlib.nullcontext()
+
+
+def acknowledge_at_once() -> contextlib.AbstractContextManager[None]:
+    """Acknowledges a write as soon as the primary has executed it."""
+
+    async def confirmed(_self: Any, _request: Any, _position: Any, outcome: Any) -> Any:
+        return outcome
+
+    return _patched((writes.Writes, "_confirmed", confirmed))
+
+
+def promote_without_majority() -> contextlib.AbstractContextManager[None]:
+    """Promotes after one member has granted the term."""
+    won = property(lambda self: bool(self._granted))
+    return _patched((failover.Attempt, "won", won))
+
+
+def reuse_outstanding_connections() -> contextlib.AbstractContextManager[None]:
+    """Returns a connection to the pool while its answer is outstanding."""
+
+    def drain(state: Any, ticket: Any, lease: Any, _work: Any, _reusable: bool) -> None:
+        lease.give_back()
+        state.slots.release(ticket)
+
+    return _patched((statements, "_drain", drain))
+
+
+def retry_every_write() -> contextlib.AbstractContextManager[None]:
+    """Sends a write whose answer is lost again, as a new request."""
+    send = writes.Writes._send
+
+    async def run(self: Any, request: requests.GroupRequest) -> outcomes.Outcome:
+        answer_by = statements.resolve_from(self._loop.time(), request.deadline)
+        attempt = request
+        for number in range(1, 10):
+            result = await send(self, attempt, answer_by)
+            outcome = await self._outcome(attempt, result)
+            if outcome is not None:
+                return outcome
+            key = requests.RequestKey(request.key.session, request.key.sequence + 10000 * number)
+            attempt = dataclasses.replace(request, key=key)
+        return outcomes.Unknown(outcomes.UnknownReason.CONNECTION_LOST, "")
+
+    return _patched((writes.Writes, "run", run))
+
+
+def forget_watermarks() -> contextlib.AbstractContextManager[None]:
+    """Treats every session as one that has seen nothing."""
+    return _patched((tokens.Watermarks, "of", lambda _self, _group: positions.ZERO))
+
+
+def forget_ages() -> contextlib.AbstractContextManager[None]:
+    """Lets reads with a stated age see any position."""
+
+    def index(_self: Any, _now: float, _max_age_s: float) -> positions.Position:
+        return positions.ZERO
+
+    return _patched((quorum.Quorum, "index_for_age", index))
+
+
+def ignore_read_durability() -> contextlib.AbstractContextManager[None]:
+    """Answers reads from positions that are not confirmed, at any member."""
+
+    async def answer(self: Any, _progress: Any, name: str, reply: Any) -> outcomes.Outcome:
+        replica = name != self._state.last_primary
+        return outcomes.Answer(reply.body, reply.position, name, replica)
+
+    return _patched((reads.Reads, "_answer", answer))
+
+
+def deny_after_sending() -> contextlib.AbstractContextManager[None]:
+    """Says that a request whose answer is lost did not run."""
+
+    async def resolve(_self: Any, _request: Any, _unresolved: Any = None) -> outcomes.Outcome:
+        return outcomes.NotRun(outcomes.NotRunReason.CANCELLED, "no answer")
+
+    return _patched((writes.Writes, "resolve", resolve))
+
+
+def share_transaction_connections() -> contextlib.AbstractContextManager[None]:
+    """Runs the transactions of one owner on the connection of the first one."""
+    opened = transactions.Transactions._opened
+
+    def share(self: Any, request: Any, reply: Any, member: str, lease: Any) -> outcomes.Outcome:
+        others = list(self._open.values())
+        if not others or others[0].member != member:
+            return opened(self, request, reply, member, lease)
+        lease.discard()
+        return opened(self, request, reply, member, others[0].lease)
+
+    return _patched((transactions.Transactions, "_opened", share))
+
+
+def use_leaving_endpoints() -> contextlib.AbstractContextManager[None]:
+    """Ignores that endpoints are leaving."""
+    return _patched(
+        (routing.Router, "is_leaving", lambda _self, _name: False),
+        (supervisor.Supervisor, "_is_leaving", lambda _self, _name: False),
+    )
+
+
+def stop_at_once() -> contextlib.AbstractContextManager[None]:
+    """Ends an instance without waiting for what is in flight."""
+
+    async def leave(self: Any, _grace_s: float, _busy: Any) -> bool:
+        self._entry.leave()
+        return False
+
+    return _patched((node.Node, "leave", leave))
+
+
+def apply_any_version() -> contextlib.AbstractContextManager[None]:
+    """Applies a configuration whatever its version."""
+
+    def apply(self: Any, head: parts.Head, contents: Any) -> None:
+        self._head = head
+        self._contents = dict(contents)
+        self._declarations = parts.assemble(head, contents).unwrap()
+        for callback in self._callbacks:
+            callback()
+
+    async def apply_stored(self: Any, stored: Any) -> None:
+        head = self._decode(stored.value)
+        self.apply(head, await self.fetch_parts(head))
+
+    return _patched(
+        (configuration.Configuration, "apply", apply),
+        (configuration.Configuration, "apply_stored", apply_stored),
+    )
+
+
+def overwrite_the_head() -> contextlib.AbstractContextManager[None]:
+    """Stores a configuration without looking at the version that it replaces."""
+    put = acceptance.Acceptor._put
+
+    async def overwrite(self: Any, key: str, content: bytes, expected_version: int) -> None:
+        if key == configuration.HEAD_KEY:
+            # The naive acceptor has read the head a while ago.
+            await asyncio.sleep(0.05)
+            current = await self._store.get(key)
+            expected_version = current.version if current else 0
+        await put(self, key, content, expected_version)
+
+    return _patched((acceptance.Acceptor, "_put", overwrite))
