--- a/bilberrystack/proxy/assembly.py
+++ b/bilberrystack/proxy/assembly.py
@@ -26,9 +26,7 @@
 _LOG = loguru.logger.bind(component="assembly")
 
 
-def adapters_of(
-    store_url: str, member_tls: ssl.SSLContext | None = None
-) -> daemon.OpenAdapters:
+def adapters_of(store_url: str, member_tls: ssl.SSLContext | None = None) -> daemon.OpenAdapters:
     """Returns the function that opens the adapters of a process.
 
     Args:
@@ -75,9 +73,7 @@
     def open_member(declaration: declarations.MemberDeclaration) -> interfaces.Member:
         return member_link.open_member(declaration, settings.instance_id, member_tls)
 
-    def open_owner(
-        declaration: declarations.GroupDeclaration, rank: int
-    ) -> interfaces.GroupOwner:
+    def open_owner(declaration: declarations.GroupDeclaration, rank: int) -> interfaces.GroupOwner:
         return owner.open_owner(
             declaration,
             rank,
--- /dev/null
+++ b/system/proxies.py
@@ -0,0 +1,144 @@
+"""Starts proxy processes from the command line of the product, and stops them by their ids."""
+
+import asyncio
+import asyncio.subprocess
+import contextlib
+import dataclasses
+import os
+import pathlib
+import signal
+import sys
+
+import msgspec
+
+# The one-file program to run instead of the package; empty for the package.
+BINARY_VARIABLE = "SYSTEM_BINARY"
+
+OPERATOR_SECRET = "operators-of-the-demonstration"
+SHARED_SETTINGS = {
+    "BILBERRYSTACK_ADVERTISED_HOST": "127.0.0.1",
+    "BILBERRYSTACK_CALLERS_LISTEN": "127.0.0.1:0",
+    "BILBERRYSTACK_PEERS_LISTEN": "127.0.0.1:0",
+    "BILBERRYSTACK_OPERATORS_LISTEN": "127.0.0.1:0",
+    "BILBERRYSTACK_METRICS_LISTEN": "127.0.0.1:0",
+    "BILBERRYSTACK_TOKEN_KEY": "token-key-of-the-demonstration-0123456789",
+    "BILBERRYSTACK_PEER_SECRET": "peer-secret-of-the-demonstration-0123456789",
+    "BILBERRYSTACK_OPERATOR_SECRET": OPERATOR_SECRET,
+}
+
+
+class CommandFailed(Exception):
+    """A command ended with an exit code other than 0.
+
+    Attributes:
+      code: The exit code.
+      output: What it printed.
+    """
+
+    def __init__(self, arguments: tuple[str, ...], code: int, output: str) -> None:
+        super().__init__(f"{' '.join(arguments)} ended with {code}: {output}")
+        self.code = code
+        self.output = output
+
+
+class Ready(msgspec.Struct, frozen=True):
+    """The line that a proxy prints when it serves: its id and addresses."""
+
+    instance: str
+    callers: str
+    peers: str
+    operators: str = ""
+    metrics: str = ""
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class ProxyProcess:
+    """A running proxy.
+
+    Attributes:
+      ready: Its id and addresses.
+      failure_domain: Its failure domain.
+    """
+
+    ready: Ready
+    failure_domain: str
+    _child: asyncio.subprocess.Process
+
+    @property
+    def pid(self) -> int:
+        """The id of the process."""
+        return self._child.pid
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal to the process, if it still runs."""
+        with contextlib.suppress(ProcessLookupError):
+            self._child.send_signal(number)
+
+    async def kill(self) -> None:
+        """Ends the process at once."""
+        self.send(signal.SIGKILL)
+        await self._child.wait()
+
+    async def stop(self) -> int:
+        """Ends the process gracefully and returns its exit code."""
+        self.send(signal.SIGTERM)
+        self.send(signal.SIGCONT)
+        return await self._child.wait()
+
+
+def program() -> list[str]:
+    """Returns the command that runs the product."""
+    binary = os.environ.get(BINARY_VARIABLE, "")
+    return [sys.executable, binary] if binary else [sys.executable, "-m", "bilberrystack"]
+
+
+async def start_proxy(instance: str, failure_domain: str, store_url: str) -> ProxyProcess:
+    """Starts a proxy and waits until it serves. Raises CommandFailed."""
+    environment = {
+        **os.environ,
+        **SHARED_SETTINGS,
+        "BILBERRYSTACK_INSTANCE_ID": instance,
+        "BILBERRYSTACK_FAILURE_DOMAIN": failure_domain,
+        "BILBERRYSTACK_STORE_URL": store_url,
+        "BILBERRYSTACK_LOG_LEVEL": os.environ.get("SYSTEM_LOG_LEVEL", "warning"),
+    }
+    child = await asyncio.create_subprocess_exec(
+        *program(), "run", env=environment, stdout=asyncio.subprocess.PIPE
+    )
+    assert child.stdout is not None
+    line = await child.stdout.readline()
+    if not line:
+        raise CommandFailed(("run",), await child.wait(), "no ready line")
+    return ProxyProcess(msgspec.json.decode(line, type=Ready), failure_domain, child)
+
+
+async def operate(address: str, *arguments: str) -> str:
+    """Runs an operators' command against an instance and returns what it printed.
+
+    Args:
+      address: The operators' address of the instance.
+      arguments: The command.
+    Returns:
+      The standard output. Raises CommandFailed.
+    """
+    environment = {
+        **os.environ,
+        "BILBERRYSTACK_OPERATOR_ADDRESS": address,
+        "BILBERRYSTACK_OPERATOR_SECRET": OPERATOR_SECRET,
+    }
+    child = await asyncio.create_subprocess_exec(
+        *program(),
+        *arguments,
+        env=environment,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    output, errors = await child.communicate()
+    if child.returncode:
+        raise CommandFailed(arguments, child.returncode, output.decode() + errors.decode())
+    return output.decode()
+
+
+def write_document(path: pathlib.Path, document: object) -> None:
+    """Writes declarations as the JSON document that `config apply` reads."""
+    path.write_bytes(msgspec.json.encode(document))
--- /dev/null
+++ b/system/site.py
@@ -0,0 +1,131 @@
+"""One small site of real processes: a store, one database group and proxies."""
+
+import asyncio
+import contextlib
+import hashlib
+import pathlib
+
+from bilberrystack import client
+from bilberrystack_standins import launch
+from bilberrystack_standins import store_server
+from bilberrystack_standins import store_state
+from system import proxies
+
+DOMAINS = ("addis-bole", "addis-kirkos", "addis-yeka")
+GROUP = "diary-store-1"
+CALLER = "enumerator"
+CALLER_SECRET = "secret-of-an-enumerator"
+
+# Sizes of a member at Addis.
+SLOTS = 2
+CONNECTIONS = 16
+
+# Entries of the log are received this much later by the replicas.
+RECEIVE_LAG_S = 0.005
+
+
+class Site:
+    """Real processes on the loopback interface. Use it as an asynchronous context manager.
+
+    Attributes:
+      standins: The store and the members.
+      proxies: The proxies by instance id.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        """Takes a folder for the declarations and the members' data."""
+        self.standins = launch.Standins()
+        self.proxies: dict[str, proxies.ProxyProcess] = {}
+        self._folder = folder
+
+    async def __aenter__(self) -> "Site":
+        return self
+
+    async def __aexit__(self, *_exception: object) -> None:
+        await asyncio.gather(*(proxy.kill() for proxy in self.proxies.values()))
+        await self.standins.stop()
+
+    @property
+    def store(self) -> launch.StoreProcess:
+        """The store."""
+        assert self.standins.store is not None
+        return self.standins.store
+
+    @property
+    def caller_addresses(self) -> list[str]:
+        """The callers' addresses of all proxies."""
+        return [proxy.ready.callers for proxy in self.proxies.values()]
+
+    async def start(self, proxy_count: int = 3) -> None:
+        """Starts everything, declares the group and waits until it is in force everywhere."""
+        await self.standins.start_store()
+        await self.standins.start_members(
+            launch.MemberOptions(
+                name=name,
+                slots=SLOTS,
+                connections=CONNECTIONS,
+                data_file=self._folder / f"{name}.journal",
+                faults={"receive_lag_s": RECEIVE_LAG_S},
+            )
+            for name in ("a", "b", "c")
+        )
+        await asyncio.gather(*(self.start_proxy(f"p{number}") for number in range(proxy_count)))
+        await self.publish_list()
+        await self.declare()
+
+    async def start_proxy(self, instance: str) -> proxies.ProxyProcess:
+        """Starts one more proxy."""
+        domain = DOMAINS[int(instance[1:]) % len(DOMAINS)]
+        proxy = await proxies.start_proxy(instance, domain, self.store.url)
+        self.proxies[instance] = proxy
+        return proxy
+
+    async def publish_list(self) -> None:
+        """Sets the platform's list of instances to the proxies that were started."""
+        listed = [
+            store_state.Instance(
+                id=name,
+                kind="proxy",
+                address=proxy.ready.peers,
+                failure_domain=proxy.failure_domain,
+                state="live",
+            )
+            for name, proxy in self.proxies.items()
+        ]
+        await self.store.set_instances(store_server.InstanceList(instances=listed))
+
+    async def declare(self) -> None:
+        """Declares the group and its caller and waits until they are in force."""
+        path = self._folder / "declarations.json"
+        proxies.write_document(path, self._document())
+        operators = next(iter(self.proxies.values())).ready.operators
+        async with asyncio.timeout(30):
+            while True:
+                with contextlib.suppress(proxies.CommandFailed):
+                    await proxies.operate(operators, "config", "apply", str(path))
+                    await proxies.operate(operators, "config", "wait")
+                    return
+                await asyncio.sleep(0.2)
+
+    def _document(self) -> dict[str, object]:
+        members = [
+            {
+                "name": name,
+                "address": member.address,
+                "failure_domain": domain,
+                "connections": CONNECTIONS,
+                "slots": SLOTS,
+            }
+            for (name, member), domain in zip(
+                sorted(self.standins.members.items()), DOMAINS, strict=True
+            )
+        ]
+        digest = hashlib.sha256(CALLER_SECRET.encode()).hexdigest()
+        return {
+            "groups": [{"name": GROUP, "members": members, "default_max_age_ms": 0}],
+            "callers": [{"name": CALLER, "secret_sha256": [digest], "groups": [GROUP]}],
+        }
+
+    def connect(self, addresses: list[str] | None = None) -> client.Client:
+        """Returns a client that uses the proxies at some addresses, by default all."""
+        return client.connect(addresses or self.caller_addresses, CALLER, CALLER_SECRET)
