Test the owner role, and let reads wait outside the queue

Cause: a read that waited for a replica's position held up the reads of its caller behind it, and a statement at a silent primary noticed a change by another owner only at its deadline.

--- a/bilberrystack/core/routing.py
+++ b/bilberrystack/core/routing.py
@@ -163,6 +163,15 @@
             return _FAR_BEHIND
         return _BEHIND
 
+    def has_applied(
+        self, min_position: positions.Position, primary: str | None, now: float
+    ) -> bool:
+        """Tells whether a usable replica is known to have applied a position."""
+        return any(
+            one.applied >= min_position and one.name != primary and self._is_usable(one, now, ())
+            for one in self._candidates.values()
+        )
+
     def choose(
         self,
         min_position: positions.Position,
--- a/bilberrystack/proxy/group_state.py
+++ b/bilberrystack/proxy/group_state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import math
 
 from bilberrystack.core import admission
 from bilberrystack.core import declarations
@@ -15,6 +16,7 @@
 from bilberrystack.proxy import counters
 from bilberrystack.proxy import interfaces
 from bilberrystack.proxy import pool
+from bilberrystack.proxy import position_waits
 from bilberrystack.proxy import rounds
 from bilberrystack.proxy import slots
 from bilberrystack.proxy import waits
@@ -81,6 +83,7 @@
         "declaration",
         "members",
         "pools",
+        "position_waits",
         "primary_signal",
         "quorum",
         "retries",
@@ -116,6 +119,7 @@
         }
         self.rounds = rounds.Rounds(self.members, self.quorum, self.last_contact, self.counters)
         self.confirmations = confirmations.Confirmations(self.members, self.quorum, self.counters)
+        self.position_waits = position_waits.PositionWaits(self._is_applied)
         self.primary_signal = waits.Signal()
         self._contacts: dict[str, float] = {}
         self._primary: str | None = None
@@ -198,13 +202,13 @@
         self.primary_signal.wake()
         self.slots.pump()
 
-    async def is_silent(self, name: str, silence_s: float) -> bool:
+    async def is_silent(self, name: str, silence_s: float, deadline: float) -> bool:
         """Tells whether a member has answered nothing for a time and does not do so now."""
         asked_at = self._loop.time()
-        if self._contacts.get(name, -silence_s) >= asked_at - silence_s:
+        if self._contacts.get(name, -math.inf) >= asked_at - silence_s:
             return False
         try:
-            async with asyncio.timeout(SILENCE_CHECK_S):
+            async with asyncio.timeout_at(min(asked_at + SILENCE_CHECK_S, deadline)):
                 self.quorum.record(await self.members[name].status(positions.ZERO, 0.0))
         except (interfaces.LinkLost, TimeoutError):
             return True
@@ -228,7 +232,7 @@
         """Tells whether the primary is known, and it and a majority have answered lately."""
         primary = self.primary
         horizon = self._loop.time() - CONTACT_S
-        if primary is None or self._contacts.get(primary, -CONTACT_S) < horizon:
+        if primary is None or self._contacts.get(primary, -math.inf) < horizon:
             return False
         return self._has_majority()
 
@@ -242,6 +246,11 @@
             reason, detail = outcomes.NotRunReason.NO_MAJORITY, "no majority answers"
         return outcomes.NotRun(reason, detail, self.admission.expected_wait(admission.Lane.WRITE))
 
+    def advanced(self) -> None:
+        """Lets go on what waits for the position of a replica."""
+        self.position_waits.advanced()
+        self.slots.pump()
+
     def read_waits(self) -> None:
         """Keeps status rounds going until read_waits_no_longer() was called as often."""
         self._waiting_reads += 1
@@ -269,6 +278,9 @@
         for one in self.pools.values():
             one.close()
 
+    def _is_applied(self, position: positions.Position) -> bool:
+        return self.router.has_applied(position, self._last_primary, self._loop.time())
+
     def _usable_slots(self, rank: int) -> dict[str, int]:
         """A slot without a connection is of no use."""
         return {
@@ -289,7 +301,7 @@
         self.confirmations.accepted(status.member, status.last_log)
         self.confirmations.evidence_arrived()
         if self.router.record_status(status):
-            self.slots.pump()
+            self.advanced()
 
     def _infer_primary(self, name: str, position: positions.Position) -> None:
         """Counts an entry that a replica accepted as accepted by the primary of its term too.
--- a/bilberrystack/proxy/reads.py
+++ b/bilberrystack/proxy/reads.py
@@ -31,10 +31,6 @@
 # connections to one of the smallest members, one after the other, takes 84 ms.
 CONNECTION_PATIENCE_S = 0.15
 
-# A member that has answered nothing for this long while it has a read is asked for its status, in
-# seconds; if it does not answer that either, another member is tried.
-SILENCE_S = 0.25
-
 # How long an answer's position may stay unconfirmed before another member is tried, in seconds.
 CONFIRM_LIMIT_S = 0.3
 
@@ -46,6 +42,7 @@
     Attributes:
       request: The request.
       min_position: The position that its answer has to reflect.
+      patience_end: Instant at which it stops to wait for a replica to reach its position.
       tried: Members that failed it; not tried again.
       executed: Whether a member may have run it.
       primary_reason: Why the primary may serve it; empty while only replicas may.
@@ -53,6 +50,7 @@
 
     request: requests.GroupRequest
     min_position: positions.Position
+    patience_end: float
     tried: set[str] = dataclasses.field(default_factory=set)
     executed: bool = False
     primary_reason: str = ""
@@ -74,7 +72,10 @@
         if floor is None:
             detail = "no majority answered a status round"
             return outcomes.NotRun(outcomes.NotRunReason.NO_MAJORITY, detail)
-        progress = _Progress(request, max(floor, request.watermark or positions.ZERO))
+        now = self._loop.time()
+        patience_s = min(POSITION_PATIENCE_S, POSITION_PATIENCE_SHARE * (request.deadline - now))
+        min_position = max(floor, request.watermark or positions.ZERO)
+        progress = _Progress(request, min_position, now + patience_s)
         while self._loop.time() < request.deadline:
             outcome = await self._attempt(progress)
             if outcome is not None:
@@ -111,9 +112,7 @@
             return None
         call = lease.connection.read(request.body, progress.min_position, MEMBER_WAIT_S)
         try:
-            reply = await statements.perform(
-                self._state, ticket, lease, call, request.deadline, silence_s=SILENCE_S
-            )
+            reply = await statements.perform(self._state, ticket, lease, call, request.deadline)
         except statements.Outstanding:
             return self._outstanding(progress, name)
         except interfaces.LinkLost as failure:
@@ -133,7 +132,7 @@
         progress.executed = True
         state.record_executed(name, reply)
         if state.router.record_read(name, reply.position):
-            state.slots.pump()
+            state.advanced()
         if not state.quorum.is_durable(reply.position):
             state.counters.undurable_reads += 1
             limit = min(progress.request.deadline, self._loop.time() + CONFIRM_LIMIT_S)
@@ -225,36 +224,41 @@
     ) -> admission.Ticket | outcomes.NotRun | None:
         """Waits for a slot of a replica; returns None when the primary may serve the read."""
         state = self._state
-        now = self._loop.time()
         request = progress.request
-        prospect = self._prospect(progress)
-        if not prospect.worth_waiting:
-            progress.primary_reason = prospect.reason
-            return None
-        patience_s = SLOT_PATIENCE_S
-        if not prospect.ready:
-            patience_s = min(
-                POSITION_PATIENCE_S, POSITION_PATIENCE_SHARE * (request.deadline - now)
-            )
-            state.counters.watermark_waits += 1
-            state.read_waits()
-        try:
+        while self._loop.time() < request.deadline:
+            prospect = self._prospect(progress)
+            if not prospect.worth_waiting:
+                progress.primary_reason = prospect.reason
+                return None
+            if not prospect.ready and not await self._wait_for_position(progress):
+                return None
             ticket = await state.slots.acquire(
                 admission.Lane.READ,
                 request.caller,
                 request.deadline,
                 lambda: self._replica(progress),
-                patience=now + patience_s,
+                patience=self._loop.time() + SLOT_PATIENCE_S,
             )
+            if ticket is not None:
+                return ticket
+            if self._prospect(progress).ready or self._loop.time() >= progress.patience_end:
+                progress.primary_reason = "busy"
+                return None
+        return None
+
+    async def _wait_for_position(self, progress: _Progress) -> bool:
+        """Waits until a replica has the read's position; returns False if that takes too long."""
+        state = self._state
+        state.counters.watermark_waits += 1
+        state.read_waits()
+        try:
+            reached = await state.position_waits.wait(progress.min_position, progress.patience_end)
         finally:
-            if not prospect.ready:
-                state.read_waits_no_longer()
-        if ticket is None:
-            ready = self._prospect(progress).ready
-            progress.primary_reason = "busy" if ready else "behind"
-            if not ready:
-                state.router.record_fruitless_wait(progress.min_position)
-        return ticket
+            state.read_waits_no_longer()
+        if not reached:
+            progress.primary_reason = "behind"
+            state.router.record_fruitless_wait(progress.min_position)
+        return reached
 
     def _prospect(self, progress: _Progress) -> routing.Prospect:
         state = self._state
--- a/bilberrystack/proxy/rounds.py
+++ b/bilberrystack/proxy/rounds.py
@@ -184,7 +184,8 @@
 
     def _are_silent(self, names: set[str]) -> bool:
         horizon = self._loop.time() - SILENT_S
-        return all((self._last_contact(name) or -SILENT_S) < horizon for name in names)
+        contacts = (self._last_contact(name) for name in names)
+        return all(contact is None or contact < horizon for contact in contacts)
 
     def _finish(self, finished: _Round) -> None:
         if finished is not self._current:
--- /dev/null
+++ b/bilberrystack/proxy/rounds_test.py
@@ -0,0 +1,205 @@
+"""Tests of status rounds and of the waits for durability, on a paused clock."""
+
+import asyncio
+
+import pytest
+
+from bilberrystack.core import members
+from bilberrystack.core import positions
+from bilberrystack.core import quorum
+from bilberrystack.proxy import confirmations
+from bilberrystack.proxy import counters
+from bilberrystack.proxy import interfaces
+from bilberrystack.proxy import rounds
+
+pytestmark = [pytest.mark.asyncio, pytest.mark.looptime]
+
+P = positions.Position
+
+
+class Member:
+    """Answers status calls after a delay; a silent one never does."""
+
+    def __init__(self, name, last_log, delay_s=0.001):
+        self.name = name
+        self.last_log = last_log
+        self.promised_term = last_log.term
+        self.delay_s = delay_s
+        self.silent = False
+        self.calls = 0
+        self.in_flight = 0
+        self.most_in_flight = 0
+        self._changed = asyncio.Event()
+
+    def advance(self, position):
+        self.last_log = position
+        self.promised_term = max(self.promised_term, position.term)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def status(self, wait_for, wait_s):
+        self.calls += 1
+        self.in_flight += 1
+        self.most_in_flight = max(self.most_in_flight, self.in_flight)
+        try:
+            return await self._status(wait_for, wait_s)
+        finally:
+            self.in_flight -= 1
+
+    async def _status(self, wait_for, wait_s):
+        await asyncio.sleep(self.delay_s / 2)
+        if self.silent:
+            await asyncio.get_running_loop().create_future()
+        end = now() + wait_s
+        while self.last_log < wait_for and now() < end:
+            try:
+                await asyncio.wait_for(self._changed.wait(), end - now())
+            except TimeoutError:
+                break
+        report = members.MemberStatus(
+            member=self.name,
+            promised_term=self.promised_term,
+            last_log=self.last_log,
+            applied=self.last_log,
+            primary=False,
+            primary_contact_s=None,
+            slots=2,
+            connection_limit=16,
+            leaving=False,
+            discarded_entries=0,
+            previous_term_end=positions.ZERO,
+        )
+        await asyncio.sleep(self.delay_s / 2)
+        return report
+
+
+class Site:
+    def __init__(self, *indices):
+        names = "abcde"[: len(indices)]
+        self.members = {
+            name: Member(name, P(1, index)) for name, index in zip(names, indices, strict=True)
+        }
+        self.quorum = quorum.Quorum(names)
+        self.counters = counters.GroupCounters()
+        self.contacts = dict.fromkeys(names, 0.0)
+        self.rounds = rounds.Rounds(self.members, self.quorum, self.contacts.get, self.counters)
+        self.confirmations = confirmations.Confirmations(self.members, self, self.counters)
+
+    def record(self, status):
+        """Stands between confirmations and the evidence, as the group does."""
+        self.quorum.record(status)
+        self.confirmations.accepted(status.member, status.last_log)
+        self.confirmations.evidence_arrived()
+
+    def __getattr__(self, name):
+        return getattr(self.quorum, name)
+
+
+def now():
+    return asyncio.get_running_loop().time()
+
+
+async def test_requests_during_a_round_share_the_next():
+    """Guards against a round for each read, and against a read index older than the request."""
+    site = Site(5, 5, 5)
+    first = asyncio.create_task(site.rounds.read_index(now() + 1.0))
+    await asyncio.sleep(0.0007)
+    for member in site.members.values():
+        member.last_log = P(1, 9)
+    later = [site.rounds.read_index(now() + 1.0) for _ in range(10)]
+    assert set(await asyncio.gather(*later)) == {P(1, 9)}
+    assert await first == P(1, 5)
+    assert site.counters.rounds == 2
+
+
+async def test_all_answers_give_the_second_highest_position():
+    """Guards against a read index that only the primary has reached."""
+    site = Site(9, 7, 6)
+    site.members["c"].delay_s += rounds.LAST_ANSWER_WAIT_S / 2
+    assert await site.rounds.read_index(now() + 1.0) == P(1, 7)
+
+
+async def test_silent_member_delays_neither_this_round_nor_the_next():
+    """Guards against a paused member that slows all reads of age 0 down."""
+    site = Site(9, 7, 6)
+    site.members["c"].silent = True
+    for _ in range(20):
+        start = now()
+        assert await site.rounds.read_index(start + 1.0) == P(1, 9)
+        assert now() - start < 2 * rounds.LAST_ANSWER_WAIT_S
+    site.contacts["c"] = -10.0
+    start = now()
+    await site.rounds.read_index(start + 1.0)
+    assert now() - start < rounds.LAST_ANSWER_WAIT_S
+    assert site.members["c"].most_in_flight <= rounds.MAX_OUTSTANDING
+
+
+async def test_minority_gives_no_read_index():
+    """Guards against a read index of an isolated member, which misses acknowledged writes."""
+    site = Site(9, 7, 6)
+    site.members["b"].silent = site.members["c"].silent = True
+    assert await site.rounds.read_index(now() + 10.0) is None
+    assert now() == pytest.approx(rounds.ROUND_TIMEOUT_S)
+    assert site.quorum.index_for_age(now(), 60.0) is None
+
+
+async def test_index_covers_the_age_from_when_the_round_was_sent():
+    """Guards against counting the age from the answers, which is younger than the data."""
+    site = Site(5, 5, 5)
+    for member in site.members.values():
+        member.delay_s = 0.4
+    await site.rounds.read_index(now() + 1.0)
+    assert site.quorum.index_for_age(now(), 0.3) is None
+    assert site.quorum.index_for_age(now(), 0.5) == P(1, 5)
+
+
+async def test_waits_share_one_poll_for_each_member():
+    """Guards against a status call for each write and member."""
+    site = Site(9, 5, 5)
+    waits = [site.confirmations.wait(P(1, 6 + one % 4), now() + 1.0) for one in range(40)]
+    pending = asyncio.gather(*waits)
+    await asyncio.sleep(0.01)
+    site.members["b"].advance(P(1, 9))
+    assert set(await pending) == {confirmations.Verdict.DURABLE}
+    assert {member.most_in_flight for member in site.members.values()} == {1}
+    assert sum(member.calls for member in site.members.values()) <= 6
+
+
+async def test_wait_ends_at_its_deadline():
+    """Guards against a write that hangs while no majority has it."""
+    site = Site(9, 5, 5)
+    start = now()
+    verdict = await site.confirmations.wait(P(1, 9), start + 0.2)
+    assert verdict is confirmations.Verdict.LATE and now() == pytest.approx(start + 0.2)
+
+
+async def test_entry_of_a_replaced_primary_is_told_from_a_durable_one():
+    """Guards against acknowledging an entry that the new primary's log does not have."""
+    site = Site(9, 5, 5)
+    for name in "abc":
+        site.quorum.accept(name, P(1, 5))
+    waiting = asyncio.create_task(site.confirmations.wait(P(1, 9), now() + 5.0))
+    await asyncio.sleep(0.1)
+    for name in "bc":
+        site.members[name].advance(P(2, 7))
+    assert await waiting is confirmations.Verdict.LOST
+    site.confirmations.primary_changed(2)
+    verdict = await site.confirmations.wait(P(1, 8), now() + 5.0)
+    assert verdict is confirmations.Verdict.SUPERSEDED
+
+
+async def test_broken_link_is_polled_again():
+    """Guards against a wait that ends with the first broken control connection."""
+    site = Site(9, 5, 5)
+    broken = site.members["b"]
+    answer = broken.status
+
+    async def break_once(wait_for, wait_s):
+        broken.status = answer
+        raise interfaces.LinkLost("reset", sent=True)
+
+    broken.status = break_once
+    waiting = asyncio.create_task(site.confirmations.wait(P(1, 9), now() + 5.0))
+    await asyncio.sleep(0.001)
+    broken.advance(P(1, 9))
+    assert await waiting is confirmations.Verdict.DURABLE
--- a/bilberrystack/proxy/statements.py
+++ b/bilberrystack/proxy/statements.py
@@ -16,6 +16,11 @@
 # Pause before a statement that provably did not run is offered again, in seconds.
 RESEND_PAUSE_S = 0.01
 
+# After this long without an answer, in seconds, the member of a read is asked for its status, and
+# another one is tried if it does not answer that either; for the statement of a primary, the
+# members are asked whether there is a new one.
+SILENCE_S = 0.25
+
 # The last part of the time to the deadline is kept for resolving an outstanding write: this share
 # of it, and at most this many seconds.
 RESOLVE_SHARE = 0.1
@@ -82,7 +87,6 @@
     *,
     term: int | None = None,
     reusable: bool = True,
-    silence_s: float | None = None,
 ) -> members.MemberReply:
     """Runs a statement on a leased connection and gives its slot back.
 
@@ -94,10 +98,9 @@
       lease: The connection.
       call: The statement.
       deadline: Instant on the runtime's clock at which the wait ends.
-      term: The term of the primary that the statement is for; a newer primary ends the wait.
+      term: The term of the primary that the statement is for, whose wait ends with a newer
+        primary; None for a read, whose wait ends when its member is silent.
       reusable: Whether the connection may be returned to the pool after a late answer.
-      silence_s: The wait ends when the member answers nothing at all for this long, not even a
-        request for its status.
     Returns:
       The answer.
     Raises:
@@ -109,16 +112,8 @@
     assert name is not None
     started = loop.time()
     work = loop.create_task(call)
-    interrupt = None if term is None else state.primary_signal
-    check_at = deadline if silence_s is None else min(deadline, started + silence_s)
     try:
-        while not await waits.until(work, check_at, interrupt):
-            if loop.time() >= deadline or (term is not None and state.term > term):
-                break
-            if silence_s is not None and loop.time() >= check_at:
-                if await state.is_silent(name, silence_s) and not work.done():
-                    break
-                check_at = min(deadline, loop.time() + silence_s)
+        await _wait(state, name, work, deadline, term)
     except asyncio.CancelledError:
         _drain(state, ticket, lease, work, reusable)
         raise
@@ -138,6 +133,31 @@
     return reply
 
 
+async def _wait(
+    state: group_state.GroupState,
+    name: str,
+    work: asyncio.Task[members.MemberReply],
+    deadline: float,
+    term: int | None,
+) -> None:
+    """Waits for a statement; see perform."""
+    loop = asyncio.get_running_loop()
+    interrupt = None if term is None else state.primary_signal
+    while True:
+        check_at = min(deadline, loop.time() + SILENCE_S)
+        if await waits.until(work, check_at, interrupt) or loop.time() >= deadline:
+            return
+        if term is not None and state.term > term:
+            return
+        if loop.time() < check_at:
+            continue
+        if term is not None:
+            # Another owner may have changed the primary.
+            await state.rounds.read_index(min(deadline, check_at + SILENCE_S))
+        elif await state.is_silent(name, SILENCE_S, deadline):
+            return
+
+
 def _failure(work: asyncio.Task[members.MemberReply]) -> BaseException | None:
     if work.cancelled():
         return interfaces.LinkLost("the call was cancelled", sent=True)
