Test instances in memory on a paused clock

Cause: joins, losses and planned stops of instances were untested. Found: before the platform's list was read, a new instance opened every group with rank 0, which at the design scale takes half of every member's connections; a swallowed cancellation kept an instance from closing. Change: an instance owns nothing until it has read the list once; cancellation is repeated.

--- a/bilberrystack/core/membership.py
+++ b/bilberrystack/core/membership.py
@@ -70,6 +70,7 @@
     __slots__ = (
         "_domain_seen_at",
         "_heard_domains",
+        "_informed",
         "_known",
         "_live",
         "_majority_contact_at",
@@ -81,6 +82,7 @@
     def __init__(self, own: Instance, now: float) -> None:
         self._own = own
         self._own_leaving = False
+        self._informed = False
         self._known: dict[str, _Known] = {}
         self._live: dict[str, Instance] = {own.id: own}
         self._version = 1
@@ -93,6 +95,11 @@
         """Increases whenever the live instances change."""
         return self._version
 
+    @property
+    def informed(self) -> bool:
+        """Whether the platform's list has been read. Before, this instance knows itself alone."""
+        return self._informed
+
     @property
     def live(self) -> collections.abc.Mapping[str, Instance]:
         """The live instances by id, this one included until it leaves."""
@@ -142,6 +149,7 @@
         A list in which most proxies are leaving is not believed as to leaving: planned stops are
         few at a time, and removing that many from the view would be an outage of its own.
         """
+        self._informed = True
         leaving = sum(state is InstanceState.LEAVING for state in listed.values())
         plausible = leaving * 2 <= len(listed)
         for known in self._known.values():
--- a/bilberrystack/proxy/discovery.py
+++ b/bilberrystack/proxy/discovery.py
@@ -153,12 +153,12 @@
 
     async def watch_list(self, store: interfaces.Store) -> None:
         """Follows the platform's list of instances, forever."""
-        version = 0
+        version: int | None = None
         available = True
         while True:
             try:
                 async with asyncio.timeout(WATCH_WAIT_S + ANSWER_LIMIT_S):
-                    found = await store.watch(INSTANCES_KEY, version, WATCH_WAIT_S)
+                    found = await _next_list(store, version)
             except (interfaces.StoreUnavailable, TimeoutError) as failure:
                 if available:
                     _LOG.warning("The list of instances is not available: {!r}", failure)
@@ -166,13 +166,12 @@
                 await asyncio.sleep(STORE_PAUSE_S * self._chooser.uniform(0.5, 1.5))
                 continue
             available = True
-            if found is None:
-                continue
-            version = found.version
-            try:
-                self._take_list(_DECODER.decode(found.value))
-            except msgspec.MsgspecError as error:
-                _LOG.error("Version {} of the list of instances is malformed: {}", version, error)
+            if found is not None:
+                version = found.version
+                self._take_encoded_list(found)
+            elif version is None:
+                version = 0
+                self._take_list(())
 
     async def send_leaving(self) -> None:
         """Tells all known instances that this one is leaving."""
@@ -209,6 +208,14 @@
             self.link_lost(instance.id)
         self._heard(digest)
 
+    def _take_encoded_list(self, found: interfaces.StoredObject) -> None:
+        try:
+            listed = _DECODER.decode(found.value)
+        except msgspec.MsgspecError as error:
+            _LOG.error("Version {} of the instances is malformed: {}", found.version, error)
+            return
+        self._take_list(listed)
+
     def _take_list(self, listed: collections.abc.Iterable[ListedInstance]) -> None:
         proxies = {}
         leaving = set()
@@ -223,3 +230,12 @@
         self._versions = {name: one for name, one in self._versions.items() if name in known}
         self._changed()
         self._endpoints_leaving(frozenset(leaving))
+
+
+async def _next_list(
+    store: interfaces.Store, version: int | None
+) -> interfaces.StoredObject | None:
+    """Returns the current list at first, then the next one; None if there is none."""
+    if version is None:
+        return await store.get(INSTANCES_KEY)
+    return await store.watch(INSTANCES_KEY, version, WATCH_WAIT_S)
--- a/bilberrystack/proxy/fakes_test.py
+++ b/bilberrystack/proxy/fakes_test.py
@@ -84,12 +84,18 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    async def get(self, key):
+        if self.down:
+            raise interfaces.StoreUnavailable("down")
+        return interfaces.StoredObject(key, self.value, self.version) if self.version else None
+
     async def watch(self, key, after_version, wait_s):
         if self.down:
             raise interfaces.StoreUnavailable("down")
         if self.version <= after_version:
             try:
-                await asyncio.wait_for(self.changed.wait(), wait_s)
+                async with asyncio.timeout(wait_s):
+                    await self.changed.wait()
             except TimeoutError:
                 return None
         return interfaces.StoredObject(key, self.value, self.version)
--- a/bilberrystack/proxy/node.py
+++ b/bilberrystack/proxy/node.py
@@ -22,6 +22,7 @@
 
 _POLL_S = 0.02
 _RESTART_PAUSE_S = 1.0
+_CANCEL_AGAIN_S = 0.1
 
 
 class Configuration(entry.ConfigurationView, Protocol):
@@ -99,7 +100,7 @@
         self._loop_time = asyncio.get_running_loop().time
         self._log = loguru.logger.bind(component="node")
         self._leaving = False
-        self._applied = (0, -1)
+        self._applied: tuple[int, int] | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._owners = ownership.OwnerTable()
         self._groups = owned_groups.OwnedGroups(open_owner)
@@ -144,9 +145,12 @@
         return self
 
     async def __aexit__(self, *_exception: object) -> None:
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        pending = set(self._tasks)
+        while pending:
+            # asyncio.wait_for may swallow a cancellation, so it is repeated.
+            for task in pending:
+                task.cancel()
+            _done, pending = await asyncio.wait(pending, timeout=_CANCEL_AGAIN_S)
         self._links.close()
         await self._groups.close()
 
@@ -236,6 +240,9 @@
 
     def _apply(self) -> None:
         """Brings the owned groups in line with the membership and the declarations."""
+        if not self._view.informed:
+            # Until it has read the platform's list, this instance would take every group.
+            return
         versions = (self._view.version, self._configuration.version)
         if versions == self._applied:
             self._groups.expire(self._loop_time())
--- /dev/null
+++ b/bilberrystack/proxy/node_test.py
@@ -0,0 +1,340 @@
+"""Tests of instances in one process with links in memory, on a paused clock."""
+
+import asyncio
+import contextlib
+import random
+
+from bilberrystack.core import membership
+from bilberrystack.core import outcomes
+from bilberrystack.core import tokens
+from bilberrystack.proxy import entry
+from bilberrystack.proxy import fakes_test as fakes
+from bilberrystack.proxy import interfaces
+from bilberrystack.proxy import node
+from bilberrystack.proxy import owned_groups
+
+K = fakes.K
+R = fakes.R
+GROUPS = tuple(f"g{number}" for number in range(12))
+
+
+class Peer:
+    """A link in memory; fails while the path is cut or the other side is gone."""
+
+    def __init__(self, fleet, path):
+        self.fleet = fleet
+        self.path = path
+
+    def target(self):
+        found = self.fleet.nodes.get(self.path[1])
+        if found is None or self.path[0] not in self.fleet.nodes or self.path in self.fleet.cut:
+            raise interfaces.LinkLost("refused", sent=False)
+        return found
+
+    async def forward(self, request):
+        return await self.target().forwarded(request)
+
+    async def digest(self, sender):
+        return self.target().digest(sender)
+
+    async def leaving(self, sender):
+        return self.target().digest(sender)
+
+    async def push_head(self, sender, head):
+        await self.target().push_head(sender, head)
+
+    def close(self):
+        pass
+
+
+class Fleet:
+    """Instances a, b, c and so on, in three failure domains, with one database."""
+
+    def __init__(self, stack, groups):
+        self.stack = stack
+        self.document = fakes.declared(groups)
+        self.database = fakes.Database()
+        self.store = fakes.Store()
+        self.nodes = {}
+        self.owners = {}
+        self.configurations = {}
+        self.cut = set()
+
+    def instance(self, name):
+        return membership.Instance(name, f"d{ord(name) % 3}", name)
+
+    def list_instances(self, *names, state="live"):
+        self.store.list_instances(
+            *((name, "proxy", name, self.instance(name).failure_domain, state) for name in names)
+        )
+
+    async def start(self, *names):
+        for name in names:
+            self.owners[name] = {}
+            self.configurations[name] = fakes.Configuration(self.document)
+            made = self.node(name)
+            self.nodes[name] = await self.stack.enter_async_context(made)
+
+    def node(self, name):
+        def open_owner(declaration, rank):
+            owner = fakes.Owner(self.database, name, rank)
+            self.owners[name].setdefault(declaration.name, []).append(owner)
+            return owner
+
+        return node.Node(
+            own=self.instance(name),
+            open_configuration=lambda _neighbours: self.configurations[name],
+            signer=tokens.Signer([b"key"]),
+            retries=fakes.Budget(),
+            store=self.store,
+            open_owner=open_owner,
+            open_link=lambda address, _lost: Peer(self, (name, address)),
+            chooser=random.Random(name),
+            wall_time=lambda: 1e9,
+        )
+
+    def ranks(self, group):
+        """Returns the ranks of the open owners of a group by instance."""
+        open_now = {}
+        for name, groups in self.owners.items():
+            for owner in groups.get(group, ()):
+                if not owner.closed and name in self.nodes:
+                    open_now[name] = owner.ranks[-1]
+        return open_now
+
+    def agreed(self):
+        """Tells whether every group has exactly its three owners in all views."""
+        for group in self.document.groups:
+            views = {tuple(one.owners(group)) for one in self.nodes.values()}
+            if len(views) != 1:
+                return False
+            expected = {name: rank for rank, name in enumerate(views.pop())}
+            if not expected or self.ranks(group) != expected:
+                return False
+        return True
+
+    async def run(self, name, kind, group="g0", transaction=None):
+        role = self.nodes[name].entry_role
+        token = role.new_token("s", "analyst", complete=True)
+        sequence = self.database.index + 1
+        request = entry.CallerRequest(sequence, [token], group, kind, b"x", None, 5.0, transaction)
+        return (await role.execute("analyst", request)).outcome
+
+
+def check(test, groups=GROUPS):
+    async def main():
+        async with contextlib.AsyncExitStack() as stack:
+            await test(Fleet(stack, groups))
+
+    fakes.paused(main)
+
+
+async def within(seconds, condition):
+    """Waits for a condition on the paused clock."""
+    deadline = asyncio.get_running_loop().time() + seconds
+    while not condition():
+        assert asyncio.get_running_loop().time() < deadline
+        await asyncio.sleep(0.01)
+
+
+def test_groups_get_three_owners_in_distinct_domains():
+    """Guards against groups without owners, or with owners that disagree on their ranks."""
+
+    async def test(fleet):
+        fleet.list_instances(*"abcdef")
+        await fleet.start(*"abcdef")
+        await within(1.0, fleet.agreed)
+        for group in GROUPS:
+            domains = {fleet.instance(name).failure_domain for name in fleet.ranks(group)}
+            assert len(domains) == 3
+        assert sum(len(one.group_views) for one in fleet.nodes.values()) == 3 * len(GROUPS)
+
+    check(test)
+
+
+def test_dead_instance_is_replaced_despite_the_list():
+    """Guards against groups that wait for the platform's list after an instance died."""
+
+    async def test(fleet):
+        fleet.list_instances(*"abcdef")
+        await fleet.start(*"abcdef")
+        await within(1.0, fleet.agreed)
+        del fleet.nodes["a"]
+        await within(10.0, fleet.agreed)
+        assert isinstance(await fleet.run("b", K.WRITE), outcomes.Answer)
+
+    check(test)
+
+
+def test_new_instance_takes_over_groups_without_the_list():
+    """Guards against a lagging list that keeps new instances unused, and roles that stay open."""
+
+    async def test(fleet):
+        fleet.list_instances(*"abc")
+        await fleet.start(*"abc")
+        await within(1.0, fleet.agreed)
+        await fleet.start("d")
+        await within(10.0, lambda: any(fleet.owners["d"].values()) and fleet.agreed())
+
+    check(test)
+
+
+def test_lost_role_lingers_and_returns_without_reopening():
+    """Guards against closing all connections of a group when views flap for a moment."""
+
+    async def test(fleet):
+        fleet.list_instances("a")
+        await fleet.start("a")
+        await within(1.0, fleet.agreed)
+        fleet.list_instances(*"abcdef")
+        await asyncio.sleep(owned_groups.LINGER_S / 2)
+        fleet.list_instances("a")
+        await asyncio.sleep(owned_groups.LINGER_S * 2)
+        owners = [owner for owners in fleet.owners["a"].values() for owner in owners]
+        assert len(owners) == len(GROUPS) and not any(owner.closed for owner in owners)
+
+    check(test)
+
+
+def test_role_that_ended_finishes_its_transaction_first():
+    """Guards against aborting a transaction because the group's owners changed."""
+
+    async def test(fleet):
+        fleet.list_instances("a")
+        await fleet.start("a")
+        begun = await fleet.run("a", K.BEGIN)
+        fleet.document = fakes.declared(GROUPS[1:], version=2)
+        (owner,) = fleet.owners["a"]["g0"]
+        member = fleet.document.groups["g1"].members[0]
+        changed = fakes.declared(GROUPS, version=2)
+        group = changed.groups["g0"]
+        changed.groups["g0"] = type(group)("g0", (*group.members, member), 0)
+        fleet.configurations["a"].put(changed)
+        await asyncio.sleep(1.0)
+        assert len(fleet.owners["a"]["g0"]) == 2 and not owner.closed
+        ran = await fleet.run("a", K.STATEMENT, transaction=begun.transaction)
+        assert isinstance(ran, outcomes.Answer)
+        await fleet.run("a", K.COMMIT, transaction=begun.transaction)
+        await within(1.0, lambda: owner.closed)
+        assert fleet.database.runs == [b"x"]
+
+    check(test)
+
+
+def test_leaving_instance_hands_over_and_waits_for_open_transactions():
+    """Guards against a planned stop that interrupts a transaction or keeps getting work."""
+
+    async def test(fleet):
+        fleet.list_instances(*"abcd")
+        await fleet.start(*"abcd")
+        await within(1.0, fleet.agreed)
+        first = fleet.nodes["a"].owners("g0")[0]
+        other = next(name for name in "abcd" if name != first)
+        begun = await fleet.run(other, K.BEGIN)
+        assert begun.transaction.startswith(f"{first}/")
+        leaving = asyncio.create_task(fleet.nodes[first].leave(30.0, lambda: False))
+        await asyncio.sleep(0.1)
+        assert all(
+            first not in one.view.live for one in fleet.nodes.values()
+        ), "a leaving notice reaches all instances at once"
+        written = await fleet.run(other, K.WRITE)
+        assert isinstance(written, outcomes.Answer) and not leaving.done()
+        assert (await fleet.run(first, K.WRITE)).reason is R.LEAVING
+        ended = await fleet.run(other, K.COMMIT, transaction=begun.transaction)
+        assert isinstance(ended, outcomes.Answer)
+        assert await leaving
+
+    check(test)
+
+
+def test_leaving_ends_with_the_grace():
+    """Guards against an instance that never stops because of a forgotten transaction."""
+
+    async def test(fleet):
+        fleet.list_instances("a")
+        await fleet.start("a")
+        await fleet.run("a", K.BEGIN)
+        started = asyncio.get_running_loop().time()
+        assert not await fleet.nodes["a"].leave(30.0, lambda: False)
+        assert 30.0 <= asyncio.get_running_loop().time() - started < 31.0
+
+    check(test)
+
+
+def test_requests_go_on_while_the_store_is_down():
+    """Guards against depending on the store for statements, joins or the loss of an instance."""
+
+    async def test(fleet):
+        fleet.list_instances(*"abc")
+        await fleet.start(*"abc")
+        await within(1.0, fleet.agreed)
+        fleet.store.down = True
+        await fleet.start("d")
+        await asyncio.sleep(120.0)
+        assert not any(fleet.owners["d"].values()), "it knows no instances, so it owns nothing"
+        del fleet.nodes["d"]
+        assert isinstance(await fleet.run("a", K.WRITE), outcomes.Answer)
+        del fleet.nodes["b"]
+        await within(10.0, fleet.agreed)
+
+    check(test)
+
+
+def test_wrong_path_between_two_instances_leaves_the_group_served():
+    """Guards against failed requests when only the link to rank 0 is cut."""
+
+    async def test(fleet):
+        fleet.list_instances(*"abc")
+        await fleet.start(*"abc")
+        await within(1.0, fleet.agreed)
+        first, second = fleet.nodes["a"].owners("g0")[:2]
+        fleet.cut.add((second, first))
+        assert isinstance(await fleet.run(second, K.WRITE), outcomes.Answer)
+        assert fleet.owners[second]["g0"][0].seen
+
+    check(test)
+
+
+def test_peers_stale_configuration_is_noticed_by_digests():
+    """Guards against an instance that misses an accepted configuration."""
+
+    async def test(fleet):
+        fleet.list_instances(*"ab")
+        await fleet.start(*"ab")
+        fleet.configurations["a"].put(fakes.declared(GROUPS, version=5))
+        await within(5.0, lambda: 5 in fleet.configurations["b"].known)
+        fleet.nodes["b"].executor("a")
+        assert fleet.nodes["a"].view.majority_contact_at(0.0) is not None
+
+    check(test)
+
+
+def test_leaving_endpoints_reach_all_owners():
+    """Guards against new work on an endpoint that the platform is about to stop."""
+
+    async def test(fleet):
+        await fleet.start("a")
+        fleet.store.list_instances(
+            ("a", "proxy", "a", "d1", "live"),
+            ("e", "endpoint", "127.0.0.1:7", "d1", "leaving"),
+            ("f", "endpoint", "127.0.0.1:8", "d1", "live"),
+        )
+        await asyncio.sleep(0.1)
+        owners = [owner for owners in fleet.owners["a"].values() for owner in owners]
+        assert {owner.leaving_endpoints for owner in owners} == {frozenset({"127.0.0.1:7"})}
+
+    check(test)
+
+
+def test_malformed_list_is_ignored():
+    """Guards against losing all instances with one broken list."""
+
+    async def test(fleet):
+        fleet.list_instances(*"abc")
+        await fleet.start(*"abc")
+        await within(1.0, fleet.agreed)
+        fleet.store.list_instances(("a", "router", "a", "d1", "live"))
+        await asyncio.sleep(3.0)
+        assert fleet.agreed()
+
+    check(test)
