Send a write again under a new key once its first one is cancelled

Cause: a write that reached a closing connection was resolved as cancelled and failed at the caller. Change: a cancelled key can't take effect any more, so the client library goes on under a new one.

--- a/bilberrystack/client/sessions.py
+++ b/bilberrystack/client/sessions.py
@@ -57,7 +57,7 @@
 
     Attributes:
       kind: What it does.
-      sequence: Its sequence number, the same in all attempts.
+      sequence: Its sequence number, the same in all attempts unless it was cancelled.
       group: The database group.
       body: The statement.
       max_age_ms: The oldest data accepted, None for the group's default.
@@ -98,6 +98,12 @@
         self.maybe_ran = self.maybe_ran or self.kind not in _WITHOUT_EFFECT
         return self.resolving or self.kind in _REPEATABLE
 
+    def renew(self, sequence: int) -> None:
+        """Goes on under a new key; the former one is cancelled and can't take effect any more."""
+        self.sequence = sequence
+        self.resolving = False
+        self.maybe_ran = False
+
     def failed(self, refusal: results.NotRun) -> results.NotRun | results.Unknown:
         """Returns the outcome when the last attempt was refused."""
         if not self.maybe_ran or refusal.reason is _Reason.CANCELLED:
@@ -163,7 +169,7 @@
           group: The group's name.
           body: The statement.
           idempotent: Whether the statement may run more than once; if not, its outcome is found out
-            after a failure, and it is never sent again.
+            after a failure, and it is sent again only if the first attempt is cancelled for good.
           timeout_s: Seconds until the answer is of no use.
         Returns:
           The outcome. Raises Rejected.
@@ -195,12 +201,15 @@
     ) -> tuple[results.Outcome, str | None]:
         """Runs a request; returns its outcome and the id of the transaction that it began."""
         deadline = self._loop.time() + timeout_s
-        sequence = self._sequence
-        self._sequence += 1
+        sequence = self._next_sequence()
         attempts = _Attempts(kind, sequence, group, body, max_age_ms, deadline, transaction)
         async with self._in_flight:
             return await self._attempt(attempts)
 
+    def _next_sequence(self) -> int:
+        self._sequence += 1
+        return self._sequence - 1
+
     async def _attempt(self, attempts: _Attempts) -> tuple[results.Outcome, str | None]:
         refusal = results.NotRun(_Reason.DEADLINE_BEFORE_SEND, "no proxy took the request in time")
         while True:
@@ -240,7 +249,9 @@
             refusal = _refusal(reply.not_run)
             if refusal.reason in _MOVE_ON:
                 self._gateway.abandon(proxy)
-            elif attempts.resolving and refusal.reason is not _Reason.CANCELLED:
+            elif attempts.resolving and refusal.reason is _Reason.CANCELLED:
+                attempts.renew(self._next_sequence())
+            elif attempts.resolving:
                 await asyncio.sleep(_PAUSE_S)
             else:
                 return attempts.failed(refusal), None
--- a/bilberrystack/proxy/daemon_test.py
+++ b/bilberrystack/proxy/daemon_test.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 
 import loguru
@@ -205,6 +206,44 @@
     check(test, count=3)
 
 
+class Dropping:
+    """A proxy that breaks the connection with every request instead of running it."""
+
+    def __init__(self, role):
+        self.role = role
+        self.dropped = 0
+
+    async def open_session(self, _context, caller, _secret):
+        return ttypes.Session("f" * 32, self.role.new_token("f" * 32, caller, True), "x")
+
+    async def resume_session(self, context, caller, secret, _session):
+        return await self.open_session(context, caller, secret)
+
+    async def execute(self, context, _request):
+        self.dropped += 1
+        context.close()
+
+
+def test_write_that_never_reached_an_owner_is_cancelled_and_sent_under_a_new_key():
+    """Guards against failing or repeating a write that a stopping proxy did not take any more."""
+
+    async def test(fleet):
+        handler = Dropping(fleet.running[0].node.entry_role)
+        async with rpc.Server(callers.SERVICE, handler) as dropping:
+            await dropping.start(HOST, 0)
+            addresses = [f"{HOST}:{dropping.port}", *fleet.addresses]
+            chooser = random.Random()
+            chooser.shuffle = lambda _addresses: None
+            connecting = client.connect(addresses, "analyst", fakes.SECRET, chooser=chooser)
+            async with connecting as connected:
+                session = await connected.open_session()
+                outcome = await session.write("g", b"w")
+        assert outcome.body == b"w" and not outcome.duplicate and handler.dropped == 1
+        assert fleet.database.runs == [b"w"] and len(fleet.database.cancelled) == 1
+
+    check(test)
+
+
 def test_transaction_continues_through_another_proxy():
     """Guards against aborting a transaction because the entry instance died."""
 
