Run the thin path: proxies, stand-ins and a failover in separate processes

Cause: nothing had shown the whole path from a caller to a member through real processes. Ruled out: waiting for the operators' commands; the demonstration accepts its declarations through the product's acceptor until they land.

--- a/Makefile
+++ b/Makefile
@@ -21,3 +21,13 @@
 format: setup
 	$(PY) -m black --quiet .
 	$(PY) -m ruff check --fix --quiet .
+
+.PHONY: demo faults measure
+demo: setup
+	$(PY) -m system.demo
+
+faults: setup
+	$(PY) -m faults
+
+measure: setup
+	$(PY) -m faults.measure
--- a/bilberrystack/proxy/assembly.py
+++ b/bilberrystack/proxy/assembly.py
@@ -56,9 +56,7 @@
     store: interfaces.Store,
 ) -> collections.abc.Callable[[discovery.Discovery], configuration.Configuration]:
     def open_configuration(found: discovery.Discovery) -> configuration.Configuration:
-        return configuration.Configuration(
-            store, found, freshness.may_serve, lambda text: _LOG.warning(text)
-        )
+        return configuration.Configuration(store, found, freshness.may_serve, _LOG.warning)
 
     return open_configuration
 
--- a/bilberrystack/proxy/discovery.py
+++ b/bilberrystack/proxy/discovery.py
@@ -110,7 +110,7 @@
         """Returns the latest instant since which most failure domains were heard from."""
         return self._view.majority_contact_at(now)
 
-    def lagging(self, version: int) -> list[str]:
+    async def lagging(self, version: int) -> list[str]:
         """Returns the live instances that aren't known to have at least a version."""
         others = (name for name in self._view.live if name != self._own.id)
         return [name for name in others if self._versions.get(name, 0) < version]
--- /dev/null
+++ b/system/demo_test.py
@@ -0,0 +1,13 @@
+"""Runs the demonstration with real processes."""
+
+import asyncio
+
+from system import demo
+
+
+def test_killed_primary_breaks_no_promise(tmp_path, capsys):
+    """Guards against lost, repeated and stale data when the primary is killed under traffic."""
+    assert asyncio.run(demo.demonstrate(tmp_path)) == 0
+    printed = capsys.readouterr().out
+    assert "killed: member" in printed
+    assert "writes lost: 0" in printed
--- a/system/site.py
+++ b/system/site.py
@@ -1,11 +1,18 @@
 """One small site of real processes: a store, one database group and proxies."""
 
 import asyncio
-import contextlib
 import hashlib
 import pathlib
 
+import msgspec
+
 from bilberrystack import client
+from bilberrystack.core import changes
+from bilberrystack.core import documents
+from bilberrystack.core import freshness
+from bilberrystack.proxy import acceptance
+from bilberrystack.proxy import configuration
+from bilberrystack.proxy import store_http
 from bilberrystack_standins import launch
 from bilberrystack_standins import store_server
 from bilberrystack_standins import store_state
@@ -21,7 +28,20 @@
 CONNECTIONS = 16
 
 # Entries of the log are received this much later by the replicas.
-RECEIVE_LAG_S = 0.005
+RECEIVE_LAG_MS = 5.0
+
+
+class _Alone:
+    """The neighbours of a configuration that has none."""
+
+    def majority_contact_at(self, now: float) -> float | None:
+        return now
+
+    async def lagging(self, _version: int) -> list[str]:
+        return []
+
+    async def push_head(self, _head: bytes) -> None:
+        return
 
 
 class Site:
@@ -65,7 +85,7 @@
                 slots=SLOTS,
                 connections=CONNECTIONS,
                 data_file=self._folder / f"{name}.journal",
-                faults={"receive_lag_s": RECEIVE_LAG_S},
+                faults={"receive_lag_ms": RECEIVE_LAG_MS},
             )
             for name in ("a", "b", "c")
         )
@@ -96,16 +116,14 @@
 
     async def declare(self) -> None:
         """Declares the group and its caller and waits until they are in force."""
-        path = self._folder / "declarations.json"
-        proxies.write_document(path, self._document())
-        operators = next(iter(self.proxies.values())).ready.operators
-        async with asyncio.timeout(30):
-            while True:
-                with contextlib.suppress(proxies.CommandFailed):
-                    await proxies.operate(operators, "config", "apply", str(path))
-                    await proxies.operate(operators, "config", "wait")
-                    return
-                await asyncio.sleep(0.2)
+        document = documents.parse(msgspec.json.encode(self._document()).decode()).unwrap()
+        change = changes.Change("declare", whole=document)
+        async with store_http.HttpStore(self.store.url) as store:
+            alone = _Alone()
+            current = configuration.Configuration(store, alone, freshness.may_serve)
+            acceptor = acceptance.Acceptor(store, current, alone, lambda _now, _contact: True)
+            outcome = await acceptor.accept(change)
+        assert isinstance(outcome, changes.Accepted), outcome
 
     def _document(self) -> dict[str, object]:
         members = [
--- a/system/workload.py
+++ b/system/workload.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import random
 import time
 
@@ -40,7 +41,7 @@
     def longest_gap_s(self) -> float:
         """Returns the longest time between two acknowledgements, in seconds."""
         instants = sorted(self.acknowledged_at)
-        pairs = zip(instants, instants[1:], strict=False)
+        pairs = itertools.pairwise(instants)
         return max((later - earlier for earlier, later in pairs), default=0.0)
 
 
