--- a/system/site.py
+++ b/system/site.py
@@ -3,19 +3,13 @@
 import asyncio
 import hashlib
 import pathlib
-
-import msgspec
+from typing import Any
 
 from bilberrystack import client
-from bilberrystack.core import changes
-from bilberrystack.core import documents
-from bilberrystack.core import freshness
-from bilberrystack.proxy import acceptance
-from bilberrystack.proxy import configuration
-from bilberrystack.proxy import store_http
 from bilberrystack_standins import launch
 from bilberrystack_standins import store_server
 from bilberrystack_standins import store_state
+from system import acceptance
 from system import proxies
 
 DOMAINS = ("addis-bole", "addis-kirkos", "addis-yeka")
@@ -31,19 +25,6 @@
 RECEIVE_LAG_MS = 5.0
 
 
-class _Alone:
-    """The neighbours of a configuration that has none."""
-
-    def majority_contact_at(self, now: float) -> float | None:
-        return now
-
-    async def lagging(self, _version: int) -> list[str]:
-        return []
-
-    async def push_head(self, _head: bytes) -> None:
-        return
-
-
 class Site:
     """Real processes on the loopback interface. Use it as an asynchronous context manager.
 
@@ -116,16 +97,9 @@
 
     async def declare(self) -> None:
         """Declares the group and its caller and waits until they are in force."""
-        document = documents.parse(msgspec.json.encode(self._document()).decode()).unwrap()
-        change = changes.Change("declare", whole=document)
-        async with store_http.HttpStore(self.store.url) as store:
-            alone = _Alone()
-            current = configuration.Configuration(store, alone, freshness.may_serve)
-            acceptor = acceptance.Acceptor(store, current, alone, lambda _now, _contact: True)
-            outcome = await acceptor.accept(change)
-        assert isinstance(outcome, changes.Accepted), outcome
-
-    def _document(self) -> dict[str, object]:
+        await acceptance.declare(self.store.url, self._document())
+
+    def _document(self) -> dict[str, Any]:
         members = [
             {
                 "name": name,
