--- a/faults/fleet.py
+++ b/faults/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import functools
 import random
 from typing import Any
 
@@ -14,6 +15,7 @@
 from bilberrystack.core import parts
 from bilberrystack.proxy import configuration
 from bilberrystack.proxy import discovery
+from bilberrystack.proxy import interfaces
 from bilberrystack_standins import replicated_log
 from bilberrystack_standins import statements
 from faults import checker
@@ -68,6 +70,7 @@
         self._impaired: dict[str, float] = {}
         self._sessions = 0
         self._changes = 0
+        self._first_head: interfaces.StoredObject | None = None
         self._replacements = 0
         self._add_members()
 
@@ -109,6 +112,8 @@
         self._publish()
         for number in range(self._sizes.instances):
             await self.add_instance(f"n{number}")
+        self._publish()
+        await self.until(self._views_agree)
         await self.until(lambda: all(self.primary(group) for group in self.members))
         await asyncio.sleep(0.3)
 
@@ -204,7 +209,9 @@
 
     async def _stop(self, name: str) -> None:
         await self.run_as(name, self.instances[name].stop)
-        self.kill(name)
+        self._impaired.setdefault(name, self.now)
+        self.net.kill(name)
+        self.publish_later()
 
     def replace_instance(self) -> None:
         """Starts a new instance for one that was killed or stopped."""
@@ -227,6 +234,15 @@
         if isinstance(outcome, changes.Accepted):
             self.record.accepted.append(history.Accepted(self.now, outcome.version, name))
 
+    def deliver_first_configuration(self) -> None:
+        """Hands the first configuration to every instance, as a late answer of the store does."""
+        assert self._first_head is not None
+        for name in self.open_instances:
+            current = self.instances[name].configuration
+            assert current is not None
+            work = functools.partial(current.apply_stored, self._first_head)
+            self.operators.append(self.loop.create_task(self.run_as(name, work)))
+
     def publish_later(self, lag_s: float = LIST_LAG_S) -> None:
         """Lets the platform's list show the present state after its lag."""
         self.loop.call_later(lag_s, self._publish)
@@ -302,6 +318,13 @@
             for group in self.members
         )
 
+    def _views_agree(self) -> bool:
+        nodes = [one.node for one in self.instances.values() if one.node is not None]
+        return all(
+            len(one.view.live) == len(nodes) and one.view.majority_contact_at(self.now) is not None
+            for one in nodes
+        )
+
     def _alive(self, group: str) -> list[members.MemberServer]:
         servers = self.members[group].values()
         return [one for one in servers if not self.loop.is_dead(one.party)]
@@ -312,6 +335,7 @@
             self.store.write(configuration.PART_PREFIX + key, content)
         head = parts.next_head(parts.EMPTY_HEAD, digests, "first", "")
         self.store.write(configuration.HEAD_KEY, parts.encode_head(head))
+        self._first_head = self.store.objects[configuration.HEAD_KEY]
 
     def _add_members(self) -> None:
         for group, declaration in self.declarations.groups.items():
@@ -326,6 +350,7 @@
             self.members[group] = servers
 
     def _impair(self, party: str) -> None:
+        self.record.faults.append(party)
         self._impaired.setdefault(party, self.now)
 
     def _recover(self, party: str) -> None:
