Separate the applied log from the member's roles, name the update's method

Change: applied_log.py has the log with its applied part; the descriptions of the store's adapter and server state the methods and why updates are POST.

--- a/bilberrystack/proxy/store_http.py
+++ b/bilberrystack/proxy/store_http.py
@@ -1,9 +1,13 @@
 """The platform's object API over HTTP and JSON.
 
-GET /object?key=K                                  200 Object, 404 if absent
-PUT /object?key=K, body Change                     200 Changed, 409 if the version differs
-GET /watch?key=K&after_version=V&wait_ms=M         200 Object, 204 if nothing changed in time
-GET /keys?prefix=P                                 200 Keys
+* GET /object?key=K answers 200 Object, or 404 if it is absent.
+* POST /object?key=K with a Change answers 200 Changed, or 409 if the object has another version.
+* GET /watch?key=K&after_version=V&wait_ms=M answers 200 Object, or 204 if nothing changed in time.
+* GET /keys?prefix=P answers 200 Keys.
+
+An update is a POST because the HTTP client sends idempotent methods, PUT among them, a second time
+when a kept connection closes without an answer. The second copy of an update that took effect would
+be answered with a conflict, which says that nothing changed.
 """
 
 import math
--- a/bilberrystack_standins/member_state.py
+++ b/bilberrystack_standins/member_state.py
@@ -5,13 +5,13 @@
 such exchange between two members in memory.
 """
 
-import collections
 import collections.abc
 from typing import Any
 
 from bilberrystack.core import members
 from bilberrystack.core import positions
 from bilberrystack.core import requests
+from bilberrystack_standins import applied_log
 from bilberrystack_standins import replicated_log
 from bilberrystack_standins import statements
 from bilberrystack_standins import transactions
@@ -27,23 +27,19 @@
       slots: Statements that it executes at the same time; only reported.
       connection_limit: Connections that it accepts; only reported.
       leaving: Whether its endpoint is leaving; only reported.
-      apply_lag_s: Seconds for which a replica holds back a received entry from reads.
     """
 
     __slots__ = (
+        "_applied_log",
         "_contact_at",
-        "_database",
         "_discarded",
         "_journal",
-        "_log",
         "_matched",
         "_primary",
         "_primary_address",
         "_promised",
-        "_received",
         "_step",
         "_transactions",
-        "apply_lag_s",
         "connection_limit",
         "leaving",
         "name",
@@ -57,7 +53,7 @@
         slots: int = 4,
         connection_limit: int = 64,
         apply_lag_s: float = 0.0,
-        journal: collections.abc.Callable[[replicated_log.Change], None] | None = None,
+        journal: applied_log.Journal | None = None,
     ) -> None:
         """Creates an empty member.
 
@@ -72,16 +68,13 @@
         self.slots = slots
         self.connection_limit = connection_limit
         self.leaving = False
-        self.apply_lag_s = apply_lag_s
-        self._journal = journal
-        self._log = replicated_log.Log()
-        self._database = replicated_log.Database()
+        self._journal = journal or _ignore
+        self._applied_log = applied_log.AppliedLog(apply_lag_s, self._journal)
         self._promised = 0
         self._primary = False
         self._primary_address: str | None = None
         self._contact_at: float | None = None
         self._discarded = 0
-        self._received: collections.deque[float] = collections.deque()
         self._matched = 0
         self._step = 1
         self._transactions: dict[collections.abc.Hashable, transactions.Transaction] = {}
@@ -121,10 +114,19 @@
         """The position after which a replica asks its primary for entries."""
         return self._log.position_at(self._matched)
 
+    @property
+    def apply_lag_s(self) -> float:
+        """Seconds for which a replica holds back a received entry from reads."""
+        return self._applied_log.apply_lag_s
+
+    @apply_lag_s.setter
+    def apply_lag_s(self, lag_s: float) -> None:
+        self._applied_log.apply_lag_s = lag_s
+
     @property
     def next_apply_at(self) -> float | None:
         """The instant at which the next received entry gets visible; None if there is none."""
-        return self._received[0] + self.apply_lag_s if self._received else None
+        return self._applied_log.next_apply_at
 
     def restore(self, changes: collections.abc.Iterable[replicated_log.Change]) -> None:
         """Replays the durable changes of an earlier run into an empty member.
@@ -141,7 +143,7 @@
                 case replicated_log.Truncated():
                     self._log.truncate(change.index)
         self._matched = len(self._log)
-        self._apply_all()
+        self._applied_log.apply_all()
 
     def status(self, now: float) -> members.MemberStatus:
         """Returns the member's report about itself."""
@@ -163,9 +165,7 @@
 
     def advance(self, now: float) -> None:
         """Applies the received entries whose apply lag has passed."""
-        while self._received and self._received[0] + self.apply_lag_s <= now:
-            self._received.popleft()
-            self._apply_next()
+        self._applied_log.advance(now)
 
     def fence(self, term: int) -> bool:
         """Promises a term; returns whether it was granted, which needs term > promised term."""
@@ -190,7 +190,7 @@
         if self._primary_address is not None:
             return False
         self._primary = True
-        self._apply_all()
+        self._applied_log.apply_all()
         self._append_own(None, b"", False, b"")
         return True
 
@@ -353,62 +353,33 @@
         self._step = 1
         self._matched = after.index
         for entry in pulled.entries:
-            self._receive(entry, now)
+            self._discarded += self._applied_log.receive(entry, now)
             self._matched = entry.position.index
         return True
 
+    @property
+    def _log(self) -> replicated_log.Log:
+        return self._applied_log.log
+
+    @property
+    def _database(self) -> replicated_log.Database:
+        return self._applied_log.database
+
     def _promise(self, term: int) -> None:
         self._promised = term
         self._primary = False
         self._primary_address = None
         self._contact_at = None
         self._transactions.clear()
-        self._record(replicated_log.Promised(term))
-
-    def _receive(self, entry: replicated_log.Entry, now: float) -> None:
-        if self._log.contains(entry.position):
-            return
-        if entry.position.index <= len(self._log):
-            self._discard_from(entry.position.index)
-        self._log.append(entry)
-        self._record(replicated_log.Appended(entry))
-        self._received.append(now)
-        self.advance(now)
-
-    def _discard_from(self, index: int) -> None:
-        keep = index - 1
-        self._discarded += self._log.truncate(keep)
-        self._record(replicated_log.Truncated(keep))
-        if self._database.applied.index <= keep:
-            for _ in range(self._database.applied.index + len(self._received) - keep):
-                self._received.pop()
-            return
-        self._received.clear()
-        self._database = replicated_log.Database()
-        self._apply_all()
-
-    def _apply_next(self) -> None:
-        (entry,) = self._log.after(self._database.applied.index, 1)
-        self._database.apply(entry)
-
-    def _apply_all(self) -> None:
-        self._received.clear()
-        for entry in self._log.after(self._database.applied.index):
-            self._database.apply(entry)
+        self._journal(replicated_log.Promised(term))
 
     def _append_own(
         self, key: requests.RequestKey | None, body: bytes, cancelled: bool, result: bytes
     ) -> positions.Position:
         position = positions.Position(self._promised, len(self._log) + 1)
-        entry = replicated_log.Entry(position, key, body, cancelled, result)
-        self._log.append(entry)
-        self._record(replicated_log.Appended(entry))
-        self._database.apply(entry)
-        return position
-
-    def _record(self, change: replicated_log.Change) -> None:
-        if self._journal is not None:
-            self._journal(change)
+        return self._applied_log.add_own(
+            replicated_log.Entry(position, key, body, cancelled, result)
+        )
 
     def _check_primary(self, term: int) -> members.Refused | None:
         if term < self._promised:
@@ -449,3 +420,7 @@
     term = replica.promised_term
     after = replica.pull_after
     return replica.append(term, after, primary.entries_after(term, after, limit), now)
+
+
+def _ignore(_change: replicated_log.Change) -> None:
+    """Default journal."""
--- a/bilberrystack_standins/store_server.py
+++ b/bilberrystack_standins/store_server.py
@@ -2,9 +2,9 @@
 
 Besides the object API of bilberrystack.proxy.store_http it serves, never failing:
 
-  GET /control/faults, POST /control/faults          the fault switches, as a JSON object
-  POST /control/instances, body InstanceList         sets the platform's lagging list
-  GET /control/calls                                 the number of calls by kind
+* GET and POST /control/faults: the fault switches, as a JSON object.
+* POST /control/instances with an InstanceList: sets the platform's lagging list.
+* GET /control/calls: the number of calls by kind.
 """
 
 import asyncio
