--- /dev/null
+++ b/bilberrystack/gen/operators/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Operator']
--- a/bilberrystack/proxy/acceptance.py
+++ b/bilberrystack/proxy/acceptance.py
@@ -115,7 +115,7 @@
             if refusal is not None:
                 return refusal
             first = first or base
-            match self._prepare(change, base):
+            match await self._prepare(change, base):
                 case result.Success(document):
                     outcome = await self._commit(change, base, document)
                 case result.Failure(found):
@@ -168,28 +168,26 @@
             return changes.Conflict(mine, base.head.version)
         return None
 
-    def _prepare(
+    async def _prepare(
         self, change: changes.Change, base: _Base
     ) -> result.Result[declarations.Declarations, changes.Problems]:
         new = changes.apply(change, base.document).bind(
             lambda document: validation.validate(document, base.document)
         )
-        return new.bind(lambda document: self._check_members(document, base))
-
-    def _check_members(
-        self, new: declarations.Declarations, base: _Base
-    ) -> result.Result[declarations.Declarations, changes.Problems]:
-        """Refuses a change of members while an instance may still use an older member set."""
-        changed = validation.changed_members(new, base.document)
-        if not changed:
-            return result.Success(new)
-        lagging = self._neighbours.lagging(base.head.version)
+        changed = new.map(lambda document: validation.changed_members(document, base.document))
+        if not changed.value_or([]):
+            return new
+        # An instance may still use an older member set, whose majorities need not intersect those
+        # of the new one.
+        lagging = await self._neighbours.lagging(base.head.version)
         if not lagging:
-            return result.Success(new)
+            return new
         rule = f"can't change before version {base.head.version} is in force everywhere"
         value = "lagging: " + ", ".join(sorted(lagging)[:10])
         return result.Failure(
-            tuple(problems.Problem(f"groups.{name}.members", value, rule) for name in changed)
+            tuple(
+                problems.Problem(f"groups.{name}.members", value, rule) for name in changed.unwrap()
+            )
         )
 
     async def _commit(
--- a/bilberrystack/proxy/configuration.py
+++ b/bilberrystack/proxy/configuration.py
@@ -32,7 +32,7 @@
 MAX_FETCHES = 8
 
 Value = TypeVar("Value")
-OnChange = collections.abc.Callable[[declarations.Declarations], None]
+OnChange = collections.abc.Callable[[], None]
 OnProblem = collections.abc.Callable[[str], None]
 
 
@@ -42,7 +42,7 @@
     def majority_contact_at(self, now: float) -> float | None:
         """Returns the latest instant since which most failure domains were heard from."""
 
-    def lagging(self, version: int) -> list[str]:
+    async def lagging(self, version: int) -> list[str]:
         """Returns the live instances that aren't known to have at least a version."""
 
     async def push_head(self, head: bytes) -> None:
@@ -61,7 +61,7 @@
     __slots__ = (
         "_behind_since",
         "_callbacks",
-        "_catching_up",
+        "_catch_up",
         "_contents",
         "_declarations",
         "_head",
@@ -108,7 +108,7 @@
         self._informed = False
         self._newest_known = 0
         self._behind_since: float | None = None
-        self._catching_up = False
+        self._catch_up: asyncio.Task[None] | None = None
 
     @property
     def declarations(self) -> declarations.Declarations:
@@ -141,7 +141,7 @@
         return self._store_contact_at
 
     def on_change(self, callback: OnChange) -> None:
-        """Registers a function that is called with the declarations of each new version."""
+        """Registers a function that is called when a new version is in force."""
         self._callbacks.append(callback)
 
     def serving_allowed(self, now: float) -> bool:
@@ -159,13 +159,15 @@
 
     async def run(self) -> None:
         """Follows the store until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._watch())
-            group.create_task(self._probe())
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._watch())
+                group.create_task(self._probe())
+        finally:
+            if self._catch_up is not None:
+                self._catch_up.cancel()
 
-    def transfer(
-        self, known_parts: collections.abc.Collection[str]
-    ) -> interfaces.ConfigurationTransfer:
+    async def transfer(self, known_parts: list[str]) -> interfaces.ConfigurationTransfer:
         """Returns the configuration for a peer, without the parts that it has."""
         wanted = parts.missing(self._head, frozenset(known_parts))
         return interfaces.ConfigurationTransfer(
@@ -174,28 +176,24 @@
             {key: self._contents[key] for key in wanted},
         )
 
-    async def receive_head(self, content: bytes, sender: interfaces.Peer) -> None:
-        """Takes a head that a peer pushed."""
-        head = self._decode(content)
-        if head is not None:
-            await self.learn_version(head.version, sender)
+    async def receive_head(self, head: bytes) -> None:
+        """Takes a head that a peer pushed.
+
+        The peer's digest, which comes with it, starts the transfer from the peer; the store is read
+        as well, in case the peer stops before it has answered.
+        """
+        decoded = self._decode(head)
+        if decoded is not None and decoded.version > self.version:
+            self._note_version(decoded.version)
+            await self.refresh()
 
-    async def learn_version(self, version: int, peer: interfaces.Peer) -> None:
+    def peer_has(self, version: int, peer: interfaces.Peer) -> None:
         """Takes the knowledge that a peer has a version, and catches up if it is newer."""
         if version <= self.version:
             return
-        self._newest_known = max(version, self._newest_known)
-        if self._behind_since is None:
-            self._behind_since = _now()
-        if self._catching_up:
-            return
-        self._catching_up = True
-        try:
-            await self._fetch_from_peer(peer)
-            if self.version < version:
-                await self.refresh()
-        finally:
-            self._catching_up = False
+        self._note_version(version)
+        if self._catch_up is None or self._catch_up.done():
+            self._catch_up = asyncio.get_running_loop().create_task(self._catch_up_with(peer))
 
     async def refresh(self) -> interfaces.StoredObject | None:
         """Reads the head from the store and applies it.
@@ -267,7 +265,7 @@
         if self.version >= self._newest_known:
             self._behind_since = None
         for callback in self._callbacks:
-            callback(self._declarations)
+            callback()
 
     def _decode(self, content: bytes) -> parts.Head | None:
         decoded = parts.decode_head(content)
@@ -276,6 +274,16 @@
             return None
         return decoded.unwrap()
 
+    def _note_version(self, version: int) -> None:
+        self._newest_known = max(version, self._newest_known)
+        if self._behind_since is None:
+            self._behind_since = _now()
+
+    async def _catch_up_with(self, peer: interfaces.Peer) -> None:
+        await self._fetch_from_peer(peer)
+        if self.version < self._newest_known:
+            await self.refresh()
+
     async def _fetch_from_peer(self, peer: interfaces.Peer) -> None:
         try:
             async with asyncio.timeout(ANSWER_LIMIT_S):
--- a/bilberrystack/proxy/configuration_test.py
+++ b/bilberrystack/proxy/configuration_test.py
@@ -103,7 +103,7 @@
     def majority_contact_at(self, now_s):
         return now_s if self.contact else None
 
-    def lagging(self, _version):
+    async def lagging(self, _version):
         return self.behind
 
     async def push_head(self, head):
@@ -121,7 +121,7 @@
     async def fetch_configuration(self, known):
         if self.broken:
             raise interfaces.LinkLost("broken", sent=True)
-        transfer = self.other.transfer(known)
+        transfer = await self.other.transfer(known)
         self.sent_parts += len(transfer.parts)
         return transfer
 
@@ -240,7 +240,7 @@
     one, stale = Instance(store), Instance(store)
     await one.acceptor.accept(add("g", "op1"))
     store.objects.clear()
-    await stale.configuration.learn_version(1, FakePeer(one.configuration, broken=True))
+    stale.configuration.peer_has(1, FakePeer(one.configuration, broken=True))
     outcome = await stale.acceptor.accept(add("h", "op2", 8001))
     assert isinstance(outcome, changes.Rejected) and HEAD not in store.objects
 
@@ -254,16 +254,17 @@
     assert store.objects[HEAD].version == 7
 
 
-async def test_pushed_head_is_fetched_from_the_peer_without_the_store():
+async def test_newer_version_is_fetched_from_the_peer_without_the_store():
     """Guards against a store outage that keeps a change from the other failure domains."""
     store = FakeStore()
     one, other = Instance(store), Instance(store)
     await one.acceptor.accept(add("g", "op"))
     store.off = True
     peer = FakePeer(one.configuration)
-    await other.configuration.receive_head(one.neighbours.pushed[0], peer)
-    assert (other.groups, peer.sent_parts) == (["g"], 1)
-    await other.configuration.receive_head(one.neighbours.pushed[0], peer)
+    other.configuration.peer_has(1, peer)
+    await other.configuration.receive_head(one.neighbours.pushed[0])
+    await until(lambda: other.groups == ["g"])
+    other.configuration.peer_has(1, peer)
     assert peer.sent_parts == 1
 
 
@@ -272,8 +273,18 @@
     store = FakeStore()
     one, other = Instance(store), Instance(store)
     await one.acceptor.accept(add("g", "op"))
-    await other.configuration.learn_version(1, FakePeer(one.configuration, broken=True))
-    assert other.groups == ["g"] and other.problems
+    other.configuration.peer_has(1, FakePeer(one.configuration, broken=True))
+    await until(lambda: other.groups == ["g"])
+    assert other.problems
+
+
+async def test_pushed_head_is_enough_with_the_store():
+    """Guards against a push that waits for the sender, which may be gone."""
+    store = FakeStore()
+    one, other = Instance(store), Instance(store)
+    await one.acceptor.accept(add("g", "op"))
+    await other.configuration.receive_head(one.neighbours.pushed[0])
+    assert other.groups == ["g"]
 
 
 async def test_instance_that_stays_behind_stops_serving():
@@ -283,12 +294,12 @@
     await other.configuration.refresh()
     await one.acceptor.accept(add("g", "op"))
     store.off = True
-    await other.configuration.learn_version(1, FakePeer(one.configuration, broken=True))
+    other.configuration.peer_has(1, FakePeer(one.configuration, broken=True))
     assert other.configuration.serving_allowed(now())
     await asyncio.sleep(5.0)
     assert not other.configuration.serving_allowed(now())
-    await other.configuration.learn_version(1, FakePeer(one.configuration))
-    assert other.configuration.serving_allowed(now())
+    other.configuration.peer_has(1, FakePeer(one.configuration))
+    await until(lambda: other.configuration.serving_allowed(now()))
 
 
 async def test_uninformed_instance_does_not_serve():
--- /dev/null
+++ b/bilberrystack/proxy/fleet_test.py
@@ -0,0 +1,101 @@
+"""Tests of calls to all instances."""
+
+import asyncio
+import types
+
+import pytest
+
+from bilberrystack.core import reports
+from bilberrystack.proxy import fleet
+from bilberrystack.proxy import interfaces
+
+pytestmark = [pytest.mark.asyncio, pytest.mark.looptime]
+
+
+def digest(name, version):
+    return interfaces.Digest(name, "z", "127.0.0.1:1", False, version, 0.0)
+
+
+class FakePeer:
+    """An instance; a silent one never answers, a broken one fails."""
+
+    def __init__(self, name, version=1, silent=False, broken=False):
+        self.name = name
+        self.version = version
+        self.silent = silent
+        self.broken = broken
+        self.heads = []
+        self.calls = 0
+
+    async def _answer(self):
+        self.calls += 1
+        if self.silent:
+            await asyncio.get_running_loop().create_future()
+        if self.broken:
+            raise interfaces.LinkLost("broken", sent=True)
+
+    async def digest(self, _sender):
+        await self._answer()
+        return digest(self.name, self.version)
+
+    async def push_head(self, _sender, head):
+        await self._answer()
+        self.heads.append(head)
+
+    async def report(self, _minutes):
+        await self._answer()
+        return reports.encode(reports.InstanceReport(self.name, "z", False, True, 1, None, 0))
+
+
+def make(*peers, domains=None):
+    domains = domains or {}
+    names = ["own", *(peer.name for peer in peers)]
+    live = {
+        name: types.SimpleNamespace(id=name, failure_domain=domains.get(name, "z"))
+        for name in names
+    }
+    own = types.SimpleNamespace(
+        digest=lambda: digest("own", 2),
+        report=lambda _minutes: reports.InstanceReport("own", "z", False, True, 2, None, 0),
+    )
+    links = {peer.name: peer for peer in peers}
+    return fleet.Fleet(own, types.SimpleNamespace(live=live), links.get)
+
+
+async def test_instances_that_do_not_answer_lag():
+    """Guards against a change of members while an instance can't be asked."""
+    peers = [
+        FakePeer("a", 2),
+        FakePeer("b", 1),
+        FakePeer("c", 2, silent=True),
+        FakePeer("d", 2, broken=True),
+    ]
+    one = make(*peers)
+    assert sorted(await one.lagging(2)) == ["b", "c", "d"]
+    assert await one.lagging(1) == ["c", "d"]
+
+
+async def test_known_version_is_not_asked_again():
+    """Guards against asking all instances of the fleet in every poll of a wait."""
+    peers = [FakePeer("a", 2), FakePeer("b", 1)]
+    one = make(*peers)
+    one.note_version("a", 2)
+    for _ in range(3):
+        await one.lagging(2)
+    assert [peer.calls for peer in peers] == [0, 3]
+
+
+async def test_head_reaches_each_failure_domain_past_a_broken_instance():
+    """Guards against a domain that learns of a change late because one instance is gone."""
+    peers = [FakePeer("a", broken=True), FakePeer("b"), FakePeer("c")]
+    one = make(*peers, domains={"a": "x", "b": "x", "c": "y"})
+    await one.push_head(b"head")
+    assert [peer.heads for peer in peers] == [[], [b"head"], [b"head"]]
+
+
+async def test_reports_of_unreachable_instances_are_absent():
+    """Guards against a status that waits for a lost instance, or leaves it out."""
+    one = make(FakePeer("a"), FakePeer("b", silent=True))
+    collected = await one.collect(0)
+    answered = {each.instance: each.report is not None for each in collected}
+    assert answered == {"own": True, "a": True, "b": False}
