Serve operators and metrics from the process of an instance

The operators' calls, the burn and the metrics were not reachable in a running instance. The daemon serves both listeners and prints their addresses; peers answer a report call, from which status and burn are collected; callers' outcomes are counted where they are told, since an owner's refusal may be retried at another owner. A change of primary carries the silence before it, so that the gap in service can be counted; first primaries are left out.

--- a/bilberrystack/gen/peers/Peer.py
+++ b/bilberrystack/gen/peers/Peer.py
@@ -77,6 +77,14 @@
         """
         pass
 
+    def report(self, minutes):
+        """
+        Parameters:
+         - minutes
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -323,6 +331,40 @@
             raise result.failure
         raise TApplicationException(TApplicationException.MISSING_RESULT, "fetch_configuration failed: unknown result")
 
+    def report(self, minutes):
+        """
+        Parameters:
+         - minutes
+
+        """
+        self.send_report(minutes)
+        return self.recv_report()
+
+    def send_report(self, minutes):
+        self._oprot.writeMessageBegin('report', TMessageType.CALL, self._seqid)
+        args = report_args()
+        args.minutes = minutes
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_report(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = report_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.failure is not None:
+            raise result.failure
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "report failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -335,6 +377,7 @@
         self._processMap["leaving"] = Processor.process_leaving
         self._processMap["push_head"] = Processor.process_push_head
         self._processMap["fetch_configuration"] = Processor.process_fetch_configuration
+        self._processMap["report"] = Processor.process_report
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -539,6 +582,32 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_report(self, seqid, iprot, oprot):
+        args = report_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = report_result()
+        try:
+            result.success = self._handler.report(args.minutes)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerFailure as failure:
+            msg_type = TMessageType.REPLY
+            result.failure = failure
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("report", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -1665,5 +1734,163 @@
     (0, TType.STRUCT, 'success', [Configuration, None], None, ),  # 0
     (1, TType.STRUCT, 'failure', [PeerFailure, None], None, ),  # 1
 )
+
+
+class report_args(object):
+    """
+    Attributes:
+     - minutes
+
+    """
+
+    __slots__ = (
+        'minutes',
+    )
+
+
+    def __init__(self, minutes=None,):
+        self.minutes = minutes
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.minutes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('report_args')
+        if self.minutes is not None:
+            oprot.writeFieldBegin('minutes', TType.I32, 1)
+            oprot.writeI32(self.minutes)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(report_args)
+report_args.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'minutes', None, None, ),  # 1
+)
+
+
+class report_result(object):
+    """
+    Attributes:
+     - success
+     - failure
+
+    """
+
+    __slots__ = (
+        'success',
+        'failure',
+    )
+
+
+    def __init__(self, success=None, failure=None,):
+        self.success = success
+        self.failure = failure
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRING:
+                    self.success = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.failure = PeerFailure.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('report_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRING, 0)
+            oprot.writeBinary(self.success)
+            oprot.writeFieldEnd()
+        if self.failure is not None:
+            oprot.writeFieldBegin('failure', TType.STRUCT, 1)
+            self.failure.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(report_result)
+report_result.thrift_spec = (
+    (0, TType.STRING, 'success', 'BINARY', None, ),  # 0
+    (1, TType.STRUCT, 'failure', [PeerFailure, None], None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
--- a/bilberrystack/proxy/assembly.py
+++ b/bilberrystack/proxy/assembly.py
@@ -13,10 +13,12 @@
 from bilberrystack.core import freshness
 from bilberrystack.core import retries
 from bilberrystack.proxy import configuration
+from bilberrystack.proxy import counted_store
 from bilberrystack.proxy import daemon
 from bilberrystack.proxy import discovery
 from bilberrystack.proxy import interfaces
 from bilberrystack.proxy import member_link
+from bilberrystack.proxy import operations
 from bilberrystack.proxy import owner
 from bilberrystack.proxy import store_http
 from bilberrystack.proxy import supervisor
@@ -40,13 +42,16 @@
     async def open_adapters(
         settings: daemon.DaemonSettings,
     ) -> collections.abc.AsyncGenerator[daemon.Adapters, None]:
-        async with store_http.HttpStore(store_url) as store, asyncio.TaskGroup() as records:
-            keeper = _RecordKeeper(store, records)
+        async with store_http.HttpStore(store_url) as api, asyncio.TaskGroup() as records:
+            store = counted_store.CountedStore(api)
+            recorder = operations.Recorder()
+            keeper = _RecordKeeper(store, records, recorder)
             yield daemon.Adapters(
                 store=store,
                 open_configuration=_configuration_opener(store),
                 open_owner=_owner_opener(settings, member_tls, keeper.keep),
                 retries=retries.Budget(),
+                recorder=recorder,
             )
 
     return open_adapters
@@ -88,9 +93,12 @@
 class _RecordKeeper:
     """Writes changes of primary to the store, as a record for people; nothing reads it back."""
 
-    __slots__ = ("_store", "_tasks")
+    __slots__ = ("_recorder", "_store", "_tasks")
 
-    def __init__(self, store: interfaces.Store, tasks: asyncio.TaskGroup) -> None:
+    def __init__(
+        self, store: interfaces.Store, tasks: asyncio.TaskGroup, recorder: operations.Recorder
+    ) -> None:
+        self._recorder = recorder
         self._store = store
         self._tasks = tasks
 
@@ -103,6 +111,7 @@
             change.term,
             change.reason,
         )
+        self._recorder.change(change)
         self._tasks.create_task(self._record(change))
 
     async def _record(self, change: supervisor.Change) -> None:
--- a/bilberrystack/proxy/callers.py
+++ b/bilberrystack/proxy/callers.py
@@ -1,5 +1,6 @@
 """The callers' listener: Thrift over framed connections, many requests in flight on each."""
 
+import collections.abc
 import dataclasses
 import hashlib
 import hmac
@@ -25,6 +26,9 @@
 _KINDS = {kind.value: kind for kind in requests.Kind}
 
 
+OnOutcome = collections.abc.Callable[[requests.Kind, outcomes.Outcome], None]
+
+
 @dataclasses.dataclass(slots=True)
 class _Authenticated:
     """What the listener keeps for a connection.
@@ -41,10 +45,30 @@
 class Listener:
     """Handles the calls of all callers' connections."""
 
-    __slots__ = ("_entry", "_instance_id", "_log", "_open_transactions", "_reported")
+    __slots__ = (
+        "_entry",
+        "_instance_id",
+        "_log",
+        "_on_outcome",
+        "_open_transactions",
+        "_reported",
+    )
+
+    def __init__(
+        self,
+        entry_role: entry.Entry,
+        instance_id: str,
+        on_outcome: OnOutcome = lambda _kind, _outcome: None,
+    ) -> None:
+        """Creates a handler.
 
-    def __init__(self, entry_role: entry.Entry, instance_id: str) -> None:
+        Args:
+          entry_role: Runs the requests.
+          instance_id: This instance's id.
+          on_outcome: Called with every outcome that a caller is told.
+        """
         self._entry = entry_role
+        self._on_outcome = on_outcome
         self._instance_id = instance_id
         self._open_transactions = 0
         self._reported: set[tuple[str, int]] = set()
@@ -107,6 +131,7 @@
         )
         if isinstance(reply, errors.CallerError):
             raise self._failure(context, reply)
+        self._on_outcome(kind, reply.outcome)
         if kind is requests.Kind.BEGIN:
             self._begun(context, state, reply.outcome)
         elif request.transaction in state.transactions and _ends(kind, reply.outcome):
--- a/bilberrystack/proxy/daemon.py
+++ b/bilberrystack/proxy/daemon.py
@@ -10,6 +10,7 @@
 import signal
 import ssl
 import sys
+import time
 from typing import Any
 
 import loguru
@@ -22,6 +23,7 @@
 from bilberrystack.proxy import entry
 from bilberrystack.proxy import interfaces
 from bilberrystack.proxy import node
+from bilberrystack.proxy import operations
 from bilberrystack.proxy import owned_groups
 from bilberrystack.proxy import peers
 from bilberrystack.wire import codec
@@ -51,6 +53,7 @@
       peer_tls: The TLS context of links to peers, None for plain TCP.
       shutdown_grace_s: Seconds for open requests and transactions at a graceful stop.
       max_frame_bytes: The longest frame accepted.
+      operator_side: The operators' side; None to serve neither operators nor metrics.
     """
 
     instance_id: str
@@ -66,6 +69,7 @@
     peer_tls: ssl.SSLContext | None = None
     shutdown_grace_s: float = owned_groups.GRACE_S
     max_frame_bytes: int = codec.MAX_FRAME_BYTES
+    operator_side: operations.OperationsSettings | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,12 +81,14 @@
       open_configuration: Opens the declarations in force, given the other instances.
       open_owner: Opens the owner role for a group with a rank.
       retries: The retry budget of the entry role.
+      recorder: Takes what operators are shown.
     """
 
     store: interfaces.Store
     open_configuration: collections.abc.Callable[[discovery.Discovery], node.Configuration]
     open_owner: owned_groups.OpenOwner
     retries: entry.RetryBudget
+    recorder: operations.Recorder = dataclasses.field(default_factory=operations.Recorder)
 
 
 OpenAdapters = collections.abc.Callable[
@@ -99,12 +105,14 @@
       callers: The callers' listener.
       callers_server: Its server.
       peers_server: The peers' server.
+      ports: The ports of the operators' side; None if it is not served.
     """
 
     node: node.Node
     callers: callers.Listener
     callers_server: rpc.Server
     peers_server: rpc.Server
+    ports: operations.Ports | None = None
 
     @property
     def busy(self) -> bool:
@@ -138,7 +146,11 @@
     address = f"{settings.advertised_host}:{peers_server.port}"
     async with peers_server, _node(settings, adapters, address) as running_node:
         peers_listener.bind(running_node)
-        callers_listener = callers.Listener(running_node.entry_role, settings.instance_id)
+        callers_listener = callers.Listener(
+            running_node.entry_role,
+            settings.instance_id,
+            lambda kind, outcome: adapters.recorder.counts.outcome(kind, outcome, time.time()),
+        )
         async with callers_listener.server() as callers_server:
             await callers_server.start(
                 settings.callers_host,
@@ -146,7 +158,25 @@
                 tls=settings.server_tls,
                 max_frame_bytes=settings.max_frame_bytes,
             )
-            yield Instance(running_node, callers_listener, callers_server, peers_server)
+            instance = Instance(running_node, callers_listener, callers_server, peers_server)
+            async with _operations(settings, adapters, instance) as ports:
+                instance.ports = ports
+                yield instance
+
+
+def _operations(
+    settings: DaemonSettings, adapters: Adapters, instance: Instance
+) -> contextlib.AbstractAsyncContextManager[operations.Ports | None]:
+    if settings.operator_side is None:
+        return contextlib.nullcontext()
+    return operations.serving(
+        settings.operator_side,
+        running=instance.node,
+        store=adapters.store,
+        recorder=adapters.recorder,
+        listeners={"callers": instance.callers_server, "peers": instance.peers_server},
+        tls=settings.server_tls,
+    )
 
 
 def _node(settings: DaemonSettings, adapters: Adapters, address: str) -> node.Node:
@@ -213,6 +243,9 @@
         "callers": f"{host}:{instance.callers_server.port}",
         "peers": f"{host}:{instance.peers_server.port}",
     }
+    if instance.ports is not None:
+        line["operators"] = f"{host}:{instance.ports.operators}"
+        line["metrics"] = f"{host}:{instance.ports.metrics}"
     sys.stdout.write(json.dumps(line) + "\n")
     sys.stdout.flush()
 
--- a/bilberrystack/proxy/fleet.py
+++ b/bilberrystack/proxy/fleet.py
@@ -37,13 +37,6 @@
     def majority_contact_at(self, now: float) -> float | None: ...
 
 
-class ReportingPeer(interfaces.Peer, Protocol):
-    """A link to an instance that also reports to operators."""
-
-    async def report(self, minutes: int) -> bytes:
-        """Returns the peer's encoded report with its latest minutes. Raises LinkLost."""
-
-
 class Own(Protocol):
     """This instance."""
 
@@ -52,7 +45,7 @@
     def report(self, minutes: int) -> reports.InstanceReport: ...
 
 
-Link = collections.abc.Callable[[str], ReportingPeer | None]
+Link = collections.abc.Callable[[str], interfaces.Peer | None]
 
 
 class Fleet:
@@ -133,7 +126,7 @@
         collected = [reports.Collected(own.instance, own.failure_domain, own, now())]
         others = {name: one for name, one in self._view.live.items() if name != own.instance}
 
-        async def ask(peer: ReportingPeer) -> tuple[reports.InstanceReport | None, float]:
+        async def ask(peer: interfaces.Peer) -> tuple[reports.InstanceReport | None, float]:
             asked_at = now()
             decoded = reports.decode(await peer.report(minutes))
             if isinstance(decoded, result.Failure):
@@ -148,7 +141,7 @@
         return collected
 
     async def _push(self, names: list[str], digest: interfaces.Digest, head: bytes) -> None:
-        async def push(peer: ReportingPeer) -> bool:
+        async def push(peer: interfaces.Peer) -> bool:
             await peer.push_head(digest, head)
             return True
 
@@ -159,7 +152,7 @@
     async def _call(
         self,
         names: list[str],
-        call: collections.abc.Callable[[ReportingPeer], collections.abc.Awaitable[Answer]],
+        call: collections.abc.Callable[[interfaces.Peer], collections.abc.Awaitable[Answer]],
     ) -> list[Answer | None]:
         """Calls instances; the answer of one that can't be reached is None."""
         limit = asyncio.Semaphore(MAX_CALLS)
--- a/bilberrystack/proxy/interfaces.py
+++ b/bilberrystack/proxy/interfaces.py
@@ -160,6 +160,9 @@
 
     async def fetch_configuration(self, known_parts: list[str]) -> ConfigurationTransfer: ...
 
+    async def report(self, minutes: int) -> bytes:
+        """Returns the peer's encoded report to operators with its latest minutes."""
+
     def close(self) -> None: ...
 
 
@@ -194,6 +197,7 @@
       open_transactions: Transactions pinned here.
       last_change: Who decided the last change of primary that this owner knows, and why; empty if
         it knows of none.
+      primary_age_s: Seconds since the primary's role began; None if that is not known.
     """
 
     group: str
@@ -206,6 +210,7 @@
     in_flight: int
     open_transactions: int
     last_change: str
+    primary_age_s: float | None = None
 
 
 class GroupOwner(Protocol):
--- a/bilberrystack/proxy/links.py
+++ b/bilberrystack/proxy/links.py
@@ -98,6 +98,10 @@
         """Asks for the peer's configuration. Raises LinkLost."""
         return await self._bounded(self._peer.fetch_configuration(known_parts), TRANSFER_TIMEOUT_S)
 
+    async def report(self, minutes: int) -> bytes:
+        """Asks for the peer's report to operators. Raises LinkLost."""
+        return await self._bounded(self._peer.report(minutes), CALL_TIMEOUT_S)
+
     def close(self) -> None:
         """Closes the connection; requests in flight fail with LinkLost."""
         if self._probe is not None:
--- a/bilberrystack/proxy/node.py
+++ b/bilberrystack/proxy/node.py
@@ -14,6 +14,7 @@
 from bilberrystack.core import ownership
 from bilberrystack.core import requests
 from bilberrystack.core import tokens
+from bilberrystack.proxy import counters
 from bilberrystack.proxy import discovery
 from bilberrystack.proxy import entry
 from bilberrystack.proxy import interfaces
@@ -63,6 +64,7 @@
         "_loop_time",
         "_own",
         "_owners",
+        "_reporter",
         "_store",
         "_tasks",
         "_view",
@@ -100,6 +102,7 @@
         self._loop_time = asyncio.get_running_loop().time
         self._log = loguru.logger.bind(component="node")
         self._leaving = False
+        self._reporter: collections.abc.Callable[[int], bytes] = lambda _minutes: b""
         self._applied: tuple[int, int] | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._owners = ownership.OwnerTable()
@@ -107,7 +110,7 @@
         self._discovery = discovery.Discovery(
             own=own,
             open_link=open_link,
-            own_digest=self._own_digest,
+            own_digest=self.own_digest,
             heard=self._heard,
             changed=self._apply,
             endpoints_leaving=self._groups.set_leaving_endpoints,
@@ -128,11 +131,21 @@
         """The view of all instances."""
         return self._view
 
+    @property
+    def configuration(self) -> Configuration:
+        """The declarations in force here."""
+        return self._configuration
+
     @property
     def group_views(self) -> tuple[interfaces.GroupView, ...]:
         """What the owners of this instance know about their groups."""
         return self._groups.views
 
+    @property
+    def owner_counters(self) -> dict[str, counters.GroupCounters]:
+        """The counts of this instance's owners by group."""
+        return self._groups.counters
+
     async def __aenter__(self) -> "Node":
         self._configuration.on_change(self._apply)
         self._apply()
@@ -200,7 +213,7 @@
     def digest(self, sender: interfaces.Digest) -> interfaces.Digest:
         """Takes a peer's digest, a leaving one too, and returns the own one."""
         self._heard(sender)
-        return self._own_digest()
+        return self.own_digest()
 
     async def push_head(self, sender: interfaces.Digest, head: bytes) -> None:
         """Takes a head of the configuration that a peer accepted."""
@@ -211,6 +224,19 @@
         """Returns the current configuration for a peer."""
         return await self._configuration.transfer(known_parts)
 
+    def set_reporter(self, reporter: collections.abc.Callable[[int], bytes]) -> None:
+        """Takes what returns this instance's encoded report to operators."""
+        self._reporter = reporter
+
+    def report(self, minutes: int) -> bytes:
+        """Returns this instance's encoded report to operators."""
+        return self._reporter(minutes)
+
+    def peer(self, instance_id: str) -> interfaces.Peer | None:
+        """Returns the link to another instance; None if it is not known."""
+        instance = self._view.instance(instance_id)
+        return None if instance is None else self._links.to(instance)
+
     async def _keep_running(
         self, job: collections.abc.Callable[[], collections.abc.Coroutine[Any, Any, None]]
     ) -> None:
@@ -222,7 +248,8 @@
                 self._log.exception("A background job failed and starts again")
             await asyncio.sleep(_RESTART_PAUSE_S)
 
-    def _own_digest(self) -> interfaces.Digest:
+    def own_digest(self) -> interfaces.Digest:
+        """Returns what this instance tells its peers about itself."""
         contact_at = self._configuration.store_contact_at
         return interfaces.Digest(
             self._own.id,
--- a/bilberrystack/proxy/owned_groups.py
+++ b/bilberrystack/proxy/owned_groups.py
@@ -3,12 +3,15 @@
 import asyncio
 import collections.abc
 import dataclasses
+from typing import Protocol
+from typing import runtime_checkable
 
 import loguru
 
 from bilberrystack.core import declarations
 from bilberrystack.core import outcomes
 from bilberrystack.core import requests
+from bilberrystack.proxy import counters
 from bilberrystack.proxy import interfaces
 
 OpenOwner = collections.abc.Callable[[declarations.GroupDeclaration, int], interfaces.GroupOwner]
@@ -26,6 +29,14 @@
 _LINGERING_RANK = 2
 
 
+@runtime_checkable
+class _Counted(Protocol):
+    """An owner that keeps counts."""
+
+    @property
+    def counters(self) -> counters.GroupCounters: ...
+
+
 @dataclasses.dataclass(eq=False, slots=True)
 class _Role:
     """The owner role for one group.
@@ -88,6 +99,14 @@
         """What the owners of this instance know about their groups."""
         return tuple(role.owner.view() for role in self._roles.values())
 
+    @property
+    def counters(self) -> dict[str, counters.GroupCounters]:
+        """The counts of the owners by group, of those that keep counts."""
+        owners = {group: role.owner for group, role in self._roles.items()}
+        return {
+            group: owner.counters for group, owner in owners.items() if isinstance(owner, _Counted)
+        }
+
     @property
     def busy(self) -> bool:
         """Whether requests or transactions are open at any owner of this instance."""
--- a/bilberrystack/proxy/peers.py
+++ b/bilberrystack/proxy/peers.py
@@ -57,6 +57,9 @@
         self, known_parts: list[str]
     ) -> interfaces.ConfigurationTransfer: ...
 
+    def report(self, minutes: int) -> bytes:
+        """Returns the encoded report of this instance to operators."""
+
 
 @dataclasses.dataclass(slots=True)
 class _Opening:
@@ -143,6 +146,10 @@
         parts = [ttypes.Part(key, value) for key, value in transfer.parts.items()]
         return ttypes.Configuration(transfer.version, transfer.head, parts)
 
+    async def report(self, context: rpc.Context, minutes: int) -> bytes:
+        """Returns the encoded report of this instance to operators."""
+        return self._check(context).report(minutes)
+
     def _check(self, context: rpc.Context) -> Handler:
         if context.state is not True or self._handler is None:
             raise self._refused(context, errors.PeerError.NOT_AUTHENTICATED)
@@ -237,6 +244,11 @@
         parts = {part.key: part.value for part in answer.parts}
         return interfaces.ConfigurationTransfer(answer.version, answer.head, parts)
 
+    async def report(self, minutes: int) -> bytes:
+        """Asks for the peer's report to operators. Raises LinkLost."""
+        content: bytes = await self._control("report", minutes)
+        return content
+
     def close(self) -> None:
         """Closes the connection; calls in flight fail with LinkLost."""
         if self._connecting is not None:
--- a/bilberrystack/proxy/process.py
+++ b/bilberrystack/proxy/process.py
@@ -5,6 +5,7 @@
 from bilberrystack import settings
 from bilberrystack.proxy import assembly
 from bilberrystack.proxy import daemon
+from bilberrystack.proxy import operations
 
 
 def run(checked: settings.Settings) -> int:
@@ -36,6 +37,13 @@
         peer_tls=_peer_tls(checked),
         shutdown_grace_s=checked.shutdown_grace_s,
         max_frame_bytes=checked.max_frame_bytes,
+        operator_side=operations.OperationsSettings(
+            operators_host=checked.operators_listen.host,
+            operators_port=checked.operators_listen.port,
+            operator_secret=checked.operator_secret.reveal(),
+            metrics_host=checked.metrics_listen.host,
+            metrics_port=checked.metrics_listen.port,
+        ),
     )
 
 
--- a/bilberrystack/proxy/supervisor.py
+++ b/bilberrystack/proxy/supervisor.py
@@ -88,6 +88,8 @@
       reason: Why it was changed.
       attempts: Rounds of fencing that it took.
       duration_s: Seconds from the decision to the confirmed first entry.
+      silence_s: Seconds from the previous primary's last answer to the decision; 0 if it was not
+        suspected.
     """
 
     group: str
@@ -97,6 +99,7 @@
     reason: str
     attempts: int
     duration_s: float
+    silence_s: float = 0.0
 
 
 OnChange = collections.abc.Callable[[Change], None]
@@ -399,6 +402,7 @@
         """Fences and promotes until the change is done or has to be left to the next tick."""
         started = _now()
         previous = None if self._watched is None else self._watched[0]
+        silence_s = 0.0 if previous is None else self._detector.silence(started)
         promoted = None
         for attempt in range(1, 4):
             promoted = await self._attempt(preference)
@@ -417,6 +421,7 @@
             reason,
             attempt,
             _now() - started,
+            silence_s if silence_s >= failover.DETECTION_TIME_S else 0.0,
         )
         self._group.record_change(
             f"{self._instance_id} made {change.primary} primary in term {change.term}: {reason}"
--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -88,4 +88,6 @@
   void push_head(1: Digest sender, 2: binary head) throws (1: PeerFailure failure)
   // Parts whose keys are in known_parts are left out of the answer.
   Configuration fetch_configuration(1: list<string> known_parts) throws (1: PeerFailure failure)
+  // The peer's msgpack report to operators with its latest minutes of service levels.
+  binary report(1: i32 minutes) throws (1: PeerFailure failure)
 }
