--- a/bilberrystack/core/burn.py
+++ b/bilberrystack/core/burn.py
@@ -19,6 +19,9 @@
 # The gap target is a 99th percentile, so one failover in a hundred may exceed it.
 GAP_BUDGET = 0.01
 
+# The rate of a target that allows no bad event. JSON has no infinity.
+MAX_RATE = 1e6
+
 # A window burns only if a short and a long one do: the long one tells that it matters, the short
 # one that it still goes on.
 SHORT_MINUTES = 5
@@ -248,4 +251,4 @@
     if not bad:
         return 0.0
     # The difference of a target like 0.95 to 1 is inexact; a budget of zero must stay zero.
-    return bad / events / budget if budget > 1e-12 else math.inf
+    return min(bad / events / budget, MAX_RATE) if budget > 1e-12 else MAX_RATE
