--- a/bilberrystack/cli/main.py
+++ b/bilberrystack/cli/main.py
@@ -1,6 +1,7 @@
 """The bilberrystack command."""
 
 import sys
+from typing import Literal
 
 import cyclopts
 import msgspec
@@ -15,6 +16,7 @@
 from bilberrystack.cli import output
 from bilberrystack.cli import status_tables
 from bilberrystack.core import burn
+from bilberrystack.core import error_page
 from bilberrystack.core import reports
 
 HELP = """A database proxy with session consistency.
@@ -115,9 +117,15 @@
 
 
 @app.command(name="docs")
-def docs() -> int:
-    """Print the reference page of all settings."""
-    print(settings.reference(), end="")
+def docs(page: Literal["settings", "errors"]) -> int:
+    """Print a reference page.
+
+    Parameters
+    ----------
+    page
+        The page.
+    """
+    print(settings.reference() if page == "settings" else error_page.page(), end="")
     return exits.OK
 
 
--- a/bilberrystack/core/errors.py
+++ b/bilberrystack/core/errors.py
@@ -40,6 +40,15 @@
     NOT_AUTHENTICATED = 1202
 
 
+class OperatorError(enum.IntEnum):
+    """Failures of operators' calls; the numbers are OperatorFailure codes."""
+
+    AUTHENTICATION_FAILED = 1301
+    NOT_AUTHENTICATED = 1302
+    INVALID_DOCUMENT = 1303
+    INVALID_ARGUMENT = 1304
+
+
 DESCRIPTIONS: dict[enum.IntEnum, Description] = {
     CallerError.AUTHENTICATION_FAILED: Description(
         "the caller is not declared or the secret is wrong",
@@ -93,6 +102,22 @@
         "a call came before the connection was authenticated",
         "run the same version at all instances",
     ),
+    OperatorError.AUTHENTICATION_FAILED: Description(
+        "the operator's proof does not fit the operators' secret of the instance",
+        "set BILBERRYSTACK_OPERATOR_SECRET to the secret that the instances have",
+    ),
+    OperatorError.NOT_AUTHENTICATED: Description(
+        "a call came before the connection was authenticated",
+        "call hello and authenticate first on every connection",
+    ),
+    OperatorError.INVALID_DOCUMENT: Description(
+        "a document to be compared is malformed or breaks a rule",
+        "correct the fields that the detail names",
+    ),
+    OperatorError.INVALID_ARGUMENT: Description(
+        "an argument is outside its range",
+        "use a value inside the range that the detail names",
+    ),
 }
 
 
--- a/bilberrystack/proxy/operators.py
+++ b/bilberrystack/proxy/operators.py
@@ -20,7 +20,7 @@
 from bilberrystack.core import declarations
 from bilberrystack.core import differences
 from bilberrystack.core import documents
-from bilberrystack.core import operator_errors
+from bilberrystack.core import errors
 from bilberrystack.core import problems
 from bilberrystack.core import reports
 from bilberrystack.gen.operators import Operator
@@ -151,7 +151,7 @@
                 session.operator = name
                 return
         self._on_refusal(context.peer)
-        raise _failure(operator_errors.OperatorError.AUTHENTICATION_FAILED)
+        raise _failure(errors.OperatorError.AUTHENTICATION_FAILED)
 
     async def apply(self, context: rpc.Context, message: ttypes.Change) -> ttypes.ChangeOutcome:
         """Puts a change in force, or tells what it would change."""
@@ -180,7 +180,7 @@
         )
         if isinstance(found, result.Failure):
             detail = "; ".join(str(problem) for problem in found.failure())
-            raise _failure(operator_errors.OperatorError.INVALID_DOCUMENT, detail)
+            raise _failure(errors.OperatorError.INVALID_DOCUMENT, detail)
         return [_difference(one) for one in found.unwrap()]
 
     async def wait(self, context: rpc.Context, version: int, timeout_ms: int) -> ttypes.InForce:
@@ -188,7 +188,7 @@
         _operator(context)
         if not 0 <= timeout_ms <= MAX_WAIT_S * 1000:
             detail = f"timeout_ms must be from 0 to {MAX_WAIT_S * 1000:.0f}"
-            raise _failure(operator_errors.OperatorError.INVALID_ARGUMENT, detail)
+            raise _failure(errors.OperatorError.INVALID_ARGUMENT, detail)
         now = asyncio.get_running_loop().time
         deadline = now() + timeout_ms / 1000
         lagging = await self._fleet.lagging(version)
@@ -211,7 +211,7 @@
         _operator(context)
         if not 0 < short_minutes <= long_minutes <= burn.MAX_MINUTES:
             detail = f"windows must satisfy 0 < short <= long <= {burn.MAX_MINUTES} minutes"
-            raise _failure(operator_errors.OperatorError.INVALID_ARGUMENT, detail)
+            raise _failure(errors.OperatorError.INVALID_ARGUMENT, detail)
         collected, hours = await asyncio.gather(
             self._fleet.collect(burn.MAX_MINUTES), self._summaries.read()
         )
@@ -330,9 +330,9 @@
     """Returns the authenticated operator's name. Raises OperatorFailure."""
     session = context.state
     if not isinstance(session, _Session) or session.operator is None:
-        raise _failure(operator_errors.OperatorError.NOT_AUTHENTICATED)
+        raise _failure(errors.OperatorError.NOT_AUTHENTICATED)
     return session.operator
 
 
-def _failure(error: operator_errors.OperatorError, detail: str = "") -> ttypes.OperatorFailure:
-    return ttypes.OperatorFailure(int(error), detail or operator_errors.describe(error))
+def _failure(error: errors.OperatorError, detail: str = "") -> ttypes.OperatorFailure:
+    return ttypes.OperatorFailure(int(error), detail or errors.describe(error))
--- a/bilberrystack/proxy/operators_test.py
+++ b/bilberrystack/proxy/operators_test.py
@@ -8,7 +8,7 @@
 
 from bilberrystack.core import burn
 from bilberrystack.core import documents
-from bilberrystack.core import operator_errors
+from bilberrystack.core import errors
 from bilberrystack.core import positions
 from bilberrystack.core import reports
 from bilberrystack.gen.operators import ttypes
@@ -119,20 +119,20 @@
             one.call("report", 5, 60),
         ]
         codes = [await code_of(call) for call in calls]
-        assert codes == [operator_errors.OperatorError.NOT_AUTHENTICATED] * len(calls)
+        assert codes == [errors.OperatorError.NOT_AUTHENTICATED] * len(calls)
         assert not one.store.objects
 
 
 async def test_wrong_secret_and_replayed_proof_are_refused():
     """Guards against a proof that was overheard, and against guessing on one nonce."""
-    failed = operator_errors.OperatorError.AUTHENTICATION_FAILED
+    failed = errors.OperatorError.AUTHENTICATION_FAILED
     async with served(authenticated=False) as one:
         assert await code_of(one.authenticate("wrong")) == failed
         proof = await one.authenticate()
         assert await code_of(one.call("authenticate", "sara", proof)) == failed
         await one.call("hello")
         assert await code_of(one.call("authenticate", "sara", proof)) == failed
-        assert await code_of(one.call("show")) == operator_errors.OperatorError.NOT_AUTHENTICATED
+        assert await code_of(one.call("show")) == errors.OperatorError.NOT_AUTHENTICATED
         assert len(one.refused) == 3
 
 
--- a/bilberrystack/proxy/process.py
+++ b/bilberrystack/proxy/process.py
@@ -2,6 +2,7 @@
 
 import ssl
 
+from bilberrystack import logs
 from bilberrystack import settings
 from bilberrystack.proxy import assembly
 from bilberrystack.proxy import daemon
@@ -16,6 +17,7 @@
     Returns:
       The exit code. Raises OSError if a listener or a TLS file can't be opened.
     """
+    logs.configure(checked.log_level, checked.log_format == "json", _secrets(checked))
     return daemon.run(daemon_settings(checked), assembly.adapters_of(checked.store_url))
 
 
@@ -47,6 +49,12 @@
     )
 
 
+def _secrets(checked: settings.Settings) -> list[str]:
+    """Returns the texts that must not be logged."""
+    values = (getattr(checked, name) for name in checked.__struct_fields__)
+    return [value.reveal() for value in values if isinstance(value, settings.Secret)]
+
+
 def _server_tls(checked: settings.Settings) -> ssl.SSLContext | None:
     if checked.tls_certificate is None:
         return None
--- a/bilberrystack/settings.py
+++ b/bilberrystack/settings.py
@@ -261,7 +261,7 @@
     lines = [
         "# Settings",
         "",
-        "Generated from `bilberrystack/settings.py` by `bilberrystack docs`; do not edit.",
+        "Generated from `bilberrystack/settings.py` by `bilberrystack docs settings`; do not edit.",
         "",
         "A flag takes precedence over the environment variable. Secrets have no flag. All problems",
         f"are reported at once at start, and an unknown variable that begins with `{PREFIX}` is an",
