--- a/faults/fleet.py
+++ b/faults/fleet.py
@@ -287,6 +287,10 @@
             self.record.declared[name] = frozenset(current.declarations.callers)
         for party in list(self._impaired):
             self._recover(party)
+        return self.collect()
+
+    def collect(self) -> history.History:
+        """Returns the record with the logs as they are."""
         for group, servers in self.members.items():
             primary = self.primary(group) or next(iter(servers.values()))
             self.record.logs[group] = [_log_entry(one) for one in primary.state.entries]
--- a/faults/measure.py
+++ b/faults/measure.py
@@ -121,7 +121,7 @@
         for _ in range(READ_SESSIONS)
     )
     await world.until(lambda: all(task.done() for task in world.tasks), 120.0)
-    record = await world.finish_without_probe() if policy else await world.finish()
+    record = world.collect() if policy else await world.finish()
     answered = [
         call
         for call in record.calls
