Give up silent proxies in the client library

Cause: a request at a proxy that is stopped or cut off waited for its deadline and became unknown. Change: a connection with calls in flight is probed by resuming its session and closed after 2 s of silence; the request is then repeated or resolved at another proxy.

--- a/bilberrystack/proxy/daemon_test.py
+++ b/bilberrystack/proxy/daemon_test.py
@@ -11,6 +11,7 @@
 import pytest
 
 from bilberrystack import client
+from bilberrystack.client import gateway
 from bilberrystack.core import errors
 from bilberrystack.gen.callers import ttypes
 from bilberrystack.proxy import callers
@@ -206,44 +207,76 @@
     check(test, count=3)
 
 
-class Dropping:
-    """A proxy that breaks the connection with every request instead of running it."""
+class BadProxy:
+    """A proxy that breaks the connection with every request, is stopped, or is slow."""
 
-    def __init__(self, role):
+    def __init__(self, role, fault):
         self.role = role
-        self.dropped = 0
+        self.fault = fault
+        self.executed = 0
+        self.resumed = 0
 
     async def open_session(self, _context, caller, _secret):
         return ttypes.Session("f" * 32, self.role.new_token("f" * 32, caller, True), "x")
 
     async def resume_session(self, context, caller, secret, _session):
+        self.resumed += 1
+        if self.fault == "stopped":
+            await asyncio.Event().wait()
         return await self.open_session(context, caller, secret)
 
-    async def execute(self, context, _request):
-        self.dropped += 1
-        context.close()
+    async def execute(self, context, request):
+        self.executed += 1
+        if self.fault == "broken":
+            context.close()
+        if self.fault != "slow":
+            await asyncio.Event().wait()
+        await fakes.until(lambda: self.resumed > 10)
+        answer = ttypes.Answer(b"slow", request.tokens[0], "m", False, None, False)
+        return ttypes.Outcome(answer=answer)
 
 
-def test_write_that_never_reached_an_owner_is_cancelled_and_sent_under_a_new_key():
-    """Guards against failing or repeating a write that a stopping proxy did not take any more."""
+@contextlib.asynccontextmanager
+async def behind(fleet, fault):
+    """Connects a client to a bad proxy first."""
+    handler = BadProxy(fleet.running[0].node.entry_role, fault)
+    async with rpc.Server(callers.SERVICE, handler) as bad:
+        await bad.start(HOST, 0)
+        chooser = random.Random()
+        chooser.shuffle = lambda _addresses: None
+        addresses = [f"{HOST}:{bad.port}", *fleet.addresses]
+        async with client.connect(addresses, "analyst", fakes.SECRET, chooser=chooser) as connected:
+            yield handler, await connected.open_session()
+
+
+@pytest.mark.parametrize("fault", ["broken", "stopped"])
+def test_write_that_never_reached_an_owner_is_cancelled_and_sent_again(fault, monkeypatch):
+    """Guards against failing, repeating or holding up a write that a proxy did not forward."""
+    monkeypatch.setattr(gateway, "PROBE_INTERVAL_S", 0.01)
+    monkeypatch.setattr(gateway, "SILENCE_LIMIT_S", 0.03)
 
     async def test(fleet):
-        handler = Dropping(fleet.running[0].node.entry_role)
-        async with rpc.Server(callers.SERVICE, handler) as dropping:
-            await dropping.start(HOST, 0)
-            addresses = [f"{HOST}:{dropping.port}", *fleet.addresses]
-            chooser = random.Random()
-            chooser.shuffle = lambda _addresses: None
-            connecting = client.connect(addresses, "analyst", fakes.SECRET, chooser=chooser)
-            async with connecting as connected:
-                session = await connected.open_session()
-                outcome = await session.write("g", b"w")
-        assert outcome.body == b"w" and not outcome.duplicate and handler.dropped == 1
+        async with behind(fleet, fault) as (handler, session):
+            outcome = await session.write("g", b"w")
+        assert outcome.body == b"w" and not outcome.duplicate and handler.executed == 1
         assert fleet.database.runs == [b"w"] and len(fleet.database.cancelled) == 1
 
     check(test)
 
 
+def test_slow_answer_of_a_living_proxy_is_waited_for(monkeypatch):
+    """Guards against giving up a proxy because a statement takes long."""
+    monkeypatch.setattr(gateway, "PROBE_INTERVAL_S", 0.01)
+    monkeypatch.setattr(gateway, "SILENCE_LIMIT_S", 1.0)
+
+    async def test(fleet):
+        async with behind(fleet, "slow") as (handler, session):
+            assert (await session.write("g", b"w")).body == b"slow"
+        assert handler.executed == 1 and not fleet.owner().seen
+
+    check(test)
+
+
 def test_transaction_continues_through_another_proxy():
     """Guards against aborting a transaction because the entry instance died."""
 
@@ -255,7 +288,7 @@
                 used = next(one for one in fleet.running if one.callers_server.connections)
                 used.callers_server.close()
                 # A statement that is sent while the connection breaks would have no known outcome.
-                await fakes.until(lambda: connected._gateway._current.connection.closed)
+                await fakes.until(lambda: connected._gateway._current.closed)
                 await transaction.execute(b"b")
         assert fleet.database.runs == [b"a,b"]
 
