--- a/bilberrystack/wire/codec.py
+++ b/bilberrystack/wire/codec.py
@@ -162,17 +162,26 @@
 
     def feed(self, data: bytes) -> list[bytes]:
         """Adds bytes and returns the frames that are complete. Raises FrameTooLarge."""
+        if not self._buffer:
+            frames, used = self._split(data)
+            self._buffer += data[used:]
+            return frames
         self._buffer += data
+        frames, used = self._split(self._buffer)
+        del self._buffer[:used]
+        return frames
+
+    def _split(self, data: bytes | bytearray) -> tuple[list[bytes], int]:
+        """Returns the complete frames and the number of bytes that they take."""
         frames = []
         start = 0
-        while len(self._buffer) - start >= LENGTH.size:
-            (length,) = LENGTH.unpack_from(self._buffer, start)
+        while len(data) - start >= LENGTH.size:
+            (length,) = LENGTH.unpack_from(data, start)
             if length > self._max_frame_bytes:
                 raise failures.FrameTooLarge(f"{length} bytes, limit {self._max_frame_bytes}")
             end = start + LENGTH.size + length
-            if len(self._buffer) < end:
+            if len(data) < end:
                 break
-            frames.append(bytes(self._buffer[start + LENGTH.size : end]))
+            frames.append(bytes(data[start + LENGTH.size : end]))
             start = end
-        del self._buffer[:start]
-        return frames
+        return frames, start
