--- a/bilberrystack/proxy/member_link_test.py
+++ b/bilberrystack/proxy/member_link_test.py
@@ -43,199 +43,174 @@
         await asyncio.sleep(0.001)
 
 
-def test_every_call_reaches_the_member():
+@pytest.mark.asyncio
+async def test_every_call_reaches_the_member():
     """Guards against arguments or answers that change on the way."""
-
-    async def run():
-        async with await start_member(slots=2, connection_limit=8) as server:
-            link = open_link(server.address)
-            await make_primary(link)
-            assert await link.fence(1) == (False, await link.status(positions.ZERO, 0.0))
-            connection = await link.connect()
-            written = await connection.write(1, KEY, statements.put("x", "é"))
-            assert written.position == positions.Position(1, 2)
-            assert await connection.write(1, KEY, b"") == members.Executed(
-                written.body, written.position, True, 1
-            )
-            read = await connection.read(statements.get("x"), written.position, 0.0)
-            assert statements.results(read.body) == ["é"]
-            assert (await connection.begin(1)).body == b"[]"
-            await connection.statement(statements.add("n", 2))
-            await connection.commit(requests.RequestKey("s", 2))
-            await connection.begin(1)
-            await connection.abort()
-            cancelled = await connection.resolve(1, requests.RequestKey("s", 3))
-            assert cancelled.refusal == members.Refusal.CANCELLED
-            assert cancelled.position == server.state.last_log
-            status = await link.status(positions.ZERO, 0.0)
-            assert status == server.state.status(0.0)
-            assert not (await link.follow(2, "127.0.0.1:1")).primary
-            connection.close()
-            link.close()
-            await until(lambda: server.connection_count == 0)
-
-    asyncio.run(run())
-
-
-def test_status_waits_for_position_and_term():
+    async with await start_member(slots=2, connection_limit=8) as server:
+        link = open_link(server.address)
+        await make_primary(link)
+        assert await link.fence(1) == (False, await link.status(positions.ZERO, 0.0))
+        connection = await link.connect()
+        written = await connection.write(1, KEY, statements.put("x", "é"))
+        assert written.position == positions.Position(1, 2)
+        assert await connection.write(1, KEY, b"") == members.Executed(
+            written.body, written.position, True, 1
+        )
+        read = await connection.read(statements.get("x"), written.position, 0.0)
+        assert statements.results(read.body) == ["é"]
+        assert (await connection.begin(1)).body == b"[]"
+        await connection.statement(statements.add("n", 2))
+        await connection.commit(requests.RequestKey("s", 2))
+        await connection.begin(1)
+        await connection.abort()
+        cancelled = await connection.resolve(1, requests.RequestKey("s", 3))
+        assert cancelled.refusal == members.Refusal.CANCELLED
+        assert cancelled.position == server.state.last_log
+        status = await link.status(positions.ZERO, 0.0)
+        assert status == server.state.status(0.0)
+        assert not (await link.follow(2, "127.0.0.1:1")).primary
+        connection.close()
+        link.close()
+        await until(lambda: server.connection_count == 0)
+
+
+@pytest.mark.asyncio
+async def test_status_waits_for_position_and_term():
     """Guards against confirmations that poll, or that outlast a change of term."""
-
-    async def run():
-        async with await start_member() as server:
-            link = open_link(server.address)
-            await make_primary(link)
-            connection = await link.connect()
-            wanted = positions.Position(1, 2)
-            waiting = asyncio.create_task(link.status(wanted, 60.0))
-            await until(lambda: server.calls_in_flight == 1)
-            await connection.write(1, KEY, statements.put("x", 1))
-            assert (await waiting).last_log == wanted
-            waiting = asyncio.create_task(link.status(positions.Position(1, 3), 60.0))
-            await until(lambda: server.calls_in_flight == 1)
-            await link.fence(2)
-            assert (await waiting).promised_term == 2
-            link.close()
-
-    asyncio.run(run())
-
-
-def test_connection_limit_is_a_refusal():
+    async with await start_member() as server:
+        link = open_link(server.address)
+        await make_primary(link)
+        connection = await link.connect()
+        wanted = positions.Position(1, 2)
+        waiting = asyncio.create_task(link.status(wanted, 60.0))
+        await until(lambda: server.calls_in_flight == 1)
+        await connection.write(1, KEY, statements.put("x", 1))
+        assert (await waiting).last_log == wanted
+        waiting = asyncio.create_task(link.status(positions.Position(1, 3), 60.0))
+        await until(lambda: server.calls_in_flight == 1)
+        await link.fence(2)
+        assert (await waiting).promised_term == 2
+        link.close()
+
+
+@pytest.mark.asyncio
+async def test_connection_limit_is_a_refusal():
     """Guards against treating a full member as a lost one."""
-
-    async def run():
-        async with await start_member(connection_limit=2) as server:
-            link = open_link(server.address)
-            await link.status(positions.ZERO, 0.0)
-            connection = await link.connect()
-            with pytest.raises(interfaces.ConnectionRefused):
-                await link.connect()
-            connection.close()
-            await until(lambda: server.connection_count == 1)
-            (await link.connect()).close()
-            link.close()
-
-    asyncio.run(run())
-
-
-def test_first_calls_share_one_control_connection():
+    async with await start_member(connection_limit=2) as server:
+        link = open_link(server.address)
+        await link.status(positions.ZERO, 0.0)
+        connection = await link.connect()
+        with pytest.raises(interfaces.ConnectionRefused):
+            await link.connect()
+        connection.close()
+        await until(lambda: server.connection_count == 1)
+        (await link.connect()).close()
+        link.close()
+
+
+@pytest.mark.asyncio
+async def test_first_calls_share_one_control_connection():
     """Guards against control connections that use up the member's limit."""
-
-    async def run():
-        async with await start_member() as server:
-            link = open_link(server.address)
-            await asyncio.gather(*(link.status(positions.ZERO, 0.0) for _ in range(5)))
-            assert server.connection_count == 1
-            server.close()
-            with pytest.raises(interfaces.LinkLost):
-                await link.status(positions.ZERO, 0.0)
-            with pytest.raises(interfaces.LinkLost) as raised:
-                await link.status(positions.ZERO, 0.0)
-            assert not raised.value.sent
-
-    asyncio.run(run())
+    async with await start_member() as server:
+        link = open_link(server.address)
+        await asyncio.gather(*(link.status(positions.ZERO, 0.0) for _ in range(5)))
+        assert server.connection_count == 1
+        server.close()
+        with pytest.raises(interfaces.LinkLost):
+            await link.status(positions.ZERO, 0.0)
+        with pytest.raises(interfaces.LinkLost) as raised:
+            await link.status(positions.ZERO, 0.0)
+        assert not raised.value.sent
 
 
-def test_lost_connection_tells_whether_the_statement_was_sent():
+@pytest.mark.asyncio
+async def test_lost_connection_tells_whether_the_statement_was_sent():
     """Guards against reporting a statement that may have run as not run."""
-
-    async def run():
-        async with await start_member() as server:
-            link = open_link(server.address)
-            await make_primary(link)
-            connection = await link.connect()
-            server.switches.set(lose_answers=1)
-            with pytest.raises(interfaces.LinkLost) as raised:
-                await connection.write(1, KEY, statements.add("n", 1))
-            assert raised.value.sent
-            assert connection.closed
-            with pytest.raises(interfaces.LinkLost) as raised:
-                await connection.write(1, KEY, statements.add("n", 1))
-            assert not raised.value.sent
-            resolved = await (await link.connect()).resolve(1, KEY)
-            assert resolved.duplicate
-            assert statements.results(resolved.body) == [1]
-            link.close()
-
-    asyncio.run(run())
-
-
-def test_cancelled_statement_closes_its_connection():
+    async with await start_member() as server:
+        link = open_link(server.address)
+        await make_primary(link)
+        connection = await link.connect()
+        server.switches.set(lose_answers=1)
+        with pytest.raises(interfaces.LinkLost) as raised:
+            await connection.write(1, KEY, statements.add("n", 1))
+        assert raised.value.sent
+        assert connection.closed
+        with pytest.raises(interfaces.LinkLost) as raised:
+            await connection.write(1, KEY, statements.add("n", 1))
+        assert not raised.value.sent
+        resolved = await (await link.connect()).resolve(1, KEY)
+        assert resolved.duplicate
+        assert statements.results(resolved.body) == [1]
+        link.close()
+
+
+@pytest.mark.asyncio
+async def test_cancelled_statement_closes_its_connection():
     """Guards against a late answer that is taken for the next statement's."""
-
-    async def run():
-        async with await start_member() as server:
-            link = open_link(server.address)
-            await make_primary(link)
-            connection = await link.connect()
-            await connection.begin(1)
-            server.switches.set(isolated_from_proxies=True)
-            call = asyncio.create_task(connection.statement(statements.add("n", 1)))
-            await asyncio.sleep(0)
-            call.cancel()
-            await asyncio.wait([call])
-            assert connection.closed
-            await until(lambda: server.connection_count == 1)
-            link.close()
-
-    asyncio.run(run())
-
-
-def test_cancelled_control_call_leaves_the_others():
+    async with await start_member() as server:
+        link = open_link(server.address)
+        await make_primary(link)
+        connection = await link.connect()
+        await connection.begin(1)
+        server.switches.set(isolated_from_proxies=True)
+        call = asyncio.create_task(connection.statement(statements.add("n", 1)))
+        await asyncio.sleep(0)
+        call.cancel()
+        await asyncio.wait([call])
+        assert connection.closed
+        await until(lambda: server.connection_count == 1)
+        link.close()
+
+
+@pytest.mark.asyncio
+async def test_cancelled_control_call_leaves_the_others():
     """Guards against a heartbeat's time limit that breaks a fence in flight."""
-
-    async def run():
-        async with await start_member() as server:
-            link = open_link(server.address)
-            server.switches.set(isolated_from_proxies=True)
-            heartbeat = asyncio.create_task(link.status(positions.ZERO, 0.0))
-            fence = asyncio.create_task(link.fence(1))
-            await until(lambda: server.calls_in_flight == 1)
-            heartbeat.cancel()
-            await asyncio.wait([heartbeat])
-            server.switches.set(isolated_from_proxies=False)
-            assert (await fence)[0]
-            assert server.connection_count == 1
-            link.close()
-
-    asyncio.run(run())
-
-
-def test_silent_control_connection_is_replaced(monkeypatch):
+    async with await start_member() as server:
+        link = open_link(server.address)
+        server.switches.set(isolated_from_proxies=True)
+        heartbeat = asyncio.create_task(link.status(positions.ZERO, 0.0))
+        fence = asyncio.create_task(link.fence(1))
+        await until(lambda: server.calls_in_flight == 1)
+        heartbeat.cancel()
+        await asyncio.wait([heartbeat])
+        server.switches.set(isolated_from_proxies=False)
+        assert (await fence)[0]
+        assert server.connection_count == 1
+        link.close()
+
+
+@pytest.mark.asyncio
+async def test_silent_control_connection_is_replaced(monkeypatch):
     """Guards against calls that wait for minutes on a connection whose other side is gone."""
-    monkeypatch.setattr(member_link, "SILENT_CONTROL_S", -1.0)
-
-    async def run():
-        async with await start_member() as server:
-            link = open_link(server.address)
-            await link.status(positions.ZERO, 0.0)
-            server.switches.set(isolated_from_proxies=True)
-            call = asyncio.create_task(link.status(positions.ZERO, 0.0))
-            await until(lambda: server.calls_in_flight == 1)
-            call.cancel()
-            await asyncio.wait([call])
-            server.switches.set(isolated_from_proxies=False)
-            await until(lambda: server.connection_count == 0)
-            await link.status(positions.ZERO, 0.0)
-            link.close()
-
-    asyncio.run(run())
 
+    monkeypatch.setattr(member_link, "SILENT_CONTROL_S", -1.0)
 
-def test_close_ends_a_connection_attempt():
+    async with await start_member() as server:
+        link = open_link(server.address)
+        await link.status(positions.ZERO, 0.0)
+        server.switches.set(isolated_from_proxies=True)
+        call = asyncio.create_task(link.status(positions.ZERO, 0.0))
+        await until(lambda: server.calls_in_flight == 1)
+        call.cancel()
+        await asyncio.wait([call])
+        server.switches.set(isolated_from_proxies=False)
+        await until(lambda: server.connection_count == 0)
+        await link.status(positions.ZERO, 0.0)
+        link.close()
+
+
+@pytest.mark.asyncio
+async def test_close_ends_a_connection_attempt():
     """Guards against calls that wait for ever on a link that was closed."""
-
-    async def run():
-        async with await start_member() as server:
-            server.switches.set(isolated_from_proxies=True)
-            link = open_link(server.address)
-            call = asyncio.create_task(link.status(positions.ZERO, 0.0))
-            await until(lambda: server.calls_in_flight == 1)
-            link.close()
-            with pytest.raises(interfaces.LinkLost) as raised:
-                await call
-            assert not raised.value.sent
-
-    asyncio.run(run())
+    async with await start_member() as server:
+        server.switches.set(isolated_from_proxies=True)
+        link = open_link(server.address)
+        call = asyncio.create_task(link.status(positions.ZERO, 0.0))
+        await until(lambda: server.calls_in_flight == 1)
+        link.close()
+        with pytest.raises(interfaces.LinkLost) as raised:
+            await call
+        assert not raised.value.sent
 
 
 class Malformed:
@@ -254,23 +229,20 @@
         raise ValueError("broken")
 
 
-def test_malformed_answer_is_a_lost_link():
+@pytest.mark.asyncio
+async def test_malformed_answer_is_a_lost_link():
     """Guards against a statement without an answer that is reported as run or as not run."""
-
-    async def run():
-        async with rpc.Server(member_link.SERVICE, Malformed()) as server:
-            await server.start("127.0.0.1", 0)
-            link = open_link(f"127.0.0.1:{server.port}")
-            connection = await link.connect()
-            with pytest.raises(interfaces.LinkLost) as raised:
-                await connection.write(1, KEY, b"")
-            assert raised.value.sent
-            assert connection.closed
-            with pytest.raises(interfaces.LinkLost):
-                await link.status(positions.ZERO, 0.0)
-            link.close()
-
-    asyncio.run(run())
+    async with rpc.Server(member_link.SERVICE, Malformed()) as server:
+        await server.start("127.0.0.1", 0)
+        link = open_link(f"127.0.0.1:{server.port}")
+        connection = await link.connect()
+        with pytest.raises(interfaces.LinkLost) as raised:
+            await connection.write(1, KEY, b"")
+        assert raised.value.sent
+        assert connection.closed
+        with pytest.raises(interfaces.LinkLost):
+            await link.status(positions.ZERO, 0.0)
+        link.close()
 
 
 @pytest.mark.parametrize("address", ["", "127.0.0.1", "127.0.0.1:x"])
--- a/bilberrystack/proxy/store_http_test.py
+++ b/bilberrystack/proxy/store_http_test.py
@@ -36,138 +36,118 @@
         await asyncio.sleep(0.001)
 
 
-def test_update_needs_the_current_version():
+@pytest.mark.asyncio
+async def test_update_needs_the_current_version():
     """Guards against operators who overwrite each other's changes."""
-
-    async def run():
-        async with started() as (_server, store):
-            assert await store.get("a/b ü&c=d") is None
-            assert await store.put("a/b ü&c=d", b"\x00\xff", 0) == 1
-            with pytest.raises(interfaces.VersionConflict):
-                await store.put("a/b ü&c=d", b"", 0)
-            assert await store.put("a/b ü&c=d", b"2", 1) == 2
-            assert await store.get("a/b ü&c=d") == interfaces.StoredObject("a/b ü&c=d", b"2", 2)
-            with pytest.raises(interfaces.VersionConflict):
-                await store.put("absent", b"", 3)
-            await store.put("a/c", b"", 0)
-            assert await store.keys("a/") == ["a/b ü&c=d", "a/c"]
-
-    asyncio.run(run())
-
-
-def test_watch_returns_at_a_change_or_after_its_wait():
+    async with started() as (_server, store):
+        assert await store.get("a/b ü&c=d") is None
+        assert await store.put("a/b ü&c=d", b"\x00\xff", 0) == 1
+        with pytest.raises(interfaces.VersionConflict):
+            await store.put("a/b ü&c=d", b"", 0)
+        assert await store.put("a/b ü&c=d", b"2", 1) == 2
+        assert await store.get("a/b ü&c=d") == interfaces.StoredObject("a/b ü&c=d", b"2", 2)
+        with pytest.raises(interfaces.VersionConflict):
+            await store.put("absent", b"", 3)
+        await store.put("a/c", b"", 0)
+        assert await store.keys("a/") == ["a/b ü&c=d", "a/c"]
+
+
+@pytest.mark.asyncio
+async def test_watch_returns_at_a_change_or_after_its_wait():
     """Guards against instances that miss a change, or that poll."""
-
-    async def run():
-        async with started() as (server, store):
-            assert await store.watch("k", 0, 0.001) is None
-            waiting = asyncio.create_task(store.watch("k", 1, LONG_S))
-            await until(lambda: server.state.calls["watch"] == 2)
-            await store.put("k", b"1", 0)
-            assert not waiting.done()
-            await store.put("k", b"2", 1)
-            assert await waiting == interfaces.StoredObject("k", b"2", 2)
-            assert (await store.watch("k", 1, LONG_S)).version == 2
-            assert server.state.calls == {"watch": 3, "put": 2}
-
-    asyncio.run(run())
-
-
-def test_failures_are_unavailability():
+    async with started() as (server, store):
+        assert await store.watch("k", 0, 0.001) is None
+        waiting = asyncio.create_task(store.watch("k", 1, LONG_S))
+        await until(lambda: server.state.calls["watch"] == 2)
+        await store.put("k", b"1", 0)
+        assert not waiting.done()
+        await store.put("k", b"2", 1)
+        assert await waiting == interfaces.StoredObject("k", b"2", 2)
+        assert (await store.watch("k", 1, LONG_S)).version == 2
+        assert server.state.calls == {"watch": 3, "put": 2}
+
+
+@pytest.mark.asyncio
+async def test_failures_are_unavailability():
     """Guards against a failing store that looks like an absent object or a conflict."""
-
-    async def run():
-        async with started(call_timeout_s=0.05) as (server, store):
-            await store.put("k", b"1", 0)
-            waiting = asyncio.create_task(store.watch("k", 1, LONG_S))
-            await until(lambda: server.state.calls["watch"] == 1)
-            server.set_faults(off=True)
-            with pytest.raises(interfaces.StoreUnavailable):
-                await waiting
-            for call in (store.get("k"), store.put("k", b"2", 1), store.keys("")):
-                with pytest.raises(interfaces.StoreUnavailable):
-                    await call
-            server.set_faults(off=False, delay_ms=LONG_S * 1000)
+    async with started(call_timeout_s=0.05) as (server, store):
+        await store.put("k", b"1", 0)
+        waiting = asyncio.create_task(store.watch("k", 1, LONG_S))
+        await until(lambda: server.state.calls["watch"] == 1)
+        server.set_faults(off=True)
+        with pytest.raises(interfaces.StoreUnavailable):
+            await waiting
+        for call in (store.get("k"), store.put("k", b"2", 1), store.keys("")):
             with pytest.raises(interfaces.StoreUnavailable):
-                await store.get("k")
+                await call
+        server.set_faults(off=False, delay_ms=LONG_S * 1000)
         with pytest.raises(interfaces.StoreUnavailable):
             await store.get("k")
-
-    asyncio.run(run())
+    with pytest.raises(interfaces.StoreUnavailable):
+        await store.get("k")
 
 
-def test_change_whose_answer_is_lost_took_effect():
+@pytest.mark.asyncio
+async def test_change_whose_answer_is_lost_took_effect():
     """Guards against a client library that sends an update twice, and reports a conflict."""
-
-    async def run():
-        async with started() as (server, store):
-            await store.put("k", b"1", 0)
-            server.set_faults(lose_answers=1)
-            with pytest.raises(interfaces.StoreUnavailable):
-                await store.put("k", b"2", 1)
-            assert await store.get("k") == interfaces.StoredObject("k", b"2", 2)
-            assert server.state.calls["put"] == 2
-
-    asyncio.run(run())
+    async with started() as (server, store):
+        await store.put("k", b"1", 0)
+        server.set_faults(lose_answers=1)
+        with pytest.raises(interfaces.StoreUnavailable):
+            await store.put("k", b"2", 1)
+        assert await store.get("k") == interfaces.StoredObject("k", b"2", 2)
+        assert server.state.calls["put"] == 2
 
 
-def test_value_over_the_limit_is_refused():
+@pytest.mark.asyncio
+async def test_value_over_the_limit_is_refused():
     """Guards against parts of a configuration that the platform would not take."""
-
-    async def run():
-        async with started() as (_server, store):
-            largest = bytes(store_state.MAX_VALUE_BYTES)
-            await store.put("k", largest, 0)
-            with pytest.raises(interfaces.StoreUnavailable, match="400"):
-                await store.put("k", largest + b"1", 1)
-
-    asyncio.run(run())
+    async with started() as (_server, store):
+        largest = bytes(store_state.MAX_VALUE_BYTES)
+        await store.put("k", largest, 0)
+        with pytest.raises(interfaces.StoreUnavailable, match="400"):
+            await store.put("k", largest + b"1", 1)
 
 
 @pytest.mark.parametrize("body", [b"", b"{}", b'{"key":"k","value":1,"version":1}'])
-def test_malformed_answer_is_unavailability(body):
+@pytest.mark.asyncio
+async def test_malformed_answer_is_unavailability(body):
     """Guards against an intermediary's page that is taken for an object."""
 
     async def answer(_request):
         return web.Response(body=body)
 
-    async def run():
-        app = web.Application()
-        app.add_routes([web.get("/object", answer)])
-        async with serving(app) as (store, _address):
-            with pytest.raises(interfaces.StoreUnavailable):
-                await store.get("k")
-
-    asyncio.run(run())
+    app = web.Application()
+    app.add_routes([web.get("/object", answer)])
+    async with serving(app) as (store, _address):
+        with pytest.raises(interfaces.StoreUnavailable):
+            await store.get("k")
 
 
-def test_control_endpoints_set_faults_and_the_lagging_list():
+@pytest.mark.asyncio
+async def test_control_endpoints_set_faults_and_the_lagging_list():
     """Guards against a list that shows before its lag, or out of order."""
-
-    async def run():
-        server = store_server.StoreServer(store_state.StoreState())
-        one = store_state.Instance("p1", "proxy", "127.0.0.1:1", "addis-yeka")
-        async with serving(server.application()) as (store, address):
-            async with aiohttp.ClientSession(f"http://{address}") as session:
-                wanted = {"instances": [{**one_json(one), "state": "leaving"}], "lag_ms": 20}
-                async with session.post("/control/instances", json=wanted) as answer:
-                    assert answer.status == 204
-                assert await store.get(store_state.INSTANCES_KEY) is None
-                listed = await store.watch(store_state.INSTANCES_KEY, 0, LONG_S)
-                assert b'"state":"leaving"' in listed.value
-                async with session.post("/control/faults", json={"of": True}) as answer:
-                    assert answer.status == 400
-                async with session.get("/control/calls") as answer:
-                    assert await answer.json() == {"get": 1, "watch": 1}
-        state = store_state.StoreState()
-        state.set_instances([one], 2.0)
-        state.set_instances([], 1.0)
-        state.advance(1.5)
-        assert state.get(store_state.INSTANCES_KEY) is None
-        state.advance(2.0)
-        assert state.get(store_state.INSTANCES_KEY).value == b"[]"
-
-    asyncio.run(run())
+    server = store_server.StoreServer(store_state.StoreState())
+    one = store_state.Instance("p1", "proxy", "127.0.0.1:1", "addis-yeka")
+    async with serving(server.application()) as (store, address):
+        async with aiohttp.ClientSession(f"http://{address}") as session:
+            wanted = {"instances": [{**one_json(one), "state": "leaving"}], "lag_ms": 20}
+            async with session.post("/control/instances", json=wanted) as answer:
+                assert answer.status == 204
+            assert await store.get(store_state.INSTANCES_KEY) is None
+            listed = await store.watch(store_state.INSTANCES_KEY, 0, LONG_S)
+            assert b'"state":"leaving"' in listed.value
+            async with session.post("/control/faults", json={"of": True}) as answer:
+                assert answer.status == 400
+            async with session.get("/control/calls") as answer:
+                assert await answer.json() == {"get": 1, "watch": 1}
+    state = store_state.StoreState()
+    state.set_instances([one], 2.0)
+    state.set_instances([], 1.0)
+    state.advance(1.5)
+    assert state.get(store_state.INSTANCES_KEY) is None
+    state.advance(2.0)
+    assert state.get(store_state.INSTANCES_KEY).value == b"[]"
 
 
 def one_json(instance):
--- a/bilberrystack_standins/launch_test.py
+++ b/bilberrystack_standins/launch_test.py
@@ -41,83 +41,71 @@
         await links[other].follow(term, address)
 
 
-def test_killed_primary_is_replaced_and_returns(tmp_path):
+@pytest.mark.asyncio
+async def test_killed_primary_is_replaced_and_returns(tmp_path):
     """Guards against a member process that forgets its promises, its log or its records."""
-
-    async def run():
-        async with launch.Standins() as standins:
-            members = await standins.start_members(options(tmp_path))
-            links = {member.options.name: open_link(member) for member in members}
-            await replace_primary(links, "a", "bc", 1, members[0].address)
-            connection = await links["a"].connect()
-            written = await connection.write(1, KEY, statements.add("n", 1))
-            await links["b"].status(written.position, LONG_S)
-            await members[0].kill()
-            with pytest.raises(interfaces.LinkLost):
-                await links["a"].status(positions.ZERO, 0.0)
-            await replace_primary(links, "b", "c", 2, members[1].address)
-            returned = await standins.restart_member("a")
-            assert returned.address == members[0].address
-            status = await links["a"].status(positions.ZERO, 0.0)
-            assert (status.promised_term, status.primary) == (1, False)
-            assert status.last_log == written.position
-            await links["a"].follow(2, members[1].address)
-            again = await (await links["b"].connect()).write(2, KEY, statements.add("n", 1))
-            assert again.duplicate
-            await links["a"].status(again.position, LONG_S)
-            for link in links.values():
-                link.close()
-
-    asyncio.run(run())
-
-
-def test_paused_member_answers_after_it_resumes(tmp_path):
-    """Guards against a pause that breaks connections, and a stop that waits for a paused member."""
-
-    async def run():
-        async with launch.Standins() as standins:
-            (member,) = await standins.start_members(options(tmp_path)[:1])
-            await member.set_faults(leaving=True)
-            link = open_link(member)
-            assert (await link.status(positions.ZERO, 0.0)).leaving
-            member.pause()
-            call = asyncio.create_task(link.fence(1))
-            await asyncio.sleep(0)
-            member.resume()
-            assert (await call)[0]
+    async with launch.Standins() as standins:
+        members = await standins.start_members(options(tmp_path))
+        links = {member.options.name: open_link(member) for member in members}
+        await replace_primary(links, "a", "bc", 1, members[0].address)
+        connection = await links["a"].connect()
+        written = await connection.write(1, KEY, statements.add("n", 1))
+        await links["b"].status(written.position, LONG_S)
+        await members[0].kill()
+        with pytest.raises(interfaces.LinkLost):
+            await links["a"].status(positions.ZERO, 0.0)
+        await replace_primary(links, "b", "c", 2, members[1].address)
+        returned = await standins.restart_member("a")
+        assert returned.address == members[0].address
+        status = await links["a"].status(positions.ZERO, 0.0)
+        assert (status.promised_term, status.primary) == (1, False)
+        assert status.last_log == written.position
+        await links["a"].follow(2, members[1].address)
+        again = await (await links["b"].connect()).write(2, KEY, statements.add("n", 1))
+        assert again.duplicate
+        await links["a"].status(again.position, LONG_S)
+        for link in links.values():
             link.close()
-            member.pause()
 
-    asyncio.run(run())
 
-
-def test_store_process_serves_objects_and_control():
+@pytest.mark.asyncio
+async def test_paused_member_answers_after_it_resumes(tmp_path):
+    """Guards against a pause that breaks connections, and a stop that waits for a paused member."""
+    async with launch.Standins() as standins:
+        (member,) = await standins.start_members(options(tmp_path)[:1])
+        await member.set_faults(leaving=True)
+        link = open_link(member)
+        assert (await link.status(positions.ZERO, 0.0)).leaving
+        member.pause()
+        call = asyncio.create_task(link.fence(1))
+        await asyncio.sleep(0)
+        member.resume()
+        assert (await call)[0]
+        link.close()
+        member.pause()
+
+
+@pytest.mark.asyncio
+async def test_store_process_serves_objects_and_control():
     """Guards against a store that works only inside the tests' own loop."""
-
-    async def run():
-        async with launch.Standins() as standins:
-            process = await standins.start_store()
-            async with store_http.HttpStore(process.url) as store:
-                one = store_state.Instance("p1", "proxy", "127.0.0.1:1", "addis-yeka")
-                await process.set_instances(store_server.InstanceList([one]))
-                listed = await store.get(store_state.INSTANCES_KEY)
-                assert b"addis-yeka" in listed.value
-                await process.set_faults(off=True)
-                with pytest.raises(interfaces.StoreUnavailable):
-                    await store.get("k")
-                assert await process.calls() == {"get": 2}
-
-    asyncio.run(run())
-
-
-def test_failed_start_is_reported():
+    async with launch.Standins() as standins:
+        process = await standins.start_store()
+        async with store_http.HttpStore(process.url) as store:
+            one = store_state.Instance("p1", "proxy", "127.0.0.1:1", "addis-yeka")
+            await process.set_instances(store_server.InstanceList([one]))
+            listed = await store.get(store_state.INSTANCES_KEY)
+            assert b"addis-yeka" in listed.value
+            await process.set_faults(off=True)
+            with pytest.raises(interfaces.StoreUnavailable):
+                await store.get("k")
+            assert await process.calls() == {"get": 2}
+
+
+@pytest.mark.asyncio
+async def test_failed_start_is_reported():
     """Guards against a launch that waits for ever for a process that has ended."""
-
-    async def run():
-        async with launch.Standins() as standins:
-            wrong = launch.MemberOptions("a", faults={"no_such_switch": 1})
-            with pytest.raises(launch.StartFailed):
-                await standins.start_members([wrong, launch.MemberOptions("b")])
-            assert list(standins.members) == ["b"]
-
-    asyncio.run(run())
+    async with launch.Standins() as standins:
+        wrong = launch.MemberOptions("a", faults={"no_such_switch": 1})
+        with pytest.raises(launch.StartFailed):
+            await standins.start_members([wrong, launch.MemberOptions("b")])
+        assert list(standins.members) == ["b"]
--- a/bilberrystack_standins/member_server_test.py
+++ b/bilberrystack_standins/member_server_test.py
@@ -4,6 +4,7 @@
 import contextlib
 
 import aiohttp
+import pytest
 
 from bilberrystack.core import declarations
 from bilberrystack.core import members
@@ -63,167 +64,143 @@
     return reply
 
 
-def test_replicas_receive_writes():
+@pytest.mark.asyncio
+async def test_replicas_receive_writes():
     """Guards against a replica that accepts entries and doesn't report or show them."""
-
-    async def run():
-        async with group() as (_servers, links):
-            written = await write(links[0], 1, 1)
-            for link in links[1:]:
-                status = await link.status(written.position, LONG_S)
-                assert status.last_log == written.position
-                assert status.primary_contact_s is not None
-                connection = await link.connect()
-                reply = await connection.read(statements.get("n"), written.position, LONG_S)
-                assert statements.results(reply.body) == [1]
-
-    asyncio.run(run())
-
-
-def test_lags_hold_back_receipt_and_visibility():
-    """Guards against lags that don't act, and against lowered lags that act too late."""
-
-    async def run():
-        async with group(size=2) as (servers, links):
-            primary, replica = servers
-            replica.switches.set(receive_lag_ms=LONG_S * 1000, apply_lag_ms=LONG_S * 1000)
-            for sequence in (1, 2):
-                written = await write(links[0], 1, sequence)
-            contact = await links[1].status(written.position, 0.2)
-            assert contact.last_log < written.position
-            replica.switches.set(receive_lag_ms=0)
-            status = await links[1].status(written.position, LONG_S)
+    async with group() as (_servers, links):
+        written = await write(links[0], 1, 1)
+        for link in links[1:]:
+            status = await link.status(written.position, LONG_S)
             assert status.last_log == written.position
-            connection = await links[1].connect()
-            behind = await connection.read(statements.get("n"), written.position, 0.01)
-            assert behind.refusal == members.Refusal.BEHIND
-            replica.switches.set(apply_lag_ms=0)
+            assert status.primary_contact_s is not None
+            connection = await link.connect()
             reply = await connection.read(statements.get("n"), written.position, LONG_S)
-            assert statements.results(reply.body) == [2]
-            assert replica.state.entries == primary.state.entries
+            assert statements.results(reply.body) == [1]
 
-    asyncio.run(run())
 
-
-def test_isolated_primary_is_replaced_and_discards_its_suffix():
+@pytest.mark.asyncio
+async def test_lags_hold_back_receipt_and_visibility():
+    """Guards against lags that don't act, and against lowered lags that act too late."""
+    async with group(size=2) as (servers, links):
+        primary, replica = servers
+        replica.switches.set(receive_lag_ms=LONG_S * 1000, apply_lag_ms=LONG_S * 1000)
+        for sequence in (1, 2):
+            written = await write(links[0], 1, sequence)
+        contact = await links[1].status(written.position, 0.2)
+        assert contact.last_log < written.position
+        replica.switches.set(receive_lag_ms=0)
+        status = await links[1].status(written.position, LONG_S)
+        assert status.last_log == written.position
+        connection = await links[1].connect()
+        behind = await connection.read(statements.get("n"), written.position, 0.01)
+        assert behind.refusal == members.Refusal.BEHIND
+        replica.switches.set(apply_lag_ms=0)
+        reply = await connection.read(statements.get("n"), written.position, LONG_S)
+        assert statements.results(reply.body) == [2]
+        assert replica.state.entries == primary.state.entries
+
+
+@pytest.mark.asyncio
+async def test_isolated_primary_is_replaced_and_discards_its_suffix():
     """Guards against acknowledged writes that are lost, or unacknowledged ones that stay."""
-
-    async def run():
-        async with group() as (servers, links):
-            written = await write(links[0], 1, 1)
-            for link in links[1:]:
-                await link.status(written.position, LONG_S)
-            servers[0].switches.set(isolated_from_members=True)
-            await write(links[0], 1, 2, amount=100)
-            servers[0].switches.set(isolated_from_proxies=True)
-            await links[1].fence(2)
-            await links[2].fence(2)
-            await links[1].promote(2)
-            await links[2].follow(2, servers[1].address)
-            again = await write(links[1], 2, 1)
-            assert again.duplicate
-            late = asyncio.create_task(links[0].status(positions.ZERO, 0.0))
-            await until(lambda: servers[0].calls_in_flight > 0)
-            assert not late.done()
-            servers[0].switches.set(isolated_from_proxies=False, isolated_from_members=False)
-            assert (await late).promised_term == 1
-            await links[0].follow(2, servers[1].address)
-            status = await links[0].status(again.position, LONG_S)
-            assert status.discarded_entries == 1
-            assert servers[0].state.entries == servers[1].state.entries
-
-    asyncio.run(run())
-
-
-def test_call_that_arrived_during_isolation_runs_afterwards():
+    async with group() as (servers, links):
+        written = await write(links[0], 1, 1)
+        for link in links[1:]:
+            await link.status(written.position, LONG_S)
+        servers[0].switches.set(isolated_from_members=True)
+        await write(links[0], 1, 2, amount=100)
+        servers[0].switches.set(isolated_from_proxies=True)
+        await links[1].fence(2)
+        await links[2].fence(2)
+        await links[1].promote(2)
+        await links[2].follow(2, servers[1].address)
+        again = await write(links[1], 2, 1)
+        assert again.duplicate
+        late = asyncio.create_task(links[0].status(positions.ZERO, 0.0))
+        await until(lambda: servers[0].calls_in_flight > 0)
+        assert not late.done()
+        servers[0].switches.set(isolated_from_proxies=False, isolated_from_members=False)
+        assert (await late).promised_term == 1
+        await links[0].follow(2, servers[1].address)
+        status = await links[0].status(again.position, LONG_S)
+        assert status.discarded_entries == 1
+        assert servers[0].state.entries == servers[1].state.entries
+
+
+@pytest.mark.asyncio
+async def test_call_that_arrived_during_isolation_runs_afterwards():
     """Guards against a fault that loses late copies, so that nobody tests against them."""
-
-    async def run():
-        async with group(size=1) as (servers, links):
-            connection = await links[0].connect()
-            servers[0].switches.set(isolated_from_proxies=True)
-            call = asyncio.create_task(connection.write(1, key(1), statements.add("n", 1)))
-            await until(lambda: servers[0].calls_in_flight == 1)
-            connection.close()
-            await asyncio.wait([call])
-            await until(lambda: servers[0].connection_count == 1)
-            assert len(servers[0].state.entries) == 1
-            servers[0].switches.set(isolated_from_proxies=False)
-            await until(lambda: len(servers[0].state.entries) == 2)
-
-    asyncio.run(run())
-
-
-def test_connection_that_closed_during_isolation_frees_its_place():
+    async with group(size=1) as (servers, links):
+        connection = await links[0].connect()
+        servers[0].switches.set(isolated_from_proxies=True)
+        call = asyncio.create_task(connection.write(1, key(1), statements.add("n", 1)))
+        await until(lambda: servers[0].calls_in_flight == 1)
+        connection.close()
+        await asyncio.wait([call])
+        await until(lambda: servers[0].connection_count == 1)
+        assert len(servers[0].state.entries) == 1
+        servers[0].switches.set(isolated_from_proxies=False)
+        await until(lambda: len(servers[0].state.entries) == 2)
+
+
+@pytest.mark.asyncio
+async def test_connection_that_closed_during_isolation_frees_its_place():
     """Guards against connections that count against the limit for ever."""
-
-    async def run():
-        async with group(size=1, connection_limit=2) as (servers, links):
-            servers[0].switches.set(isolated_from_proxies=True)
-            opening = asyncio.create_task(links[0].connect())
-            await until(lambda: servers[0].calls_in_flight == 1)
-            opening.cancel()
-            await asyncio.wait([opening])
-            servers[0].switches.set(isolated_from_proxies=False)
-            await until(lambda: servers[0].calls_in_flight == 0)
-            (await links[0].connect()).close()
-
-    asyncio.run(run())
-
-
-def test_statements_beyond_the_slots_wait():
+    async with group(size=1, connection_limit=2) as (servers, links):
+        servers[0].switches.set(isolated_from_proxies=True)
+        opening = asyncio.create_task(links[0].connect())
+        await until(lambda: servers[0].calls_in_flight == 1)
+        opening.cancel()
+        await asyncio.wait([opening])
+        servers[0].switches.set(isolated_from_proxies=False)
+        await until(lambda: servers[0].calls_in_flight == 0)
+        (await links[0].connect()).close()
+
+
+@pytest.mark.asyncio
+async def test_statements_beyond_the_slots_wait():
     """Guards against a member that runs more statements at once than it has slots."""
-
-    async def run():
-        async with group(size=1, slots=1) as (servers, links):
-            connections = [await links[0].connect() for _ in range(2)]
-            servers[0].switches.set(service_time_ms=20)
-            calls = [
-                asyncio.create_task(one.write(1, key(number), statements.append("l", number)))
-                for number, one in enumerate(connections, 1)
-            ]
-            await asyncio.wait(calls, return_when=asyncio.FIRST_COMPLETED)
-            assert [call.done() for call in calls] == [True, False]
-            second = await calls[1]
-            assert statements.results(second.body) == [2]
-
-    asyncio.run(run())
-
-
-def test_closed_connection_aborts_its_transaction():
+    async with group(size=1, slots=1) as (servers, links):
+        connections = [await links[0].connect() for _ in range(2)]
+        servers[0].switches.set(service_time_ms=20)
+        calls = [
+            asyncio.create_task(one.write(1, key(number), statements.append("l", number)))
+            for number, one in enumerate(connections, 1)
+        ]
+        await asyncio.wait(calls, return_when=asyncio.FIRST_COMPLETED)
+        assert [call.done() for call in calls] == [True, False]
+        second = await calls[1]
+        assert statements.results(second.body) == [2]
+
+
+@pytest.mark.asyncio
+async def test_closed_connection_aborts_its_transaction():
     """Guards against transactions that survive their connection."""
-
-    async def run():
-        async with group(size=1) as (servers, links):
-            connection = await links[0].connect()
-            await connection.begin(1)
-            await connection.statement(statements.put("x", 1))
-            connection.close()
-            await until(lambda: servers[0].connection_count == 1)
-            other = await links[0].connect()
-            refused = await other.commit(key(1))
-            assert refused.refusal == members.Refusal.NO_TRANSACTION
-
-    asyncio.run(run())
-
-
-def test_switches_are_set_over_http():
+    async with group(size=1) as (servers, links):
+        connection = await links[0].connect()
+        await connection.begin(1)
+        await connection.statement(statements.put("x", 1))
+        connection.close()
+        await until(lambda: servers[0].connection_count == 1)
+        other = await links[0].connect()
+        refused = await other.commit(key(1))
+        assert refused.refusal == members.Refusal.NO_TRANSACTION
+
+
+@pytest.mark.asyncio
+async def test_switches_are_set_over_http():
     """Guards against misspelt switches that are ignored, and a leaving member that hides it."""
-
-    async def run():
-        async with group(size=1) as (servers, links):
-            app = member_faults.application(servers[0].switches)
-            runner, address = await process.serve_http(app, "127.0.0.1:0")
-            async with aiohttp.ClientSession(f"http://{address}") as session:
-                for wrong in ({"leafing": True}, {"leaving": "yes"}):
-                    async with session.post("/faults", json=wrong) as answer:
-                        assert answer.status == 400
-                async with session.post("/faults", json={"leaving": True}) as answer:
-                    assert (await answer.json())["leaving"] is True
-            assert (await links[0].status(positions.ZERO, 0.0)).leaving
-            await runner.cleanup()
-
-    asyncio.run(run())
+    async with group(size=1) as (servers, links):
+        app = member_faults.application(servers[0].switches)
+        runner, address = await process.serve_http(app, "127.0.0.1:0")
+        async with aiohttp.ClientSession(f"http://{address}") as session:
+            for wrong in ({"leafing": True}, {"leaving": "yes"}):
+                async with session.post("/faults", json=wrong) as answer:
+                    assert answer.status == 400
+            async with session.post("/faults", json={"leaving": True}) as answer:
+                assert (await answer.json())["leaving"] is True
+        assert (await links[0].status(positions.ZERO, 0.0)).leaving
+        await runner.cleanup()
 
 
 def test_unfinished_line_of_the_journal_is_dropped(tmp_path):
