--- a/bilberrystack/proxy/process.py
+++ b/bilberrystack/proxy/process.py
@@ -2,9 +2,11 @@
 
 import ssl
 
+from bilberrystack import logs
 from bilberrystack import settings
 from bilberrystack.proxy import assembly
 from bilberrystack.proxy import daemon
+from bilberrystack.proxy import operations
 
 
 def run(checked: settings.Settings) -> int:
@@ -15,6 +17,7 @@
     Returns:
       The exit code. Raises OSError if a listener or a TLS file can't be opened.
     """
+    logs.configure(checked.log_level, checked.log_format == "json", _secrets(checked))
     return daemon.run(daemon_settings(checked), assembly.adapters_of(checked.store_url))
 
 
@@ -36,9 +39,22 @@
         peer_tls=_peer_tls(checked),
         shutdown_grace_s=checked.shutdown_grace_s,
         max_frame_bytes=checked.max_frame_bytes,
+        operator_side=operations.OperationsSettings(
+            operators_host=checked.operators_listen.host,
+            operators_port=checked.operators_listen.port,
+            operator_secret=checked.operator_secret.reveal(),
+            metrics_host=checked.metrics_listen.host,
+            metrics_port=checked.metrics_listen.port,
+        ),
     )
 
 
+def _secrets(checked: settings.Settings) -> list[str]:
+    """Returns the texts that must not be logged."""
+    values = (getattr(checked, name) for name in checked.__struct_fields__)
+    return [value.reveal() for value in values if isinstance(value, settings.Secret)]
+
+
 def _server_tls(checked: settings.Settings) -> ssl.SSLContext | None:
     if checked.tls_certificate is None:
         return None
