Export queue waits, connections and the age of primaries; test commands and metrics

Status showed no age of a primary and not whether an instance accepts changes; metrics lacked waits and connections to members. The system test of the commands failed once under load: it sent a change before the instance had heard from most failure domains, which is refused by design. Status now shows whether an instance accepts changes, and the test waits for that.

--- a/bilberrystack/cli/status_tables.py
+++ b/bilberrystack/cli/status_tables.py
@@ -17,7 +17,17 @@
     )
     output.print_table(
         "Instances",
-        ("instance", "failure domain", "state", "version", "store", "owns", "callers", "age"),
+        (
+            "instance",
+            "failure domain",
+            "state",
+            "version",
+            "store",
+            "owns",
+            "callers",
+            "changes",
+            "age",
+        ),
         (_instance_row(one) for one in status.instances),
     )
     if status.refusals or status.unknowns:
@@ -100,5 +110,6 @@
         output.seconds(one.store_contact_age_s),
         [f"{group} ({rank})" for group, rank in sorted(one.owns.items())],
         one.callers,
+        "accepts" if one.accepting else "refuses",
         output.seconds(one.age_s),
     )
--- a/bilberrystack/core/reports.py
+++ b/bilberrystack/core/reports.py
@@ -75,6 +75,7 @@
       failure_domain: Its failure domain.
       leaving: Whether it is leaving.
       serving: Whether it serves requests under its configuration.
+      accepting: Whether it has heard from enough failure domains to accept changes.
       configuration_version: The configuration version in force at it.
       store_contact_age_s: Seconds since the store answered it; None if never.
       callers: Open connections of callers.
@@ -88,6 +89,7 @@
     failure_domain: str
     leaving: bool
     serving: bool
+    accepting: bool
     configuration_version: int
     store_contact_age_s: float | None
     callers: int
@@ -157,6 +159,7 @@
       store_contact_age_s: Seconds since the store answered it.
       owns: The groups that it owns, each with its rank.
       callers: Open connections of callers.
+      accepting: Whether it accepts operators' changes.
       age_s: Seconds since its report was asked for; None if it is unreachable.
     """
 
@@ -167,6 +170,7 @@
     store_contact_age_s: float | None
     owns: dict[str, int]
     callers: int
+    accepting: bool
     age_s: float | None
 
 
@@ -275,7 +279,7 @@
     report = one.report
     if report is None:
         return InstanceStatus(
-            one.instance, one.failure_domain, "unreachable", None, None, {}, 0, None
+            one.instance, one.failure_domain, "unreachable", None, None, {}, 0, False, None
         )
     state = "serving" if report.serving else "refusing"
     return InstanceStatus(
@@ -286,5 +290,6 @@
         report.store_contact_age_s,
         {group.group: group.rank for group in report.groups},
         report.callers,
+        report.accepting,
         now - one.asked_at,
     )
--- a/bilberrystack/metrics.py
+++ b/bilberrystack/metrics.py
@@ -35,6 +35,8 @@
     "resolves",
     "lost_links",
     "late_answers",
+    "queue_waits",
+    "queue_wait_s",
 )
 
 
@@ -63,9 +65,10 @@
 
     Attributes:
       tally: What callers were answered.
-      owners: The counts of the current owners by group.
+      owners: The counts of the current owners.
       store: The counts of the store's calls.
-      connections: Open connections by state: "callers", "peers", "operators".
+      connections: Accepted connections by listener: "callers", "peers", "operators".
+      member_connections: Data connections to members by state: "idle", "leased".
       queue_depths: Requests that wait, for each owned group.
       in_flight: Requests at members.
       open_transactions: Transactions pinned here.
@@ -76,9 +79,10 @@
     """
 
     tally: tally.Tally
-    owners: collections.abc.Mapping[str, OwnerCounters]
+    owners: collections.abc.Sequence[OwnerCounters]
     store: StoreCounters
     connections: collections.abc.Mapping[str, int]
+    member_connections: collections.abc.Mapping[str, int]
     queue_depths: tuple[int, ...]
     in_flight: int
     open_transactions: int
@@ -97,12 +101,12 @@
     __slots__ = ("_ended", "_owners")
 
     def __init__(self) -> None:
-        self._ended: collections.Counter[tuple[str, str]] = collections.Counter()
+        self._ended: dict[tuple[str, str], float] = {}
         self._owners: dict[int, OwnerCounters] = {}
 
     def update(
         self, owners: collections.abc.Iterable[OwnerCounters]
-    ) -> collections.Counter[tuple[str, str]]:
+    ) -> dict[tuple[str, str], float]:
         """Takes the current owners' counts.
 
         Args:
@@ -112,19 +116,21 @@
         """
         current = {id(one): one for one in owners}
         for key in self._owners.keys() - current.keys():
-            self._ended.update(_flatten(self._owners[key]))
+            _add(self._ended, self._owners[key])
         self._owners = current
         total = self._ended.copy()
         for one in current.values():
-            total.update(_flatten(one))
+            _add(total, one)
         return total
 
 
-def _flatten(counters: OwnerCounters) -> dict[tuple[str, str], int]:
+def _add(total: dict[tuple[str, str], float], counters: OwnerCounters) -> None:
+    """Adds an owner's counts to a total."""
     counts = {(name, ""): getattr(counters, name) for name in OWNER_COUNTS}
     for reason, count in counters.primary_read_reasons.items():
         counts["primary_reads", reason] = count
-    return counts
+    for key, count in counts.items():
+        total[key] = total.get(key, 0) + count
 
 
 class Metrics:
@@ -161,7 +167,11 @@
         self._refresh_owners(sample)
         self._refresh_control(sample)
         for state, count in sample.connections.items():
-            self._gauge("connections", "Open connections by listener.", count, listener=state)
+            help_text = "Accepted connections, by listener."
+            self._gauge("connections", help_text, count, listener=state)
+        for state, count in sample.member_connections.items():
+            help_text = "Data connections to members, by state."
+            self._gauge("member_connections", help_text, count, state=state)
         depths = sample.queue_depths
         self._gauge("queue_depth", "Requests that wait in all owned groups.", sum(depths))
         self._gauge("queue_depth_max", "Requests in the longest queue.", max(depths, default=0))
@@ -181,7 +191,7 @@
             self._count("changes_total", "Changes of primary, by kind.", count, kind=kind)
 
     def _refresh_owners(self, sample: Sample) -> None:
-        for (name, reason), count in self._owner_totals.update(sample.owners.values()).items():
+        for (name, reason), count in self._owner_totals.update(sample.owners).items():
             if reason:
                 help_text = "Reads that the primary served, by reason."
                 self._count(f"owner_{name}_total", help_text, count, reason=reason)
--- /dev/null
+++ b/bilberrystack/metrics_test.py
@@ -0,0 +1,143 @@
+"""Tests of the metrics and of the counts behind them."""
+
+import asyncio
+import urllib.request
+
+import pytest
+
+from bilberrystack import metrics
+from bilberrystack.core import outcomes
+from bilberrystack.core import positions
+from bilberrystack.core import requests
+from bilberrystack.core import tally
+from bilberrystack.proxy import configuration_test as fakes
+from bilberrystack.proxy import counted_store
+from bilberrystack.proxy import counters
+from bilberrystack.proxy import interfaces
+from bilberrystack.proxy import operations
+from bilberrystack.proxy import supervisor
+
+NOW = 1_800_000_000.0
+
+
+def answer(from_replica):
+    return outcomes.Answer(b"", positions.ZERO, "a", from_replica)
+
+
+def sample(**fields):
+    defaults = {
+        "tally": tally.Tally(),
+        "owners": [],
+        "store": counted_store.CountedStore(None),
+        "connections": {"callers": 3},
+        "member_connections": {"idle": 4},
+        "queue_depths": (2, 5),
+        "in_flight": 0,
+        "open_transactions": 0,
+        "configuration_version": 7,
+        "serving": True,
+        "store_contact_age_s": None,
+        "live_instances": 1,
+    }
+    return metrics.Sample(**{**defaults, **fields})
+
+
+def test_endpoint_exports_reads_refusals_and_gauges():
+    """Guards against counters that are kept and never exported."""
+    counts = tally.Tally()
+    counts.outcome(requests.Kind.READ, answer(True), NOW)
+    counts.outcome(requests.Kind.WRITE, answer(False), NOW)
+    refusal = outcomes.NotRun(outcomes.NotRunReason.QUEUE_FULL, "")
+    counts.outcome(requests.Kind.READ, refusal, NOW)
+    unknown = outcomes.Unknown(outcomes.UnknownReason.CONNECTION_LOST, "")
+    counts.outcome(requests.Kind.WRITE, unknown, NOW)
+    exported = metrics.Metrics(lambda: sample(tally=counts))
+    exported.observe_change("gap", 0.7)
+
+    def scrape(port):
+        with urllib.request.urlopen(f"http://127.0.0.1:{port}/metrics") as page:
+            return page.read().decode().splitlines()
+
+    async def run():
+        async with metrics.Endpoint(exported, "127.0.0.1", 0) as endpoint:
+            return await asyncio.to_thread(scrape, endpoint.port)
+
+    lines = asyncio.run(run())
+    assert {
+        'bilberrystack_reads_total{place="replica"} 1',
+        'bilberrystack_refusals_total{reason="QUEUE_FULL"} 1',
+        'bilberrystack_unknown_total{reason="CONNECTION_LOST"} 1',
+        "bilberrystack_requests_total 4",
+        "bilberrystack_queue_depth 7",
+        "bilberrystack_queue_depth_max 5",
+        "bilberrystack_configuration_version 7",
+        'bilberrystack_member_connections{state="idle"} 4',
+        'bilberrystack_change_of_primary_seconds_count{phase="gap"} 1.0',
+    } <= set(lines)
+    minute = counts.history.at(NOW)
+    assert (minute.reads, minute.replica_reads, minute.refused, minute.unknown) == (1, 1, 1, 1)
+
+
+def test_counts_of_ended_owners_are_kept():
+    """Guards against counters that fall when a group moves to another instance."""
+    totals = metrics.OwnerTotals()
+    one, other = counters.GroupCounters(retries=3), counters.GroupCounters(retries=4)
+    one.primary_read_reasons["behind"] += 2
+    assert totals.update([one, other])["retries", ""] == 7
+    other.retries += 1
+    for _ in range(2):
+        total = totals.update([other])
+        assert (total["retries", ""], total["primary_reads", "behind"]) == (8, 2)
+
+
+def test_every_exported_owner_count_exists():
+    """Guards against an exporter that fails after a count was renamed."""
+    for name in metrics.OWNER_COUNTS:
+        assert hasattr(counters.GroupCounters(), name)
+
+
+@pytest.mark.asyncio
+async def test_store_calls_are_counted_by_result():
+    """Guards against control traffic that does not show."""
+    store = fakes.FakeStore()
+    counted = counted_store.CountedStore(store)
+    await counted.put("k", b"1234", 0)
+    await counted.get("k")
+    with pytest.raises(interfaces.VersionConflict):
+        await counted.put("k", b"1234", 0)
+    store.off = True
+    with pytest.raises(interfaces.StoreUnavailable):
+        await counted.get("k")
+    assert counted.calls == {
+        ("put", "ok"): 1,
+        ("get", "ok"): 1,
+        ("put", "conflict"): 1,
+        ("get", "unavailable"): 1,
+    }
+    assert (counted.sent_bytes, counted.received_bytes) == (8, 4)
+
+
+def test_gap_contains_the_silence_and_the_first_primary_is_none():
+    """Guards against gaps that leave the detection out, or count the start of a group."""
+    recorder = operations.Recorder()
+    change = supervisor.Change("g", "b", "a", 2, "no answer", 1, 0.1, 0.8)
+    recorder.change(change)
+    recorder.change(supervisor.Change("g", "a", None, 1, "no primary", 1, 0.1))
+    assert recorder.counts.changes == {"unplanned": 1}
+    assert [one.gaps_ms for one in recorder.counts.history.since(0)] == [[900]]
+
+
+def test_primary_keeps_its_age_until_the_term_changes():
+    """Guards against a "since" that restarts with every look."""
+    primaries = operations.Primaries()
+
+    def view(primary, term):
+        return interfaces.GroupView("g", 0, primary, term, positions.ZERO, (), 0, 0, 0, "")
+
+    primaries.update([view("a", 1)], 10.0)
+    primaries.update([view("a", 1)], 12.0)
+    assert primaries.age_s("g", 15.0) == 5.0
+    primaries.update([view("a", 2)], 16.0)
+    assert primaries.age_s("g", 17.0) == 1.0
+    primaries.update([view(None, 2)], 18.0)
+    assert primaries.age_s("g", 19.0) is None and primaries.age_s("h", 19.0) is None
--- a/bilberrystack/proxy/counters.py
+++ b/bilberrystack/proxy/counters.py
@@ -25,6 +25,8 @@
       denied_retries: Retries that the budget did not allow.
       resolves: Requests resolved by their key.
       lost_links: Statements whose connection broke.
+      queue_waits: Requests that waited for a slot and got one.
+      queue_wait_s: Seconds that these requests waited, in sum.
       late_answers: Statements whose answer was outstanding when the caller's wait ended.
     """
 
@@ -46,4 +48,6 @@
     denied_retries: int = 0
     resolves: int = 0
     lost_links: int = 0
+    queue_waits: int = 0
+    queue_wait_s: float = 0.0
     late_answers: int = 0
--- a/bilberrystack/proxy/fleet_test.py
+++ b/bilberrystack/proxy/fleet_test.py
@@ -44,7 +44,7 @@
 
     async def report(self, _minutes):
         await self._answer()
-        return reports.encode(reports.InstanceReport(self.name, "z", False, True, 1, None, 0))
+        return reports.encode(reports.InstanceReport(self.name, "z", False, True, True, 1, None, 0))
 
 
 def make(*peers, domains=None):
@@ -56,7 +56,7 @@
     }
     own = types.SimpleNamespace(
         digest=lambda: digest("own", 2),
-        report=lambda _minutes: reports.InstanceReport("own", "z", False, True, 2, None, 0),
+        report=lambda _minutes: reports.InstanceReport("own", "z", False, True, True, 2, None, 0),
     )
     links = {peer.name: peer for peer in peers}
     return fleet.Fleet(own, types.SimpleNamespace(live=live), links.get)
--- a/bilberrystack/proxy/group.py
+++ b/bilberrystack/proxy/group.py
@@ -66,6 +66,12 @@
         """The links to the members by name."""
         return self._state.members
 
+    @property
+    def connections(self) -> dict[str, int]:
+        """The data connections to all members, "idle" and "leased"."""
+        pools = self._state.pools.values()
+        return {"idle": sum(one.idle for one in pools), "leased": sum(one.leased for one in pools)}
+
     @property
     def counters(self) -> counters.GroupCounters:
         """The counts of this owner."""
--- a/bilberrystack/proxy/group_state.py
+++ b/bilberrystack/proxy/group_state.py
@@ -109,7 +109,7 @@
             routing.Endpoint(one.name, one.address, one.failure_domain == failure_domain)
             for one in declaration.members
         )
-        self.slots = slots.Slots(self._usable_slots(rank))
+        self.slots = slots.Slots(self._usable_slots(rank), self.counters)
         self.admission = self.slots.queue
         self.pools = {
             one.name: pool.Pool(
--- a/bilberrystack/proxy/interfaces.py
+++ b/bilberrystack/proxy/interfaces.py
@@ -197,7 +197,6 @@
       open_transactions: Transactions pinned here.
       last_change: Who decided the last change of primary that this owner knows, and why; empty if
         it knows of none.
-      primary_age_s: Seconds since the primary's role began; None if that is not known.
     """
 
     group: str
@@ -210,7 +209,6 @@
     in_flight: int
     open_transactions: int
     last_change: str
-    primary_age_s: float | None = None
 
 
 class GroupOwner(Protocol):
--- a/bilberrystack/proxy/node.py
+++ b/bilberrystack/proxy/node.py
@@ -142,10 +142,15 @@
         return self._groups.views
 
     @property
-    def owner_counters(self) -> dict[str, counters.GroupCounters]:
-        """The counts of this instance's owners by group."""
+    def owner_counters(self) -> list[counters.GroupCounters]:
+        """The counts of this instance's owners."""
         return self._groups.counters
 
+    @property
+    def member_connections(self) -> dict[str, int]:
+        """The data connections to members, "idle" and "leased"."""
+        return self._groups.connections
+
     async def __aenter__(self) -> "Node":
         self._configuration.on_change(self._apply)
         self._apply()
--- a/bilberrystack/proxy/operations.py
+++ b/bilberrystack/proxy/operations.py
@@ -25,6 +25,9 @@
 from bilberrystack.proxy import supervisor
 from bilberrystack.wire import rpc
 
+# How exactly it is known since when a primary is in its role.
+WATCH_INTERVAL_S = 1.0
+
 _LOG = loguru.logger.bind(component="operators")
 
 
@@ -84,10 +87,33 @@
     metrics: int
 
 
+class Primaries:
+    """Since when the primaries of the owned groups are in their role, as seen here."""
+
+    __slots__ = ("_since",)
+
+    def __init__(self) -> None:
+        self._since: dict[str, tuple[str | None, int, float]] = {}
+
+    def update(self, views: collections.abc.Iterable[interfaces.GroupView], now: float) -> None:
+        """Takes the views of all owned groups."""
+        since = {}
+        for view in views:
+            known = self._since.get(view.group)
+            same = known is not None and known[:2] == (view.primary, view.term)
+            since[view.group] = known if same and known else (view.primary, view.term, now)
+        self._since = since
+
+    def age_s(self, group: str, now: float) -> float | None:
+        """Returns the seconds since a group's primary was first seen; None if there is none."""
+        known = self._since.get(group)
+        return None if known is None or known[0] is None else now - known[2]
+
+
 class Observed:
     """One instance as operators see it. Implements fleet.Own."""
 
-    __slots__ = ("_listeners", "_node", "_recorder", "_store")
+    __slots__ = ("_listeners", "_node", "_primaries", "_recorder", "_store")
 
     def __init__(
         self,
@@ -105,16 +131,24 @@
           listeners: Its listeners by name.
         """
         self._node = running
+        self._primaries = Primaries()
         self._recorder = recorder
         self._store = store
         self._listeners = listeners
 
+    async def watch(self) -> None:
+        """Notes since when the primaries of the owned groups are in their role, forever."""
+        while True:
+            self._primaries.update(self._node.group_views, asyncio.get_running_loop().time())
+            await asyncio.sleep(WATCH_INTERVAL_S)
+
     def digest(self) -> interfaces.Digest:
         """Returns what the instance tells its peers about itself."""
         return self._node.own_digest()
 
     def report(self, minutes: int) -> reports.InstanceReport:
         """Returns the instance's report with its latest minutes."""
+        now = asyncio.get_running_loop().time()
         digest = self._node.own_digest()
         counts = self._recorder.counts
         first_minute = int(time.time() // 60) - minutes + 1
@@ -123,10 +157,14 @@
             failure_domain=digest.failure_domain,
             leaving=digest.leaving,
             serving=self._serving(),
+            accepting=freshness.may_accept_changes(now, self._node.view.majority_contact_at(now)),
             configuration_version=digest.configuration_version,
             store_contact_age_s=digest.store_contact_s,
             callers=len(self._listeners["callers"].connections),
-            groups=tuple(_group_report(view) for view in self._node.group_views),
+            groups=tuple(
+                _group_report(view, self._primaries.age_s(view.group, now))
+                for view in self._node.group_views
+            ),
             refusals=dict(counts.refusals),
             unknowns=dict(counts.unknowns),
             minutes=tuple(counts.history.since(first_minute)) if minutes else (),
@@ -141,6 +179,7 @@
             owners=self._node.owner_counters,
             store=self._store,
             connections={name: len(one.connections) for name, one in self._listeners.items()},
+            member_connections=self._node.member_connections,
             queue_depths=tuple(view.queue_depth for view in views),
             in_flight=sum(view.in_flight for view in views),
             open_transactions=sum(view.open_transactions for view in views),
@@ -155,7 +194,7 @@
         return self._node.configuration.serving_allowed(now)
 
 
-def _group_report(view: interfaces.GroupView) -> reports.GroupReport:
+def _group_report(view: interfaces.GroupView, primary_age_s: float | None) -> reports.GroupReport:
     statuses = {member.name: member.status for member in view.members}
     primary = None if view.primary is None else statuses.get(view.primary)
     position = None if primary is None else primary.last_log
@@ -163,7 +202,7 @@
         group=view.group,
         rank=view.rank,
         primary=view.primary,
-        primary_age_s=view.primary_age_s,
+        primary_age_s=primary_age_s,
         term=view.term,
         confirmed=str(view.confirmed),
         members=tuple(
@@ -221,13 +260,15 @@
     server = rpc.Server(operators.SERVICE, handler, on_error=_log_error)
     listeners["operators"] = server
     endpoint = metrics.Endpoint(exported, settings.metrics_host, settings.metrics_port, tls)
-    writer = asyncio.get_running_loop().create_task(history.run())
+    loop = asyncio.get_running_loop()
+    tasks = [loop.create_task(history.run()), loop.create_task(observed.watch())]
     try:
         async with server, endpoint:
             await server.start(settings.operators_host, settings.operators_port, tls=tls)
             yield Ports(server.port, endpoint.port)
     finally:
-        writer.cancel()
+        for task in tasks:
+            task.cancel()
 
 
 def _log_change(change: changes.Change, outcome: changes.ChangeOutcome) -> None:
--- a/bilberrystack/proxy/operators_test.py
+++ b/bilberrystack/proxy/operators_test.py
@@ -26,7 +26,7 @@
 
 
 def instance_report(name, **fields):
-    return reports.InstanceReport(name, "z", False, True, 1, 0.5, 3, **fields)
+    return reports.InstanceReport(name, "z", False, True, True, 1, 0.5, 3, **fields)
 
 
 class FakeFleet:
--- a/bilberrystack/proxy/owned_groups.py
+++ b/bilberrystack/proxy/owned_groups.py
@@ -1,6 +1,7 @@
 """The database groups that this instance owns: opened, ranked and closed as the views change."""
 
 import asyncio
+import collections
 import collections.abc
 import dataclasses
 from typing import Protocol
@@ -36,6 +37,9 @@
     @property
     def counters(self) -> counters.GroupCounters: ...
 
+    @property
+    def connections(self) -> dict[str, int]: ...
+
 
 @dataclasses.dataclass(eq=False, slots=True)
 class _Role:
@@ -100,12 +104,17 @@
         return tuple(role.owner.view() for role in self._roles.values())
 
     @property
-    def counters(self) -> dict[str, counters.GroupCounters]:
-        """The counts of the owners by group, of those that keep counts."""
-        owners = {group: role.owner for group, role in self._roles.items()}
-        return {
-            group: owner.counters for group, owner in owners.items() if isinstance(owner, _Counted)
-        }
+    def counters(self) -> list[counters.GroupCounters]:
+        """The counts of all owners that keep counts."""
+        return [owner.counters for owner in self._counted()]
+
+    @property
+    def connections(self) -> collections.Counter[str]:
+        """The data connections of all owners that keep counts, "idle" and "leased"."""
+        total: collections.Counter[str] = collections.Counter()
+        for owner in self._counted():
+            total.update(owner.connections)
+        return total
 
     @property
     def busy(self) -> bool:
@@ -113,6 +122,10 @@
         draining = (role for roles in self._draining.values() for role in roles)
         return any(role.busy for role in (*self._roles.values(), *draining))
 
+    def _counted(self) -> list[_Counted]:
+        owners = (role.owner for role in self._roles.values())
+        return [owner for owner in owners if isinstance(owner, _Counted)]
+
     async def forward(self, request: requests.GroupRequest) -> outcomes.Outcome:
         """Runs a request of a group that this instance owns; refuses others as not run."""
         if request.transaction is not None:
--- a/bilberrystack/proxy/owner.py
+++ b/bilberrystack/proxy/owner.py
@@ -34,6 +34,11 @@
         """The counts of this owner."""
         return self._group.counters
 
+    @property
+    def connections(self) -> dict[str, int]:
+        """The data connections to all members, "idle" and "leased"."""
+        return self._group.connections
+
     async def execute(self, request: requests.GroupRequest) -> outcomes.Outcome:
         """Runs a request; see interfaces.GroupOwner."""
         return await self._group.execute(request)
--- a/bilberrystack/proxy/pool.py
+++ b/bilberrystack/proxy/pool.py
@@ -118,6 +118,16 @@
         self._warm = 0
         self._closed = False
 
+    @property
+    def idle(self) -> int:
+        """The number of connections that carry nothing."""
+        return len(self._idle)
+
+    @property
+    def leased(self) -> int:
+        """The number of connections in use, those with an outstanding answer included."""
+        return len(self._leased)
+
     @property
     def size(self) -> int:
         """The number of open connections."""
--- a/bilberrystack/proxy/slots.py
+++ b/bilberrystack/proxy/slots.py
@@ -5,15 +5,17 @@
 
 from bilberrystack.core import admission
 from bilberrystack.core import outcomes
+from bilberrystack.proxy import counters
 from bilberrystack.proxy import waits
 
 
 class Slots:
     """The group's queue, in which requests wait for a slot of a member."""
 
-    __slots__ = ("_loop", "_queue", "_waiters")
+    __slots__ = ("_counters", "_loop", "_queue", "_waiters")
 
-    def __init__(self, slots: dict[str, int]) -> None:
+    def __init__(self, slots: dict[str, int], counts: counters.GroupCounters) -> None:
+        self._counters = counts
         self._queue = admission.Admission(slots)
         self._loop = asyncio.get_running_loop()
         self._waiters: dict[admission.Ticket, asyncio.Future[None]] = {}
@@ -49,6 +51,7 @@
             return _refusal(rejection)
         if ticket.granted is not None:
             return ticket
+        began_at = self._loop.time()
         waiter = self._waiters[ticket] = self._loop.create_future()
         end = deadline if patience is None else min(patience, deadline)
         granted = False
@@ -57,7 +60,11 @@
         finally:
             if not granted:
                 self._withdraw(ticket)
-        return ticket if granted else None
+        if not granted:
+            return None
+        self._counters.queue_waits += 1
+        self._counters.queue_wait_s += self._loop.time() - began_at
+        return ticket
 
     def release(self, ticket: admission.Ticket, service_s: float | None = None) -> None:
         """Gives a slot back.
--- a/system/operators_test.py
+++ b/system/operators_test.py
@@ -20,6 +20,13 @@
     return raised.value.code
 
 
+async def all_accept(address):
+    """Tells whether every instance has heard from enough others to accept changes."""
+    status = msgspec.json.decode(await proxies.operate(address, "status", "--output=json"))
+    accepting = [one["accepting"] for one in status["instances"]]
+    return len(accepting) == 3 and all(accepting)
+
+
 def scrape(address):
     with urllib.request.urlopen(f"http://{address}/metrics") as answer:
         return answer.read().decode()
@@ -33,6 +40,8 @@
             await where.start()
             ready = next(iter(where.proxies.values())).ready
             operate = proxies.operate
+            while not await all_accept(ready.operators):
+                await asyncio.sleep(0.1)
             add = ("group", "add", "reports", *MEMBERS, "--output=json")
             trial = msgspec.json.decode(await operate(ready.operators, *add, "--dry-run"))
             assert [one["field"] for one in trial["differences"]] == ["groups.reports"]
