--- a/bilberrystack/proxy/configuration_test.py
+++ b/bilberrystack/proxy/configuration_test.py
@@ -26,7 +26,8 @@
     """A store in memory.
 
     Faults: `off` fails every call, `lose_answers` of the next puts of the head after they took
-    effect, `delay_puts` makes the next put of the head fail and take effect later.
+    effect, `delay_put_s` makes the next put of the head fail and take effect later, `drop_puts`
+    fails the other puts of the head without effect.
     """
 
     def __init__(self):
@@ -35,6 +36,7 @@
         self.silent = False
         self.lose_answers = 0
         self.delay_put_s = None
+        self.drop_puts = False
         self.before_head_put = []
         self.gets = []
         self.changed = asyncio.Condition()
@@ -60,6 +62,8 @@
                 delay, self._write_late, key, value, expected_version
             )
             raise interfaces.StoreUnavailable("delayed")
+        if key == HEAD and self.drop_puts:
+            raise interfaces.StoreUnavailable("dropped")
         version = self._write(key, value, expected_version)
         async with self.changed:
             self.changed.notify_all()
@@ -117,10 +121,12 @@
         self.other = other
         self.broken = broken
         self.sent_parts = 0
+        self.calls = 0
 
     async def fetch_configuration(self, known):
         if self.broken:
             raise interfaces.LinkLost("broken", sent=True)
+        self.calls += 1
         transfer = await self.other.transfer(known)
         self.sent_parts += len(transfer.parts)
         return transfer
@@ -223,6 +229,21 @@
     assert (one.configuration.version, one.groups) == (2, ["g", "h"])
 
 
+async def test_peer_with_a_lower_version_reverts_nothing():
+    """Guards against a transfer that was under way while a newer version was applied."""
+    store = FakeStore()
+    one, old = Instance(store), Instance(store)
+    await one.acceptor.accept(add("g", "op1"))
+    await old.configuration.refresh()
+    await one.acceptor.accept(add("h", "op2", 8001))
+    store.off = True
+    peer = FakePeer(old.configuration)
+    one.configuration.peer_has(3, peer)
+    await until(lambda: peer.calls)
+    await asyncio.sleep(1.0)
+    assert (one.configuration.version, one.groups) == (2, ["g", "h"])
+
+
 async def test_store_that_lost_versions_is_repaired_by_the_next_change():
     """Guards against a change based on the lower version of a restored store."""
     store = FakeStore()
@@ -356,6 +377,15 @@
     assert store.objects[HEAD].version == 1
 
 
+async def test_update_that_may_still_arrive_is_not_given_up():
+    """Guards against "refused" or "conflict" for an update that takes effect afterwards."""
+    store = FakeStore()
+    one = Instance(store)
+    store.delay_put_s = 3.0
+    store.drop_puts = True
+    assert await one.acceptor.accept(add("g", "op")) == changes.Accepted(1)
+
+
 async def test_outage_after_the_update_is_undetermined_and_can_be_repeated():
     """Guards against a second change when an operator repeats an unanswered command."""
     store = FakeStore()
--- a/bilberrystack/wire/rpc.py
+++ b/bilberrystack/wire/rpc.py
@@ -337,7 +337,7 @@
     """Puts a declared exception into its result field; others become application exceptions."""
     for spec in result_class.thrift_spec:
         # The success field's type arguments need not hold a class, as for a list or a binary.
-        if spec is None or spec[2] == _NO_SUCCESS_FIELD:
+        if spec is None or spec[2] == _SUCCESS_FIELD:
             continue
         if isinstance(failure, spec[3][0]):
             return result_class(**{spec[2]: failure})
