--- a/bilberrystack/cli/main.py
+++ b/bilberrystack/cli/main.py
@@ -9,6 +9,7 @@
 import bilberrystack
 from bilberrystack import settings
 from bilberrystack.cli import burn_page
+from bilberrystack.cli import configuring
 from bilberrystack.cli import declaring
 from bilberrystack.cli import exits
 from bilberrystack.cli import flags
@@ -35,7 +36,7 @@
     result_action="return_value",
 )
 report_app = cyclopts.App(name="report", help="Report on service levels.")
-for part in (declaring.group_app, declaring.caller_app, declaring.config_app, report_app):
+for part in (declaring.group_app, declaring.caller_app, configuring.config_app, report_app):
     app.command(part)
 app.register_install_completion_command()
 
