--- a/bilberrystack/cli/cli_test.py
+++ b/bilberrystack/cli/cli_test.py
@@ -46,6 +46,7 @@
     [
         ["group", "add", "g", "--member", "a,127.0.0.1:1"],
         ["config", "apply", "/nonexistent/file.json"],
+        ["caller", "grant", "x"],
     ],
 )
 def test_malformed_arguments_are_usage_errors(arguments):
--- a/bilberrystack/cli/declaring.py
+++ b/bilberrystack/cli/declaring.py
@@ -218,8 +218,7 @@
     groups
         The groups' names.
     """
-    edit = ttypes.Edit(ttypes.EditKind.GRANT, name, None, list(groups))
-    return changing.send(loaded, options or Options(), edits=[edit])
+    return _send_grants(loaded, options, ttypes.EditKind.GRANT, name, groups)
 
 
 @caller_app.command(name="revoke")
@@ -236,8 +235,7 @@
     groups
         The groups' names.
     """
-    edit = ttypes.Edit(ttypes.EditKind.REVOKE, name, None, list(groups))
-    return changing.send(loaded, options or Options(), edits=[edit])
+    return _send_grants(loaded, options, ttypes.EditKind.REVOKE, name, groups)
 
 
 @caller_app.command(name="list")
@@ -270,6 +268,20 @@
     return _with_document(loaded, show)
 
 
+def _send_grants(
+    loaded: settings.ClientSettings,
+    options: Options | None,
+    kind: int,
+    name: str,
+    groups: tuple[str, ...],
+) -> int:
+    if not groups:
+        output.note("name at least one group")
+        return exits.USAGE
+    edit = ttypes.Edit(kind, name, None, list(groups))
+    return changing.send(loaded, options or Options(), edits=[edit])
+
+
 def _send_edit(
     loaded: settings.ClientSettings,
     options: Options | None,
