--- a/bilberrystack/wire/codec.py
+++ b/bilberrystack/wire/codec.py
@@ -4,6 +4,7 @@
 protocol with the library's C accelerator.
 """
 
+import collections.abc
 import dataclasses
 import struct
 from typing import Any
@@ -20,6 +21,30 @@
 _FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory(fallback=True)
 
 
+class _Sink:
+    """Collects what a protocol writes."""
+
+    def __init__(self) -> None:
+        self.written: list[bytes] = []
+
+    def write(self, buf: bytes) -> None:
+        """Takes written bytes."""
+        self.written.append(buf)
+
+
+# Creating a protocol costs as much as encoding a small message, and the C accelerator keeps no
+# state between structs, so one protocol each writes and reads all of them. Message headers are
+# written and read here: the library's methods for them, in Python, took most of the time.
+_SINK = _Sink()
+_ENCODER = _FACTORY.getProtocol(_SINK)
+_DECODER = _FACTORY.getProtocol(TTransport.TMemoryBuffer())
+
+_Compact = TCompactProtocol.TCompactProtocol
+_TYPE_SHIFT = _Compact.TYPE_SHIFT_AMOUNT
+_MAX_VARINT_SHIFT = 28
+_SMALL_VARINTS = tuple(bytes((number,)) for number in range(0x80))
+
+
 @dataclasses.dataclass(slots=True)
 class Service:
     """The messages of one generated service.
@@ -50,26 +75,6 @@
     return Service(module.__name__.rsplit(".", 1)[-1], calls)
 
 
-class _Sink:
-    """Collects what a protocol writes."""
-
-    def __init__(self) -> None:
-        self.written: list[bytes] = []
-
-    def write(self, buf: bytes) -> None:
-        """Takes written bytes."""
-        self.written.append(buf)
-
-
-# The C accelerator keeps no state between structs, so all of them share these two protocols.
-# Creating a protocol for each message and calling the library's header methods, which are written
-# in Python, took two thirds of the time for encoding and decoding.
-_SINK = _Sink()
-_ENCODER = _FACTORY.getProtocol(_SINK)
-_DECODER = _FACTORY.getProtocol(TTransport.TMemoryBuffer())
-_Compact = TCompactProtocol.TCompactProtocol
-
-
 def encode(method: str, message_type: int, sequence: int, payload: Any) -> bytes:
     """Encodes one message with its length prefix.
 
@@ -96,8 +101,8 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Incoming:
-    """A message whose header has been read and whose payload has not.
+class Header:
+    """The header of a message.
 
     Attributes:
       method: The method's name.
@@ -108,34 +113,41 @@
     method: str
     message_type: int
     sequence: int
-    _frame: bytes
-    _payload_at: int
-
-    def read(self, payload_class: type[Any]) -> Any:
-        """Reads the payload. Raises MalformedFrame."""
-        payload = payload_class()
-        transport = TTransport.TMemoryBuffer(self._frame)
-        transport.cstringio_buf.seek(self._payload_at)
-        try:
-            if payload_class is Thrift.TApplicationException:
-                payload.read(_FACTORY.getProtocol(transport))
-            else:
-                _DECODER.trans = transport
-                payload.read(_DECODER)
-            _validate(payload)
-        except Exception as error:
-            raise failures.MalformedFrame(f"{self.method}: {error}") from error
-        return payload
-
-
-def decode(frame: bytes) -> Incoming:
-    """Reads the header of a message.
+
+
+ChooseClass = collections.abc.Callable[[Header], type[Any] | None]
+
+
+def decode(frame: bytes, choose_class: ChooseClass) -> tuple[Header, Any]:
+    """Decodes a message.
 
     Args:
       frame: The message without its length prefix.
+      choose_class: Returns the generated class of the payload; None if nobody wants it.
     Returns:
-      The message. Raises MalformedFrame.
+      The header and the payload, which is None if nobody wants it. Raises MalformedFrame.
     """
+    header, payload_at = _read_header(frame)
+    payload_class = choose_class(header)
+    if payload_class is None:
+        return header, None
+    payload = payload_class()
+    transport = TTransport.TMemoryBuffer(frame)
+    transport.cstringio_buf.seek(payload_at)
+    try:
+        if payload_class is Thrift.TApplicationException:
+            payload.read(_FACTORY.getProtocol(transport))
+        else:
+            _DECODER.trans = transport
+            payload.read(_DECODER)
+        _validate(payload)
+    except Exception as error:
+        raise failures.MalformedFrame(f"{header.method}: {error}") from error
+    return header, payload
+
+
+def _read_header(frame: bytes) -> tuple[Header, int]:
+    """Returns the header and the place of the payload. Raises MalformedFrame."""
     try:
         protocol_id, version_and_type = frame[0], frame[1]
         if protocol_id != _Compact.PROTOCOL_ID:
@@ -151,13 +163,13 @@
     except (IndexError, UnicodeDecodeError) as error:
         raise failures.MalformedFrame(f"header: {error}") from error
     message_type = version_and_type >> _TYPE_SHIFT & _Compact.TYPE_BITS
-    return Incoming(method, message_type, sequence, frame, end)
+    return Header(method, message_type, sequence), end
 
 
 def _varint(number: int) -> bytes:
     """Encodes a number from 0 as seven bits a byte, the lowest first."""
     if number < 0x80:
-        return _SMALL[number]
+        return _SMALL_VARINTS[number]
     encoded = bytearray()
     while number >= 0x80:
         encoded.append(number & 0x7F | 0x80)
@@ -180,11 +192,6 @@
             raise failures.MalformedFrame("header: number out of range")
 
 
-_TYPE_SHIFT = _Compact.TYPE_SHIFT_AMOUNT
-_MAX_VARINT_SHIFT = 28
-_SMALL = tuple(bytes((number,)) for number in range(0x80))
-
-
 def _validate(payload: Any) -> None:
     """Checks required fields of the payload and of the structs directly inside it."""
     if isinstance(payload, Thrift.TApplicationException):
