--- a/bilberrystack/wire/codec_test.py
+++ b/bilberrystack/wire/codec_test.py
@@ -34,15 +34,18 @@
 def test_frames_are_those_of_the_library(method, message_type, sequence, body):
     """Guards against messages that other Thrift implementations can't read, or can't write."""
     for payload in (request(body), Thrift.TApplicationException(6, "failed")):
-        expected_class = type(payload)
         expected = library_frame(method, message_type, sequence, payload)
         frame = codec.encode(method, message_type, sequence, payload)
         assert frame == codec.LENGTH.pack(len(expected)) + expected
-        header, read = codec.decode(expected, lambda _header: expected_class)
+        header, read = decoded(expected, type(payload))
         assert header == codec.Header(method, message_type, sequence)
         assert vars_of(read) == vars_of(payload)
 
 
+def decoded(frame, payload_class):
+    return codec.decode(frame, lambda _header: payload_class)
+
+
 def vars_of(payload):
     names = getattr(payload, "__slots__", None) or ("type", "message")
     return [getattr(payload, name) for name in names]
