Send digests at once after a list with other live instances

Ruled out: the limit of 4 s, and acceptance itself; the first round went out before the list came. Change: a list that changes the live instances starts the next round of digests.

--- a/bilberrystack/proxy/discovery.py
+++ b/bilberrystack/proxy/discovery.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import random
 from typing import Literal
 
@@ -57,6 +58,7 @@
         "_exchanges",
         "_heard",
         "_links",
+        "_list_changed",
         "_own",
         "_own_digest",
         "_versions",
@@ -93,6 +95,7 @@
         self._chooser = chooser
         self._view = membership.Membership(own, asyncio.get_running_loop().time())
         self._links = links.Links(open_link, own_digest, self.link_lost)
+        self._list_changed = asyncio.Event()
         self._exchanges: set[asyncio.Task[None]] = set()
         self._versions: dict[str, int] = {}
 
@@ -140,7 +143,11 @@
         self._changed()
 
     async def send_digests(self) -> None:
-        """Exchanges digests with one instance of each failure domain, forever."""
+        """Exchanges digests with one instance of each failure domain, forever.
+
+        A list with other live instances is followed by a round at once: until it has heard from
+        most failure domains, an instance accepts no configuration changes.
+        """
         loop = asyncio.get_running_loop()
         while True:
             self._view.expire(loop.time())
@@ -149,7 +156,10 @@
                 task = loop.create_task(self._exchange(instance))
                 self._exchanges.add(task)
                 task.add_done_callback(self._exchanges.discard)
-            await asyncio.sleep(DIGEST_INTERVAL_S)
+            self._list_changed.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(DIGEST_INTERVAL_S):
+                    await self._list_changed.wait()
 
     async def watch_list(self, store: interfaces.Store) -> None:
         """Follows the platform's list of instances, forever."""
@@ -225,7 +235,10 @@
                 proxies[instance] = membership.InstanceState(one.state)
             elif one.state == "leaving":
                 leaving.add(one.address)
+        before = self._view.version
         self._view.take_list(asyncio.get_running_loop().time(), proxies)
+        if self._view.version != before:
+            self._list_changed.set()
         known = {instance.id for instance in self._view.others}
         self._versions = {name: one for name, one in self._versions.items() if name in known}
         self._changed()
--- a/bilberrystack/proxy/node_test.py
+++ b/bilberrystack/proxy/node_test.py
@@ -309,6 +309,20 @@
     check(test)
 
 
+def test_changed_list_is_followed_by_digests_at_once():
+    """Guards against refusing changes for a second after the start for want of a majority."""
+
+    async def test(fleet):
+        await fleet.start(*"abc")
+        await asyncio.sleep(0.5)
+        fleet.list_instances(*"abc")
+        await asyncio.sleep(0.01)
+        now = asyncio.get_running_loop().time()
+        assert all(one.view.majority_contact_at(now) for one in fleet.nodes.values())
+
+    check(test)
+
+
 def test_leaving_endpoints_reach_all_owners():
     """Guards against new work on an endpoint that the platform is about to stop."""
 
