--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,16 @@
 
 measure: setup
 	$(PY) -m faults.measure
+
+.PHONY: binary test-binary capacity
+# One executable file. It unpacks itself once into $$SHIV_ROOT, then runs in the same process.
+binary: setup
+	mkdir -p build
+	$(VENV)/bin/shiv --console-script bilberrystack --python "/usr/bin/env python3" \
+	  --compressed --output-file build/bilberrystack --constraint requirements.txt .
+
+test-binary: binary
+	SHIV_ROOT=$$(mktemp -d) SYSTEM_BINARY=$(CURDIR)/build/bilberrystack $(PY) -m pytest system
+
+capacity: setup
+	$(PY) -m system.capacity
--- a/bilberrystack/proxy/confirmations.py
+++ b/bilberrystack/proxy/confirmations.py
@@ -68,7 +68,8 @@
         self._members = links
         self._quorum = evidence
         self._counters = counts
-        self._waits: set[_Wait] = set()
+        # A dictionary keeps the order of the waits, so that runs repeat exactly.
+        self._waits: dict[_Wait, None] = {}
         self._polls: dict[str, asyncio.Task[None]] = {}
         self._term = 0
         self._accepted: dict[str, positions.Position] = dict.fromkeys(links, positions.ZERO)
@@ -88,14 +89,14 @@
         if position.term < self._term:
             return Verdict.SUPERSEDED
         waiting = _Wait(position, self._loop.create_future())
-        self._waits.add(waiting)
+        self._waits[waiting] = None
         self._poll_members()
         try:
             if await waits.until(waiting.done, deadline):
                 return waiting.done.result()
             return Verdict.LATE
         finally:
-            self._waits.discard(waiting)
+            self._waits.pop(waiting, None)
 
     def evidence_arrived(self) -> None:
         """Ends the waits that the evidence decides."""
@@ -125,7 +126,7 @@
             self._end(waiting, Verdict.LATE)
 
     def _end(self, waiting: _Wait, verdict: Verdict) -> None:
-        self._waits.discard(waiting)
+        self._waits.pop(waiting, None)
         if not waiting.done.done():
             waiting.done.set_result(verdict)
 
--- a/bilberrystack/proxy/waits.py
+++ b/bilberrystack/proxy/waits.py
@@ -11,7 +11,8 @@
     __slots__ = ("_callbacks",)
 
     def __init__(self) -> None:
-        self._callbacks: set[collections.abc.Callable[[], None]] = set()
+        # A dictionary keeps the order of registration, so that runs repeat exactly.
+        self._callbacks: dict[collections.abc.Callable[[], None], None] = {}
 
     def wake(self) -> None:
         """Calls the callbacks that are registered now."""
@@ -20,11 +21,11 @@
 
     def add(self, callback: collections.abc.Callable[[], None]) -> None:
         """Registers a callback until it is removed."""
-        self._callbacks.add(callback)
+        self._callbacks[callback] = None
 
     def remove(self, callback: collections.abc.Callable[[], None]) -> None:
         """Removes a callback; absent ones are ignored."""
-        self._callbacks.discard(callback)
+        self._callbacks.pop(callback, None)
 
     async def wait(self, deadline: float) -> bool:
         """Waits for the next wake.
