Test that an impostor at a peer's address gets no request

Cause: of 28 mechanisms replaced by naive ones on a scratch copy, the check of the accepting side's proof was the only one whose loss no test noticed. Result: the new test fails without the check and passes with it.

--- a/bilberrystack/proxy/peers_test.py
+++ b/bilberrystack/proxy/peers_test.py
@@ -128,6 +128,27 @@
     check(test)
 
 
+def test_impostor_that_does_not_know_the_secret_gets_no_request():
+    """Guards against sending requests to a foreign process that took over an address."""
+
+    class Impostor(peers.Listener):
+        async def prove(self, context, _proof):
+            context.state = True
+
+    async def run():
+        impostor = Impostor(b"other")
+        handler = Handler()
+        impostor.bind(handler)
+        async with impostor.server() as server:
+            await server.start(HOST, 0)
+            link = Fixture(server, handler).link()
+            with pytest.raises(interfaces.LinkLost) as raised:
+                await link.forward(request())
+        assert not raised.value.sent and not handler.seen
+
+    asyncio.run(run())
+
+
 def test_calls_before_authentication_are_refused_and_close_the_connection():
     """Guards against requests of anybody who reaches the peers' port."""
 
