--- a/bilberrystack/wire/codec.py
+++ b/bilberrystack/wire/codec.py
@@ -20,29 +20,9 @@
 
 _FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory(fallback=True)
 
-
-class _Sink:
-    """Collects what a protocol writes."""
-
-    def __init__(self) -> None:
-        self.written: list[bytes] = []
-
-    def write(self, buf: bytes) -> None:
-        """Takes written bytes."""
-        self.written.append(buf)
-
-
-# Creating a protocol costs as much as encoding a small message, and the C accelerator keeps no
-# state between structs, so one protocol each writes and reads all of them. Message headers are
-# written and read here: the library's methods for them, in Python, took most of the time.
-_SINK = _Sink()
-_ENCODER = _FACTORY.getProtocol(_SINK)
-_DECODER = _FACTORY.getProtocol(TTransport.TMemoryBuffer())
-
-_Compact = TCompactProtocol.TCompactProtocol
-_TYPE_SHIFT = _Compact.TYPE_SHIFT_AMOUNT
-_MAX_VARINT_SHIFT = 28
-_SMALL_VARINTS = tuple(bytes((number,)) for number in range(0x80))
+# Creating a protocol costs as much as encoding a small message, so one is used for all messages. A
+# message is encoded or decoded as a whole before the next one begins.
+_protocol = _FACTORY.getProtocol(TTransport.TMemoryBuffer())
 
 
 @dataclasses.dataclass(slots=True)
@@ -86,21 +66,20 @@
     Returns:
       The frame, ready to be sent.
     """
-    if isinstance(payload, Thrift.TApplicationException):
-        sink = _Sink()
-        payload.write(_FACTORY.getProtocol(sink))
-    else:
-        sink = _SINK
-        sink.written = []
-        payload.write(_ENCODER)
-    name = method.encode()
-    start = bytes((_Compact.PROTOCOL_ID, _Compact.VERSION | message_type << _TYPE_SHIFT))
-    header = start + _varint(sequence) + _varint(len(name)) + name
-    length = len(header) + sum(map(len, sink.written))
-    return b"".join((LENGTH.pack(length), header, *sink.written))
+    buffer = TTransport.TMemoryBuffer()
+    protocol = _use(buffer)
+    try:
+        protocol.writeMessageBegin(method, message_type, sequence)
+        payload.write(protocol)
+        protocol.writeMessageEnd()
+    except Exception:
+        _renew()
+        raise
+    body: bytes = buffer.getvalue()
+    return LENGTH.pack(len(body)) + body
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class Header:
     """The header of a message.
 
@@ -127,69 +106,38 @@
     Returns:
       The header and the payload, which is None if nobody wants it. Raises MalformedFrame.
     """
-    header, payload_at = _read_header(frame)
-    payload_class = choose_class(header)
-    if payload_class is None:
-        return header, None
-    payload = payload_class()
-    transport = TTransport.TMemoryBuffer(frame)
-    transport.cstringio_buf.seek(payload_at)
+    protocol = _use(TTransport.TMemoryBuffer(frame))
+    header = None
     try:
-        if payload_class is Thrift.TApplicationException:
-            payload.read(_FACTORY.getProtocol(transport))
-        else:
-            _DECODER.trans = transport
-            payload.read(_DECODER)
+        header = Header(*protocol.readMessageBegin())
+        payload_class = choose_class(header)
+        if payload_class is None:
+            _renew()
+            return header, None
+        payload = payload_class()
+        payload.read(protocol)
+        protocol.readMessageEnd()
         _validate(payload)
+    except failures.WireFailure:
+        _renew()
+        raise
     except Exception as error:
-        raise failures.MalformedFrame(f"{header.method}: {error}") from error
+        _renew()
+        place = "header" if header is None else header.method
+        raise failures.MalformedFrame(f"{place}: {error}") from error
     return header, payload
 
 
-def _read_header(frame: bytes) -> tuple[Header, int]:
-    """Returns the header and the place of the payload. Raises MalformedFrame."""
-    try:
-        protocol_id, version_and_type = frame[0], frame[1]
-        if protocol_id != _Compact.PROTOCOL_ID:
-            raise failures.MalformedFrame(f"header: protocol {protocol_id}")
-        if version_and_type & _Compact.VERSION_MASK != _Compact.VERSION:
-            raise failures.MalformedFrame("header: unknown version")
-        sequence, at = _read_varint(frame, 2)
-        length, at = _read_varint(frame, at)
-        end = at + length
-        if end > len(frame):
-            raise failures.MalformedFrame("header: longer than its frame")
-        method = frame[at:end].decode()
-    except (IndexError, UnicodeDecodeError) as error:
-        raise failures.MalformedFrame(f"header: {error}") from error
-    message_type = version_and_type >> _TYPE_SHIFT & _Compact.TYPE_BITS
-    return Header(method, message_type, sequence), end
-
-
-def _varint(number: int) -> bytes:
-    """Encodes a number from 0 as seven bits a byte, the lowest first."""
-    if number < 0x80:
-        return _SMALL_VARINTS[number]
-    encoded = bytearray()
-    while number >= 0x80:
-        encoded.append(number & 0x7F | 0x80)
-        number >>= 7
-    encoded.append(number)
-    return bytes(encoded)
-
-
-def _read_varint(frame: bytes, at: int) -> tuple[int, int]:
-    """Returns a number and the place after it. Raises IndexError or MalformedFrame."""
-    number = shift = 0
-    while True:
-        byte = frame[at]
-        at += 1
-        number |= (byte & 0x7F) << shift
-        if byte < 0x80:
-            return number, at
-        shift += 7
-        if shift > _MAX_VARINT_SHIFT:
-            raise failures.MalformedFrame("header: number out of range")
+def _use(buffer: TTransport.TMemoryBuffer) -> Any:
+    """Returns the protocol for one message in a buffer."""
+    _protocol.trans = buffer
+    return _protocol
+
+
+def _renew() -> None:
+    """Replaces the protocol after a message that was not read or written to its end."""
+    global _protocol  # noqa: PLW0603
+    _protocol = _FACTORY.getProtocol(TTransport.TMemoryBuffer())
 
 
 def _validate(payload: Any) -> None:
--- a/bilberrystack/wire/codec_test.py
+++ b/bilberrystack/wire/codec_test.py
@@ -37,15 +37,11 @@
         expected = library_frame(method, message_type, sequence, payload)
         frame = codec.encode(method, message_type, sequence, payload)
         assert frame == codec.LENGTH.pack(len(expected)) + expected
-        header, read = decoded(expected, type(payload))
+        header, read = codec.decode(expected, lambda _header: type(payload))  # noqa: B023
         assert header == codec.Header(method, message_type, sequence)
         assert vars_of(read) == vars_of(payload)
 
 
-def decoded(frame, payload_class):
-    return codec.decode(frame, lambda _header: payload_class)
-
-
 def vars_of(payload):
     names = getattr(payload, "__slots__", None) or ("type", "message")
     return [getattr(payload, name) for name in names]
@@ -60,6 +56,14 @@
         return
 
 
+@pytest.mark.parametrize("length", range(1, 40))
+def test_truncated_message_is_malformed(length):
+    """Guards against reading past the end of a frame."""
+    whole = codec.encode("execute", 1, 300, request(b"x" * 20))[codec.LENGTH.size :]
+    with pytest.raises(failures.MalformedFrame):
+        codec.decode(whole[:length], lambda _header: Caller.execute_args)
+
+
 def test_failed_encoding_does_not_disturb_the_next_message():
     """Guards against left-over bytes of a message that could not be encoded."""
     with pytest.raises(UnicodeEncodeError):
