--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 
 measure: setup
 	$(PY) -m faults.measure
+	$(PY) -m system.throughput
 
 .PHONY: binary test-binary capacity
 # One executable file. It unpacks itself once into $$SHIV_ROOT, then runs in the same process.
