Split the supervisor and look again before fencing a second time

Reading it showed that an owner that was paused between its last probe and the fencing acts on old answers, and that a lost attempt fences again without looking for a rival's primary. Ruled out: a safety fault, since the members' terms refuse the older term in each case. Change: proxy/control_calls.py and proxy/promotion.py; the decision notes a pause of the process; before another attempt the members are asked whether they have a primary. The 15 new cases (an owner paused in the middle of a change) pass with the old code as well, so they guard the behaviour and show no repaired fault. Conclusion: three modules with one job each.

--- a/bilberrystack/proxy/supervisor.py
+++ b/bilberrystack/proxy/supervisor.py
@@ -5,18 +5,13 @@
 import contextlib
 import dataclasses
 import random
-from typing import Any
 from typing import Protocol
 
 from bilberrystack.core import failover
 from bilberrystack.core import members
-from bilberrystack.core import positions
 from bilberrystack.core import quorum
-from bilberrystack.proxy import interfaces
-
-CONTROL_TIMEOUT_S = 0.15
-PROMOTE_TIMEOUT_S = 0.5
-CONFIRM_TIMEOUT_S = 0.5
+from bilberrystack.proxy import control_calls
+from bilberrystack.proxy import promotion
 
 # Intervals between status calls to every member, by rank of the owner.
 SURVEY_INTERVAL_S = 1.0
@@ -38,12 +33,8 @@
 # sends heartbeats like rank 0.
 STANDBY_PATIENCE_S = STANDBY_SURVEY_INTERVAL_S + 0.5
 
-# Once a majority has answered, the others get this long; waiting for a dead member would delay a
-# failover by the whole timeout.
-LATE_ANSWER_S = 0.01
-
 
-class SupervisedGroup(Protocol):
+class SupervisedGroup(promotion.PromotedGroup, Protocol):
     """What the supervisor needs of the owner role of a group."""
 
     @property
@@ -52,27 +43,17 @@
     @property
     def rank(self) -> int: ...
 
-    @property
-    def quorum(self) -> quorum.Quorum: ...
-
-    @property
-    def members(self) -> dict[str, interfaces.Member]: ...
-
     @property
     def open_transaction_count(self) -> int: ...
 
     def last_contact(self, name: str) -> float | None: ...
 
-    def note_contact(self, name: str) -> None: ...
-
     def hold_new_transactions(self) -> None: ...
 
     def hold_writes(self) -> None: ...
 
     def release(self) -> None: ...
 
-    def primary_changed(self) -> None: ...
-
     def record_change(self, text: str) -> None: ...
 
 
@@ -113,7 +94,7 @@
     """Supervises one group from one owner. Use it as an asynchronous context manager."""
 
     __slots__ = (
-        "_beats",
+        "_calls",
         "_detector",
         "_failure_domain",
         "_group",
@@ -123,7 +104,7 @@
         "_leaving",
         "_on_change",
         "_planned_at",
-        "_randomness",
+        "_promotion",
         "_task",
         "_watched",
     )
@@ -139,7 +120,8 @@
         self._group = group
         self._instance_id = instance_id
         self._failure_domain = failure_domain
-        self._randomness = randomness
+        self._calls = control_calls.ControlCalls(group)
+        self._promotion = promotion.Promotion(group, self._calls, randomness)
         self._on_change = on_change
         self._detector = failover.Detector(_now())
         self._watched: tuple[str, int] | None = None
@@ -147,7 +129,6 @@
         self._last_beat = _now()
         self._last_survey = _now()
         self._planned_at: float | None = None
-        self._beats: set[asyncio.Future[Any]] = set()
         self._task: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> "Supervisor":
@@ -163,12 +144,10 @@
 
     async def close(self) -> None:
         """Stops supervising. A change that is under way is given up."""
-        tasks: list[asyncio.Future[Any]] = [*self._beats]
         if self._task is not None:
-            tasks.append(self._task)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await self._calls.close()
 
     def set_leaving_endpoints(self, addresses: frozenset[str]) -> None:
         """Tells which endpoint addresses are leaving."""
@@ -201,11 +180,11 @@
         """Starts the survey or the heartbeat that is due."""
         interval = STANDBY_SURVEY_INTERVAL_S if self._group.rank else SURVEY_INTERVAL_S
         if _now() - self._last_survey >= interval:
-            self._start(self._survey())
+            self._calls.start(self._survey())
         elif self._watched is not None and self._heartbeat_due():
             self._last_beat = _now()
             self._detector.heartbeat_sent(_now())
-            self._start(self._heartbeat(self._watched[0]))
+            self._calls.start(self._calls.status(self._watched[0]))
 
     def _heartbeat_due(self) -> bool:
         """Any answer of the primary replaces a heartbeat."""
@@ -215,12 +194,6 @@
         since_beat = _now() - self._last_beat
         return min(since_answer, since_beat) >= failover.HEARTBEAT_INTERVAL_S
 
-    def _start(self, work: collections.abc.Coroutine[None, None, None]) -> None:
-        self._keep(asyncio.get_running_loop().create_task(work))
-
-    async def _heartbeat(self, name: str) -> None:
-        await self._status(name)
-
     async def _survey(self) -> None:
         """Asks every member for its status and repairs those that don't follow the primary."""
         self._last_survey = _now()
@@ -228,7 +201,7 @@
         if self._watched is not None:
             self._detector.heartbeat_sent(_now())
         sent_at = _now()
-        statuses = await self._statuses()
+        statuses = await self._calls.statuses()
         self._observe(sent_at, statuses)
         primary = self._group.quorum.primary
         if primary is None:
@@ -236,7 +209,7 @@
         term = self._group.quorum.promised_term
         for status in statuses:
             if _needs_to_follow(status, primary, term):
-                await self._follow(status.member, term, primary)
+                await self._calls.follow(status.member, term, primary)
 
     def _observe(self, sent_at: float, statuses: list[members.MemberStatus]) -> None:
         """Keeps the survey's read index, so that reads with a stated age need no round."""
@@ -245,50 +218,6 @@
         if index is not None:
             self._group.quorum.observe(sent_at, index)
 
-    async def _statuses(self) -> list[members.MemberStatus]:
-        """Asks all members; late answers are still recorded, but not waited for."""
-        calls = [asyncio.ensure_future(self._status(name)) for name in self._group.members]
-        needed = quorum.majority(len(calls))
-        pending = set(calls)
-        while pending:
-            answered = sum(call.done() and call.result() is not None for call in calls)
-            patience = LATE_ANSWER_S if answered >= needed else None
-            done, pending = await asyncio.wait(
-                pending, timeout=patience, return_when=asyncio.FIRST_COMPLETED
-            )
-            if not done:
-                break
-        for call in pending:
-            self._keep(call)
-        results = [call.result() for call in calls if call.done()]
-        return [status for status in results if status is not None]
-
-    def _keep(self, call: "asyncio.Future[Any]") -> None:
-        """Lets a call finish that nobody waits for."""
-        self._beats.add(call)
-        call.add_done_callback(self._beats.discard)
-
-    async def _status(
-        self, name: str, wait_for: positions.Position = positions.ZERO, wait_s: float = 0.0
-    ) -> members.MemberStatus | None:
-        """Asks one member; None if it doesn't answer in time."""
-        with contextlib.suppress(interfaces.LinkLost, TimeoutError):
-            async with asyncio.timeout(CONTROL_TIMEOUT_S + wait_s):
-                status = await self._group.members[name].status(wait_for, wait_s)
-            self._take(status)
-            return status
-        return None
-
-    def _take(self, status: members.MemberStatus) -> None:
-        self._group.note_contact(status.member)
-        self._group.quorum.record(status)
-
-    async def _follow(self, name: str, term: int, primary: str) -> None:
-        address = self._group.members[primary].address
-        with contextlib.suppress(interfaces.LinkLost, TimeoutError):
-            async with asyncio.timeout(CONTROL_TIMEOUT_S):
-                self._take(await self._group.members[name].follow(term, address))
-
     async def _change_if_needed(self) -> None:
         reason = await self._unplanned_reason()
         if reason:
@@ -307,7 +236,9 @@
         if not self._detector.suspects(_now(), self._group.rank, False):
             return ""
         primary, term = self._watched
-        statuses = await self._statuses()
+        statuses = await self._calls.statuses()
+        # After a pause of this process the answers are old, and another owner may have acted.
+        self._detector.tick(_now())
         if not self._majority_answered(statuses) or self._answers(primary, statuses):
             return ""
         heard = failover.heard_by_replicas(statuses, primary, term)
@@ -318,10 +249,13 @@
 
     async def _reason_without_primary(self) -> str:
         """A group without a primary: a new one, or one whose change was not finished."""
+        started = _now()
         patience = failover.RANK_DELAY_S * self._group.rank
         if patience:
             await asyncio.sleep(patience)
-        statuses = await self._statuses()
+        statuses = await self._calls.statuses()
+        if _now() - started > patience + failover.SELF_PAUSE_S:
+            return ""
         if self._group.quorum.primary is not None or not self._majority_answered(statuses):
             return ""
         return "no primary"
@@ -381,45 +315,31 @@
 
     async def _catch_up(self, primary: str) -> bool:
         """Waits until a successor has the primary's last entry."""
-        status = await self._status(primary)
+        status = await self._calls.status(primary)
         if status is None:
             return False
-        waits = [
-            asyncio.ensure_future(self._status(name, status.last_log, CATCH_UP_TIMEOUT_S))
-            for name in self._successors()
-        ]
-        try:
-            for wait in asyncio.as_completed(waits):
-                reached = await wait
-                if reached is not None and reached.last_log >= status.last_log:
-                    return True
-            return False
-        finally:
-            for pending in waits:
-                pending.cancel()
+        reached = self._calls.reached(self._successors(), status.last_log, CATCH_UP_TIMEOUT_S)
+        async with contextlib.aclosing(reached) as reports:
+            async for _report in reports:
+                return True
+        return False
 
     async def _change(self, reason: str, preference: failover.Preference) -> None:
         """Fences and promotes until the change is done or has to be left to the next tick."""
         started = _now()
         previous = None if self._watched is None else self._watched[0]
         silence_s = 0.0 if previous is None else self._detector.silence(started)
-        promoted = None
-        for attempt in range(1, 4):
-            promoted = await self._attempt(preference)
-            if promoted is not None:
-                break
-            await asyncio.sleep(failover.backoff_s(attempt, self._randomness))
-            if self._group.quorum.primary not in (None, previous):
-                return
-        if promoted is None:
+        result = await self._promotion.run(preference)
+        if result is None:
             return
+        promoted, attempts = result
         change = Change(
             self._group.name,
             promoted.member,
             previous,
             promoted.promised_term,
             reason,
-            attempt,
+            attempts,
             _now() - started,
             silence_s if silence_s >= failover.DETECTION_TIME_S else 0.0,
         )
@@ -428,73 +348,6 @@
         )
         self._on_change(change)
 
-    async def _attempt(self, preference: failover.Preference) -> members.MemberStatus | None:
-        """Runs one round of fencing and promotes the winner's candidate."""
-        domains = {name: link.failure_domain for name, link in self._group.members.items()}
-        attempt = failover.Attempt(self._group.quorum.promised_term + 1, domains)
-        await self._fence(attempt)
-        if not attempt.won:
-            return None
-        candidate = attempt.candidate(preference)
-        promoted = await self._promote(candidate, attempt.term)
-        if promoted is None:
-            return None
-        others = [name for name in domains if name != candidate]
-        for name in others:
-            self._start(self._follow(name, attempt.term, candidate))
-        self._watch_primary()
-        self._group.primary_changed()
-        # A slow confirmation is no reason to fence again: the next term would only start anew.
-        await self._confirm(promoted, others)
-        return promoted
-
-    async def _fence(self, attempt: failover.Attempt) -> None:
-        """Ends once the attempt is won, or lost, or every member has answered or failed."""
-        calls = [
-            asyncio.ensure_future(self._fence_member(attempt, name)) for name in self._group.members
-        ]
-        for call in asyncio.as_completed(calls):
-            await call
-            if attempt.won or attempt.lost:
-                break
-        for pending in calls:
-            if not pending.done():
-                self._keep(pending)
-
-    async def _fence_member(self, attempt: failover.Attempt, name: str) -> None:
-        try:
-            async with asyncio.timeout(CONTROL_TIMEOUT_S):
-                granted, status = await self._group.members[name].fence(attempt.term)
-        except (interfaces.LinkLost, TimeoutError):
-            attempt.failed(name)
-            return
-        self._take(status)
-        attempt.answer(granted, status)
-
-    async def _promote(self, name: str, term: int) -> members.MemberStatus | None:
-        try:
-            async with asyncio.timeout(PROMOTE_TIMEOUT_S):
-                status = await self._group.members[name].promote(term)
-        except (interfaces.LinkLost, TimeoutError):
-            return None
-        self._take(status)
-        return status if status.primary and status.promised_term == term else None
-
-    async def _confirm(self, promoted: members.MemberStatus, others: list[str]) -> None:
-        """Waits until a majority has the new primary's first entry, but not for long."""
-        first = promoted.last_log
-        waits = [
-            asyncio.ensure_future(self._status(name, first, CONFIRM_TIMEOUT_S)) for name in others
-        ]
-        try:
-            for wait in asyncio.as_completed(waits):
-                await wait
-                if self._group.quorum.is_durable(first):
-                    return
-        finally:
-            for pending in waits:
-                pending.cancel()
-
 
 def _needs_to_follow(status: members.MemberStatus, primary: str, term: int) -> bool:
     if status.member == primary:
--- a/bilberrystack/proxy/supervisor_test.py
+++ b/bilberrystack/proxy/supervisor_test.py
@@ -310,3 +310,26 @@
         assert index is not None and index > positions.ZERO
 
     run_site(scenario)
+
+
+@pytest.mark.parametrize("after_ms", range(500, 800, 20))
+def test_owner_paused_in_the_middle_of_a_change_does_not_repeat_it(after_ms):
+    """Guards against an owner that wakes up and deposes the primary that a rival has made."""
+
+    async def scenario(site, stack):
+        await start(stack, site, "p0")
+        old = await site.settled()
+        await start(stack, site, "p1", rank=1)
+        await asyncio.sleep(3)
+        site.net.isolate(old)
+        await asyncio.sleep(after_ms / 1000)
+        site.net.pause("p0")
+        while site.primaries() in ([old], []):
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(5)
+        term = max(server.state.promised_term for server in site.servers.values())
+        site.net.resume("p0")
+        await asyncio.sleep(5)
+        assert max(server.state.promised_term for server in site.servers.values()) == term
+
+    run_site(scenario, after_ms)
