End waits after their deadline, never a little before it

Cause: a timer may fire early by the clock's resolution; the check of idle transactions then set itself again for the same instant and spun for ever on a paused clock. Ruled out: comparing with a tolerance in each loop. Conclusion: loops up to a deadline end.

--- a/bilberrystack/proxy/transactions.py
+++ b/bilberrystack/proxy/transactions.py
@@ -297,7 +297,7 @@
                 self._drop(transaction)
 
     def _watch_idle(self, transaction: _Transaction) -> None:
-        due = transaction.used_at + IDLE_LIMIT_S
+        due = transaction.used_at + IDLE_LIMIT_S + waits.TIMER_SLACK_S
         transaction.idle_timer = self._loop.call_at(due, self._idle_check, transaction)
 
     def _idle_check(self, transaction: _Transaction) -> None:
--- a/bilberrystack/proxy/waits.py
+++ b/bilberrystack/proxy/waits.py
@@ -4,6 +4,10 @@
 import collections.abc
 from typing import Any
 
+# Timers may fire early by the resolution of the clock, after which a loop up to the deadline would
+# spin, on a paused clock for ever. Waits end this much after their deadline instead, in seconds.
+TIMER_SLACK_S = 1e-6
+
 
 class Signal:
     """Wakes everyone who waits for it; nothing is kept for those who come later."""
@@ -70,7 +74,7 @@
         if not waiter.done():
             waiter.set_result(None)
 
-    timer = loop.call_at(deadline, wake)
+    timer = loop.call_at(deadline + TIMER_SLACK_S, wake)
     work.add_done_callback(wake)
     if interrupt is not None:
         interrupt.add(wake)
