--- a/faults/checker.py
+++ b/faults/checker.py
@@ -312,6 +312,7 @@
                 )
         for accepted in record.accepted:
             found += _check_in_force(record, instance, series, accepted)
+    found += _check_answers_under_old_versions(record)
     for instance, declared in record.declared.items():
         for accepted in record.accepted:
             if accepted.caller and accepted.caller not in declared:
@@ -320,6 +321,22 @@
     return found
 
 
+def _check_answers_under_old_versions(record: history.History) -> list[Violation]:
+    """An instance that can't know of a new version must not go on answering under the old one."""
+    found = []
+    for call in record.calls:
+        if not call.answered or call.answered_under is None:
+            continue
+        instance, version = call.answered_under
+        for accepted in record.accepted:
+            late = call.finished_at > accepted.at + CONFIGURATION_S + DEADLINE_SLACK_S
+            if late and version < accepted.version:
+                detail = f"{instance} answered {call.name} under version {version}"
+                found.append(Violation("P9", f"{detail}, long after {accepted.version}"))
+                break
+    return found
+
+
 def _check_in_force(
     record: history.History,
     instance: str,
--- a/faults/checker_test.py
+++ b/faults/checker_test.py
@@ -144,3 +144,12 @@
     assert promises(checker.check(record([], accepted=accepted, applied=late))) == ["P9"]
     absences = [history.Absence("n0", 2.0, 6.0)]
     assert checker.check(record([], accepted=accepted, applied=late, absences=absences)) == []
+
+
+def test_an_answer_under_a_version_that_was_replaced_long_ago_is_reported():
+    late, early = write(1, 8, 9), write(2, 2, 3)
+    for one in (late, early):
+        one.answered_under = ("n0", 1)
+    accepted = [history.Accepted(1.0, 2)]
+    assert promises(checker.check(record([early], *LOG, accepted=accepted))) == []
+    assert promises(checker.check(record([late], *LOG, accepted=accepted))) == ["P9"]
--- a/faults/clients.py
+++ b/faults/clients.py
@@ -33,6 +33,9 @@
 
     name: str
 
+    @property
+    def version(self) -> int: ...
+
     async def open_session(self, session: str) -> bytes: ...
 
     async def execute(self, request: entry.CallerRequest) -> entry.Reply | errors.CallerError: ...
@@ -213,7 +216,9 @@
 
         async def execute() -> entry.Reply | errors.CallerError:
             call.received_at = call.received_at or self._fleet.net.loop.time()
-            return await instance.execute(request)
+            reply = await instance.execute(request)
+            call.answered_under = (instance.name, instance.version)
+            return reply
 
         reply = await self._call(execute, patience)
         if isinstance(reply, errors.CallerError):
--- a/faults/fleet.py
+++ b/faults/fleet.py
@@ -219,11 +219,11 @@
         name = f"n{self._sizes.instances + self._replacements}"
         self.stops.append(self.loop.create_task(self.add_instance(name)))
 
-    def apply_configuration(self) -> None:
-        """Lets an operator declare one more caller at any open instance."""
+    def apply_configuration(self, instance: str = "") -> None:
+        """Lets an operator declare one more caller at an instance, by default any open one."""
         self._changes += 1
         name = f"c{self._changes}"
-        instance = self.random.choice(self.open_instances or list(self.instances))
+        instance = instance or self.random.choice(self.open_instances or list(self.instances))
         self.operators.append(self.loop.create_task(self._apply(instance, name)))
 
     async def _apply(self, instance: str, name: str) -> None:
--- a/faults/history.py
+++ b/faults/history.py
@@ -30,6 +30,7 @@
       finished_at: When the outcome arrived.
       outcomes: How many outcomes arrived.
       overdue: Whether a reachable instance gave no outcome in time.
+      answered_under: The instance that answered and its configuration version then.
       cut_off_by: Instances that broke the connection while they worked on the request.
       answer: The item and value that the answer to a read holds.
     """
@@ -50,6 +51,7 @@
     finished_at: float | None = None
     outcomes: int = 0
     overdue: bool = False
+    answered_under: tuple[str, int] | None = None
     cut_off_by: list[str] = dataclasses.field(default_factory=list)
     answer: tuple[str, str] | None = None
 
--- a/faults/injections.py
+++ b/faults/injections.py
@@ -4,6 +4,8 @@
 import dataclasses
 
 from faults import fleet
+from faults import history
+from faults import store
 
 Inject = collections.abc.Callable[[fleet.Fleet, float], None]
 
@@ -92,6 +94,19 @@
     return inject
 
 
+def _cut_entry_from_store_and_peers(world: fleet.Fleet, duration_s: float) -> None:
+    """An instance that callers and members still reach can't learn of a new configuration."""
+    entry = _entry(world)
+    others = [name for name in world.instances if name != entry]
+    for other in (*others, store.STORE):
+        world.net.cut(entry, other)
+    world.record.faults.append("cut")
+    world.record.absences.append(history.Absence(entry, world.now, world.now + duration_s))
+    if others:
+        world.apply_configuration(others[0])
+    _later(world, duration_s, lambda: world.net.heal(entry))
+
+
 def _cut_primary_from_replicas(world: fleet.Fleet, duration_s: float) -> None:
     """The primary still answers the proxy, but none of its writes reaches a majority."""
     world.record.faults.append("cut")
@@ -207,6 +222,7 @@
     Fault("entry-isolated", _isolate(_entry)),
     Fault("entry-paused", _pause(_entry)),
     Fault("entry-killed", _kill(_entry)),
+    Fault("entry-without-store-and-peers", _cut_entry_from_store_and_peers, (8.0,)),
     Fault("late-answers", _late_answers),
     Fault("store-down", _store_down, (1.0, 8.0)),
     Fault("store-slow", _store_slow, (1.0, 8.0)),
--- a/faults/matrix.py
+++ b/faults/matrix.py
@@ -17,6 +17,7 @@
 SESSIONS = 5
 STEPS_PER_SESSION = 25
 THINK_S = 0.1
+READER_THINK_S = 0.4
 HURRIED = 0.15
 WARM_UP_S = 0.3
 
@@ -111,9 +112,10 @@
         programmes.programme(rng, STEPS_PER_SESSION, THINK_S, hurried=HURRIED)
         for _ in range(SESSIONS - 1)
     ]
-    # Nothing but the stated age tells this session's reads from arbitrarily old ones.
+    # Nothing but the stated age tells this session's reads from arbitrarily old ones. It goes on
+    # after the others, so that work still arrives when the time limits of P7 and P9 have passed.
     reader = programmes.programme(
-        rng, STEPS_PER_SESSION, THINK_S, weights=programmes.READS, ages=(1.0,)
+        rng, STEPS_PER_SESSION, READER_THINK_S, weights=programmes.READS, ages=(1.0,)
     )
     world.run_clients([*mixed, reader])
     await asyncio.sleep(WARM_UP_S)
--- a/faults/mutations.py
+++ b/faults/mutations.py
@@ -176,6 +176,13 @@
     )
 
 
+def serve_without_contact() -> contextlib.AbstractContextManager[None]:
+    """Serves under a configuration however long ago it was certain."""
+    return _patched(
+        (configuration.Configuration, "serving_allowed", lambda _self, _now: True),
+    )
+
+
 def overwrite_the_head() -> contextlib.AbstractContextManager[None]:
     """Stores a configuration without looking at the version that it replaces."""
     put = acceptance.Acceptor._put
--- a/faults/mutations_test.py
+++ b/faults/mutations_test.py
@@ -54,6 +54,7 @@
     Case("P7", "", mutations.use_leaving_endpoints, WRITE, "primary-leaves"),
     Case("P8", "", mutations.stop_at_once, WRITE, "owner-stops"),
     Case("P9", "went back", mutations.apply_any_version, WRITE, "late-configuration"),
+    Case("P9", "answered", mutations.serve_without_contact, WRITE, "entry-without-store-and-peers"),
     Case("P9", "", mutations.overwrite_the_head, WRITE, "racing-operators"),
 )
 
--- a/faults/naive.py
+++ b/faults/naive.py
@@ -27,6 +27,7 @@
     def __init__(self, world: fleet.Fleet, name: str, policy: Policy) -> None:
         self.name = name
         self.leaving = False
+        self.version = 1
         self.node = None
         self.configuration = None
         self._world = world
