--- a/system/site.py
+++ b/system/site.py
@@ -59,6 +59,11 @@
 
     async def start(self, proxy_count: int = 3) -> None:
         """Starts everything, declares the group and waits until it is in force everywhere."""
+        await self.start_undeclared(proxy_count)
+        await self.declare()
+
+    async def start_undeclared(self, proxy_count: int = 3) -> None:
+        """Starts everything as it is before an operator's first declaration."""
         await self.standins.start_store()
         await self.standins.start_members(
             launch.MemberOptions(
@@ -72,7 +77,6 @@
         )
         await asyncio.gather(*(self.start_proxy(f"p{number}") for number in range(proxy_count)))
         await self.publish_list()
-        await self.declare()
 
     async def start_proxy(self, instance: str) -> proxies.ProxyProcess:
         """Starts one more proxy."""
