Refuse an oversized statement before it is sent, bound the connections a request may break

Cause: a 5 MB statement closed about 60 connections, one every 20 ms, and ended as unknown at its deadline: the proxy refuses the frame by closing, and the client library sent it again. Ruled out: answering an oversized frame, which would mean reading it. Conclusion: an oversized statement is a typed refusal at once.

--- a/bilberrystack/client/client_test.py
+++ b/bilberrystack/client/client_test.py
@@ -13,6 +13,7 @@
 from bilberrystack.proxy import callers
 from bilberrystack.proxy import daemon_test
 from bilberrystack.proxy import fakes_test as fakes
+from bilberrystack.wire import codec
 from bilberrystack.wire import rpc
 
 
@@ -183,3 +184,34 @@
                 await connected.open_session(timeout_s=0.05)
 
     daemon_test.check(test)
+
+
+def test_statement_over_the_frame_limit_is_not_run_at_once():
+    """Guards against sending an oversized statement again and again until the deadline."""
+
+    async def test(fleet):
+        async with fleet.connect() as connected:
+            session = await connected.open_session()
+            outcome = await session.write("g", b"x" * (codec.MAX_FRAME_BYTES + 1))
+            assert isinstance(outcome, client.NotRun)
+            assert outcome.reason is fakes.R.INVALID_REQUEST
+            assert isinstance(await session.write("g", b"a"), client.Answer)
+            assert fleet.database.runs == [b"a"]
+
+    daemon_test.check(test)
+
+
+def test_connections_that_a_request_breaks_are_bounded(monkeypatch):
+    """Guards against a request that closes connection after connection until its deadline."""
+
+    async def test(fleet):
+        async with fleet.connect() as connected:
+            session = await connected.open_session()
+            monkeypatch.setattr(callers.Listener, "execute", close_connection)
+            outcome = await session.write("g", b"a", timeout_s=600.0)
+            assert isinstance(outcome, client.Unknown)
+
+    async def close_connection(_listener, context, _request):
+        context.close()
+
+    daemon_test.check(test)
--- a/bilberrystack/client/sessions.py
+++ b/bilberrystack/client/sessions.py
@@ -20,6 +20,10 @@
 
 _PAUSE_S = 0.02
 
+# Connections that may break under one request. More would repeat what breaks them, for example a
+# request that is longer than the proxy's limit.
+MAX_LOST_CONNECTIONS = 16
+
 _Kind = requests.Kind
 _Reason = results.NotRunReason
 
@@ -65,6 +69,7 @@
       transaction: The transaction's id, if any.
       maybe_ran: Whether an attempt with an effect may have run.
       resolving: Whether only its outcome is to be found out.
+      lost_connections: Connections that broke under it.
     """
 
     kind: requests.Kind
@@ -76,6 +81,7 @@
     transaction: str | None
     maybe_ran: bool = False
     resolving: bool = False
+    lost_connections: int = 0
 
     def message(self, tokens: list[bytes], remaining_s: float) -> ttypes.Request:
         """Returns the message of the next attempt."""
@@ -96,6 +102,9 @@
         if self.kind in _RESOLVABLE:
             self.resolving = True
         self.maybe_ran = self.maybe_ran or self.kind not in _WITHOUT_EFFECT
+        self.lost_connections += 1
+        if self.lost_connections > MAX_LOST_CONNECTIONS:
+            return False
         return self.resolving or self.kind in _REPEATABLE
 
     def renew(self, sequence: int) -> None:
@@ -231,6 +240,8 @@
                 if closed.sent and not attempts.lost():
                     return _unknown(str(closed)), None
                 continue
+            except failures.FrameTooLarge as failure:
+                return attempts.failed(results.NotRun(_Reason.INVALID_REQUEST, str(failure))), None
             except failures.RemoteFailure as failure:
                 if not attempts.lost():
                     return _unknown(str(failure)), None
--- a/bilberrystack/proxy/member_link.py
+++ b/bilberrystack/proxy/member_link.py
@@ -223,6 +223,9 @@
     async def _call(self, method: str, *fields: Any) -> members.MemberReply:
         try:
             return _translate_reply(await _call(self._connection, method, *fields))
+        except failures.FrameTooLarge as failure:
+            # Nothing was sent, so the connection stays usable. The member promises no term by this.
+            return members.Refused(members.Refusal.INVALID_STATEMENT, str(failure), 0)
         except BaseException:
             # A late answer must not meet the next statement, and a transaction whose state is
             # not known must not go on.
@@ -233,6 +236,8 @@
 async def _call(connection: rpc.Connection, method: str, *fields: Any) -> Any:
     try:
         return await connection.call(method, *fields)
+    except failures.FrameTooLarge:
+        raise
     except failures.ConnectionClosed as closed:
         raise interfaces.LinkLost(f"{method}: {closed}", closed.sent) from closed
     except (failures.WireFailure, Thrift.TException) as failure:
--- a/bilberrystack/proxy/peers.py
+++ b/bilberrystack/proxy/peers.py
@@ -217,7 +217,11 @@
         connection = await self._connected()
         remaining_s = request.deadline - self._loop.time() - links.ANSWER_MARGIN_S
         message = peer_messages.to_forward(request, remaining_s)
-        outcome = peer_messages.from_outcome(await self._call(connection, "forward", message))
+        try:
+            answer = await self._call(connection, "forward", message)
+        except failures.FrameTooLarge as failure:
+            return outcomes.NotRun(outcomes.NotRunReason.INVALID_REQUEST, str(failure))
+        outcome = peer_messages.from_outcome(answer)
         if outcome is None:
             raise interfaces.LinkLost(f"{self._address}: an outcome of no known kind", sent=True)
         return outcome
@@ -258,12 +262,17 @@
             connection.close()
 
     async def _control(self, method: str, *fields: Any) -> Any:
-        return await self._call(await self._connected(), method, *fields)
+        try:
+            return await self._call(await self._connected(), method, *fields)
+        except failures.FrameTooLarge as failure:
+            raise interfaces.LinkLost(f"{self._address}: {failure}", sent=False) from failure
 
     async def _call(self, connection: rpc.Connection, method: str, *fields: Any) -> Any:
         self._in_flight += 1
         try:
             return await connection.call(method, *fields)
+        except failures.FrameTooLarge:
+            raise
         except failures.ConnectionClosed as closed:
             raise interfaces.LinkLost(f"{self._address}: {closed}", closed.sent) from closed
         except (failures.WireFailure, Thrift.TException) as failure:
--- a/bilberrystack/wire/rpc.py
+++ b/bilberrystack/wire/rpc.py
@@ -129,11 +129,19 @@
 class Connection(_Framed):
     """The calling side of a connection. Close it, or use it as a context manager."""
 
-    __slots__ = ("_closed_reason", "_on_close", "_pending", "_sequence", "_service")
+    __slots__ = (
+        "_closed_reason",
+        "_max_frame_bytes",
+        "_on_close",
+        "_pending",
+        "_sequence",
+        "_service",
+    )
 
     def __init__(self, service: codec.Service, max_frame_bytes: int, traffic: Traffic) -> None:
         super().__init__(max_frame_bytes, traffic)
         self._service = service
+        self._max_frame_bytes = max_frame_bytes
         self._pending: dict[int, tuple[str, asyncio.Future[Any]]] = {}
         self._sequence = 0
         self._closed_reason: str | None = None
@@ -156,7 +164,7 @@
           fields: The arguments in the order of the schema.
         Returns:
           The result's success value; None for void. Raises the schema's exceptions,
-          ConnectionClosed or RemoteFailure.
+          ConnectionClosed, RemoteFailure, or FrameTooLarge if the call was not sent for its size.
         """
         args_class, _result_class = self._service.calls[method]
         if self._closed_reason is not None or self._transport is None:
@@ -164,6 +172,8 @@
         self._sequence = self._sequence % 0x7FFFFFFF + 1
         sequence = self._sequence
         frame = codec.encode(method, Thrift.TMessageType.CALL, sequence, args_class(*fields))
+        if len(frame) - codec.LENGTH.size > self._max_frame_bytes:
+            raise failures.FrameTooLarge(f"{len(frame)} bytes, limit {self._max_frame_bytes}")
         future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         self._pending[sequence] = (method, future)
         try:
@@ -242,7 +252,7 @@
       host: Its IP number.
       port: Its port.
       tls: The TLS context, or None for plain TCP.
-      max_frame_bytes: The longest frame accepted.
+      max_frame_bytes: The longest frame sent and accepted.
       traffic: Where the connection's bytes are counted.
     Returns:
       The connection. Raises OSError.
