Shorten the function that runs a statement

Change: closing a broken connection is a function of its own; behaviour is unchanged. Conclusion: none.

--- a/bilberrystack/proxy/statements.py
+++ b/bilberrystack/proxy/statements.py
@@ -90,8 +90,6 @@
 ) -> members.MemberReply:
     """Runs a statement on a leased connection and gives its slot back.
 
-    After the answer the lease is still the caller's. In every other case it is taken care of here.
-
     Args:
       state: The group.
       ticket: Holds the slot.
@@ -102,9 +100,9 @@
         primary; None for a read, whose wait ends when its member is silent.
       reusable: Whether the connection may be returned to the pool after a late answer.
     Returns:
-      The answer.
+      The answer; the lease is the caller's again. In every other case it is taken care of here.
     Raises:
-      Outstanding: The answer did not come in time; slot and connection stay taken until it does.
+      Outstanding: The answer is late; slot and connection stay taken until it comes.
       interfaces.LinkLost: The connection broke; it is closed.
     """
     loop = asyncio.get_running_loop()
@@ -123,9 +121,7 @@
         raise Outstanding
     failure = _failure(work)
     if failure is not None:
-        lease.discard()
-        state.slots.release(ticket)
-        state.counters.lost_links += 1
+        _break(state, ticket, lease)
         raise failure
     reply = work.result()
     state.heard(name, reply.promised_term)
@@ -133,6 +129,13 @@
     return reply
 
 
+def _break(state: group_state.GroupState, ticket: admission.Ticket, lease: pool.Lease) -> None:
+    """Closes a broken connection and gives the slot back."""
+    lease.discard()
+    state.slots.release(ticket)
+    state.counters.lost_links += 1
+
+
 async def _wait(
     state: group_state.GroupState,
     name: str,
