--- a/bilberrystack/core/quorum.py
+++ b/bilberrystack/core/quorum.py
@@ -65,6 +65,7 @@
     __slots__ = (
         "_accepted",
         "_confirmed_by_term",
+        "_ended_terms",
         "_latest",
         "_members",
         "_observations",
@@ -76,6 +77,7 @@
         self._term = 0
         self._accepted: dict[str, int] = {}
         self._confirmed_by_term: dict[int, int] = {}
+        self._ended_terms: set[int] = set()
         self._latest: dict[str, members.MemberStatus] = {}
         self._observations: list[Observation] = []
 
@@ -151,9 +153,12 @@
         return position.index <= self._confirmed_by_term.get(position.term, 0)
 
     def is_lost(self, position: positions.Position) -> bool:
-        """Tells whether an entry is known not to be in the log of the confirmed newer term."""
-        newer = [term for term in self._confirmed_by_term if term > position.term]
-        if not newer or position.term not in self._confirmed_by_term:
+        """Tells whether an entry is known not to be in the log of the confirmed newer term.
+
+        That needs the end of the entry's term: that a newer term is confirmed does not tell where
+        the older one ended.
+        """
+        if position.term not in self._ended_terms:
             return False
         return position.index > self._confirmed_by_term[position.term]
 
@@ -195,11 +200,15 @@
         if status.last_log.term in self._confirmed_by_term and status.previous_term_end.index:
             end = status.previous_term_end
             self._raise_confirmed(end.term, end.index)
+            if end.term in self._confirmed_by_term:
+                self._ended_terms.add(end.term)
 
     def _raise_confirmed(self, term: int, index: int) -> None:
         self._confirmed_by_term[term] = max(index, self._confirmed_by_term.get(term, 0))
         if len(self._confirmed_by_term) > MAX_TERMS:
-            del self._confirmed_by_term[min(self._confirmed_by_term)]
+            oldest = min(self._confirmed_by_term)
+            del self._confirmed_by_term[oldest]
+            self._ended_terms.discard(oldest)
 
 
 def _version(status: members.MemberStatus) -> tuple[int, positions.Position, positions.Position]:
--- a/bilberrystack/core/quorum_test.py
+++ b/bilberrystack/core/quorum_test.py
@@ -58,6 +58,18 @@
     assert not group.is_lost(P(3, 8))
 
 
+def test_confirmed_newer_term_alone_does_not_tell_where_the_older_one_ended():
+    """Guards against calling an entry lost that the newer primary's log may hold."""
+    group = quorum.Quorum("abc")
+    for name in "ab":
+        group.accept(name, P(3, 5))
+        group.accept(name, P(4, 9))
+    assert not group.is_lost(P(3, 8))
+    group.record(report("b", 4, P(4, 9), P(3, 7)))
+    assert group.is_lost(P(3, 8))
+    assert not group.is_lost(P(3, 7))
+
+
 def test_late_report_does_not_replace_a_newer_one():
     """Guards against a delayed answer that hides a change of primary."""
     group = quorum.Quorum("abc")
--- a/bilberrystack/proxy/rounds_test.py
+++ b/bilberrystack/proxy/rounds_test.py
@@ -24,6 +24,7 @@
         self.name = name
         self.last_log = last_log
         self.promised_term = last_log.term
+        self.previous_term_end = positions.ZERO
         self.delay_s = delay_s
         self.silent = False
         self.calls = 0
@@ -32,6 +33,8 @@
         self._changed = asyncio.Event()
 
     def advance(self, position):
+        if position.term > self.last_log.term:
+            self.previous_term_end = self.last_log
         self.last_log = position
         self.promised_term = max(self.promised_term, position.term)
         self._changed.set()
@@ -67,7 +70,7 @@
             connection_limit=16,
             leaving=False,
             discarded_entries=0,
-            previous_term_end=positions.ZERO,
+            previous_term_end=self.previous_term_end,
         )
         await asyncio.sleep(self.delay_s / 2)
         return report
