--- a/system/site.py
+++ b/system/site.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import pathlib
+import ssl
 from typing import Any
 
 from bilberrystack import client
@@ -122,6 +123,6 @@
             "callers": [{"name": CALLER, "secret_sha256": [digest], "groups": [GROUP]}],
         }
 
-    def connect(self, addresses: list[str] | None = None) -> client.Client:
-        """Returns a client that uses the proxies at some addresses, by default all."""
-        return client.connect(addresses or self.caller_addresses, CALLER, CALLER_SECRET)
+    def connect(self, tls: ssl.SSLContext | None = None) -> client.Client:
+        """Returns a client that uses all proxies, over TLS if a context is given."""
+        return client.connect(self.caller_addresses, CALLER, CALLER_SECRET, tls=tls)
