--- a/bilberrystack/wire/codec_test.py
+++ b/bilberrystack/wire/codec_test.py
@@ -51,9 +51,10 @@
 def test_arbitrary_bytes_are_malformed_or_a_message(frame):
     """Guards against an exception that is no WireFailure, which would escape the connection."""
     try:
-        codec.decode(frame, lambda _header: Caller.execute_args)
+        _header, args = codec.decode(frame, lambda _header: Caller.execute_args)
     except failures.MalformedFrame:
         return
+    assert isinstance(args, Caller.execute_args)
 
 
 @pytest.mark.parametrize("length", range(1, 40))
