Run the matrix's instances with the calls to all instances of the product

Ruled out: restoring the copy: the process uses proxy/fleet.py, so the matrix should too. Change: faults/instances.py builds a Fleet, as proxy/operations.py does. Conclusion: the matrix covers the pushing that the product does.

--- a/faults/instances.py
+++ b/faults/instances.py
@@ -10,12 +10,14 @@
 from bilberrystack.core import errors
 from bilberrystack.core import freshness
 from bilberrystack.core import membership
+from bilberrystack.core import reports
 from bilberrystack.core import retries
 from bilberrystack.core import tokens
 from bilberrystack.proxy import acceptance
 from bilberrystack.proxy import configuration
 from bilberrystack.proxy import discovery
 from bilberrystack.proxy import entry
+from bilberrystack.proxy import fleet
 from bilberrystack.proxy import interfaces
 from bilberrystack.proxy import node
 from bilberrystack.proxy import owner
@@ -42,6 +44,25 @@
     instances: dict[str, "ProxyInstance"]
 
 
+class _Own:
+    """What an instance tells the others about itself."""
+
+    def __init__(self, instance: "ProxyInstance") -> None:
+        self._instance = instance
+
+    def digest(self) -> interfaces.Digest:
+        own = self._instance
+        contact_s = None
+        if own.configuration is not None and own.configuration.store_contact_at is not None:
+            contact_s = own.now - own.configuration.store_contact_at
+        return interfaces.Digest(
+            own.name, own.failure_domain, own.address, own.leaving, own.version, contact_s
+        )
+
+    def report(self, minutes: int) -> reports.InstanceReport:
+        raise NotImplementedError
+
+
 class ProxyInstance:
     """One instance: its node and its configuration.
 
@@ -62,6 +83,11 @@
         self._world = world
         self._randomness = random.Random(f"{name} {random.random()}")
 
+    @property
+    def now(self) -> float:
+        """Seconds of the run's clock."""
+        return self._world.loop.time()
+
     @property
     def leaving(self) -> bool:
         """Whether it refuses new work."""
@@ -87,6 +113,11 @@
             chooser=self._randomness,
             wall_time=world.loop.time,
         )
+        assert self.configuration is not None
+        others = fleet.Fleet(_Own(self), self.node.view, self.node.peer)
+        self._acceptor = acceptance.Acceptor(
+            link, self.configuration, others, freshness.may_accept_changes
+        )
         await self.node.__aenter__()
 
     async def stop(self) -> None:
@@ -124,9 +155,6 @@
             link, others, freshness.may_serve, source=self._randomness
         )
         self.configuration.on_change(self._applied)
-        self._acceptor = acceptance.Acceptor(
-            link, self.configuration, others, freshness.may_accept_changes
-        )
         return self.configuration
 
     def _applied(self, *_document: declarations.Declarations) -> None:
