--- a/bilberrystack/proxy/operations.py
+++ b/bilberrystack/proxy/operations.py
@@ -239,22 +239,10 @@
     listeners = dict(listeners)
     counted = counted_store.counted(store)
     observed = Observed(running, recorder, counted, listeners)
-    current = running.configuration
-    assert isinstance(current, configuration.Configuration)
     found = fleet.Fleet(observed, running.view, running.peer)
     running.set_reporter(lambda minutes: reports.encode(observed.report(minutes)))
     history = summaries.Summaries(counted, found, time.time)
-    handler = operators.Operators(
-        instance=observed.digest().instance,
-        secret=settings.operator_secret,
-        configuration=current,
-        acceptor=acceptance.Acceptor(counted, current, found, freshness.may_accept_changes),
-        fleet=found,
-        history=history,
-        wall_time=time.time,
-        on_change=_log_change,
-        on_refusal=lambda peer: _LOG.warning("Rejected an operator at {}: wrong proof", peer),
-    )
+    handler = _operators(settings, running, counted, found, history)
     exported = metrics.Metrics(observed.sample)
     recorder.exported = exported
     server = rpc.Server(operators.SERVICE, handler, on_error=_log_error)
@@ -271,6 +259,29 @@
             task.cancel()
 
 
+def _operators(
+    settings: OperationsSettings,
+    running: node.Node,
+    store: interfaces.Store,
+    found: fleet.Fleet,
+    history: summaries.Summaries,
+) -> operators.Operators:
+    """Returns the handler of the operators' calls."""
+    current = running.configuration
+    assert isinstance(current, configuration.Configuration)
+    return operators.Operators(
+        instance=running.own_digest().instance,
+        secret=settings.operator_secret,
+        configuration=current,
+        acceptor=acceptance.Acceptor(store, current, found, freshness.may_accept_changes),
+        fleet=found,
+        history=history,
+        wall_time=time.time,
+        on_change=_log_change,
+        on_refusal=lambda peer: _LOG.warning("Rejected an operator at {}: wrong proof", peer),
+    )
+
+
 def _log_change(change: changes.Change, outcome: changes.ChangeOutcome) -> None:
     _LOG.info(
         "Change {} of {}: {}", change.operation_id, change.operator or "unknown", _summary(outcome)
--- a/faults/instances.py
+++ b/faults/instances.py
@@ -47,17 +47,11 @@
 class _Own:
     """What an instance tells the others about itself."""
 
-    def __init__(self, instance: "ProxyInstance") -> None:
-        self._instance = instance
+    def __init__(self, own: node.Node) -> None:
+        self._node = own
 
     def digest(self) -> interfaces.Digest:
-        own = self._instance
-        contact_s = None
-        if own.configuration is not None and own.configuration.store_contact_at is not None:
-            contact_s = own.now - own.configuration.store_contact_at
-        return interfaces.Digest(
-            own.name, own.failure_domain, own.address, own.leaving, own.version, contact_s
-        )
+        return self._node.own_digest()
 
     def report(self, minutes: int) -> reports.InstanceReport:
         raise NotImplementedError
@@ -83,11 +77,6 @@
         self._world = world
         self._randomness = random.Random(f"{name} {random.random()}")
 
-    @property
-    def now(self) -> float:
-        """Seconds of the run's clock."""
-        return self._world.loop.time()
-
     @property
     def leaving(self) -> bool:
         """Whether it refuses new work."""
@@ -114,7 +103,7 @@
             wall_time=world.loop.time,
         )
         assert self.configuration is not None
-        others = fleet.Fleet(_Own(self), self.node.view, self.node.peer)
+        others = fleet.Fleet(_Own(self.node), self.node.view, self.node.peer)
         self._acceptor = acceptance.Acceptor(
             link, self.configuration, others, freshness.may_accept_changes
         )
