Translate failures of calls to members and peers in one place

Cause: proxy/member_link.py and proxy/peers.py translated the failures of a framed connection with the same seven lines; both had to be changed for oversized statements. Ruled out: the other repeated runs: generated code, the schemas' common structs, signatures of commands. Change: proxy/link_calls.py.

--- a/bilberrystack/proxy/member_link.py
+++ b/bilberrystack/proxy/member_link.py
@@ -15,6 +15,7 @@
 from bilberrystack.core import requests
 from bilberrystack.gen.members import Member as member_service
 from bilberrystack.proxy import interfaces
+from bilberrystack.proxy import link_calls
 from bilberrystack.proxy import member_messages
 from bilberrystack.wire import codec
 from bilberrystack.wire import failures
@@ -125,7 +126,7 @@
     async def _call_control(self, method: str, *fields: Any) -> Any:
         try:
             connection = await self._control_connection()
-            answer = await _call(connection, method, *fields)
+            answer = await link_calls.call(connection, method, method, *fields)
         except asyncio.CancelledError:
             self._give_up_if_silent()
             raise
@@ -158,7 +159,9 @@
         except OSError as error:
             raise interfaces.LinkLost(f"{self.address}: {error}", sent=False) from error
         try:
-            reply = _translate_reply(await _call(connection, "hello", self._instance, control))
+            reply = _translate_reply(
+                await link_calls.call(connection, "hello", "hello", self._instance, control)
+            )
         except interfaces.LinkLost as lost:
             connection.close()
             # No request of a caller was on the connection yet.
@@ -222,7 +225,9 @@
 
     async def _call(self, method: str, *fields: Any) -> members.MemberReply:
         try:
-            return _translate_reply(await _call(self._connection, method, *fields))
+            return _translate_reply(
+                await link_calls.call(self._connection, method, method, *fields)
+            )
         except failures.FrameTooLarge as failure:
             # Nothing was sent, so the connection stays usable. The member promises no term by this.
             return members.Refused(members.Refusal.INVALID_STATEMENT, str(failure), 0)
@@ -233,17 +238,6 @@
             raise
 
 
-async def _call(connection: rpc.Connection, method: str, *fields: Any) -> Any:
-    try:
-        return await connection.call(method, *fields)
-    except failures.FrameTooLarge:
-        raise
-    except failures.ConnectionClosed as closed:
-        raise interfaces.LinkLost(f"{method}: {closed}", closed.sent) from closed
-    except (failures.WireFailure, Thrift.TException) as failure:
-        raise interfaces.LinkLost(f"{method}: {failure}", sent=True) from failure
-
-
 def _translate(translation: collections.abc.Callable[[Any], _Result], message: Any) -> _Result:
     try:
         return translation(message)
--- a/bilberrystack/proxy/peers.py
+++ b/bilberrystack/proxy/peers.py
@@ -16,7 +16,6 @@
 from typing import Protocol
 
 import loguru
-from thrift import Thrift
 
 from bilberrystack.core import errors
 from bilberrystack.core import outcomes
@@ -24,6 +23,7 @@
 from bilberrystack.gen.peers import Peer
 from bilberrystack.gen.peers import ttypes
 from bilberrystack.proxy import interfaces
+from bilberrystack.proxy import link_calls
 from bilberrystack.proxy import links
 from bilberrystack.proxy import peer_messages
 from bilberrystack.wire import codec
@@ -270,14 +270,7 @@
     async def _call(self, connection: rpc.Connection, method: str, *fields: Any) -> Any:
         self._in_flight += 1
         try:
-            return await connection.call(method, *fields)
-        except failures.FrameTooLarge:
-            raise
-        except failures.ConnectionClosed as closed:
-            raise interfaces.LinkLost(f"{self._address}: {closed}", closed.sent) from closed
-        except (failures.WireFailure, Thrift.TException) as failure:
-            # A failed handler may have run the request.
-            raise interfaces.LinkLost(f"{self._address}: {failure}", sent=True) from failure
+            return await link_calls.call(connection, self._address, method, *fields)
         finally:
             self._in_flight -= 1
             self._used_at = self._loop.time()
