--- a/bilberrystack/logs.py
+++ b/bilberrystack/logs.py
@@ -25,10 +25,11 @@
 class RateLimit:
     """Limits the lines of each place in the program that logs."""
 
-    __slots__ = ("_clock", "_places")
+    __slots__ = ("_clock", "_max_lines", "_places")
 
-    def __init__(self, clock: Clock = time.monotonic) -> None:
+    def __init__(self, clock: Clock = time.monotonic, max_lines: int = MAX_LINES) -> None:
         self._clock = clock
+        self._max_lines = max_lines
         self._places: dict[tuple[str, int], _Place] = {}
 
     def admit(self, name: str, line: int) -> int | None:
@@ -45,7 +46,7 @@
         if now - place.started_at >= INTERVAL_S:
             place.started_at = now
             place.admitted = 0
-        if place.admitted >= MAX_LINES:
+        if place.admitted >= self._max_lines:
             place.left_out += 1
             return None
         place.admitted += 1
@@ -75,6 +76,7 @@
         json: bool,
         secrets: collections.abc.Iterable[str] = (),
         clock: Clock = time.monotonic,
+        max_lines: int = MAX_LINES,
     ) -> None:
         """Creates a sink for loguru.
 
@@ -83,10 +85,11 @@
           json: Whether lines are JSON objects.
           secrets: Texts that are masked wherever they occur.
           clock: Returns seconds, for the rate limit.
+          max_lines: Lines of one place in the program within INTERVAL_S.
         """
         self._write = write
         self._json = json
-        self._limit = RateLimit(clock)
+        self._limit = RateLimit(clock, max_lines)
         texts = {one for one in secrets if one}
         texts |= {msgspec.json.encode(one).decode()[1:-1] for one in texts}
         # A secret that contains another one is masked first.
--- /dev/null
+++ b/bilberrystack/platform/settings_file.py
@@ -0,0 +1,129 @@
+"""The platform's settings file, decoded once into the product's settings."""
+
+import os
+import typing
+
+import msgspec
+from returns import result
+
+from bilberrystack.platform import objects
+from bilberrystack.pooling import settings
+from bilberrystack.routing import model
+
+VARIABLE = "BILBERRYSTACK_CONFIG"
+
+
+class _Listen(msgspec.Struct):
+    front: str
+    ready: str
+
+
+class _Bounds(msgspec.Struct):
+    grace_s: float = 6.0
+
+
+class _Store(msgspec.Struct):
+    address: str
+
+
+class _Cloud(msgspec.Struct):
+    address: str
+
+
+class _File(msgspec.Struct):
+    node_name: str
+    ip: str
+    zone: str
+    listen: _Listen
+    # First and last port that the product's instances may use among themselves.
+    internal_ports: list[int]
+    platform: _Store
+    cloud: _Cloud
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+# Ports of the instances among themselves, counted from the first internal one.
+_PEERS_PORT = 0
+_METRICS_PORT = 1
+
+Loaded = result.Result[settings.Settings, settings.Invalid]
+
+
+def load() -> Loaded:
+    """Reads the file that the environment names.
+
+    Returns:
+      The settings, or all problems that were found.
+    """
+    path = os.environ.get(VARIABLE, "")
+    if not path:
+        return _invalid(f"{VARIABLE} is not set")
+    try:
+        with open(path, "rb") as file:
+            content = file.read()
+    except OSError as error:
+        return _invalid(f"{path}: {error.strerror}")
+    return parse(content)
+
+
+def parse(content: bytes) -> Loaded:
+    """Decodes the file's content; returns the settings, or all problems that were found."""
+    try:
+        values = msgspec.json.decode(content)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return _invalid(f"not JSON: {error}")
+    if not isinstance(values, dict):
+        return _invalid("not a JSON object")
+    problems = []
+    for field in msgspec.structs.fields(_File):
+        if field.name not in values:
+            if field.required:
+                problems.append(f"{field.name}: missing")
+            continue
+        try:
+            msgspec.convert(values[field.name], field.type)
+        except msgspec.ValidationError as error:
+            problems.append(f"{field.name}: {error}")
+    if problems:
+        return _invalid(*problems)
+    return _checked(msgspec.convert(values, _File))
+
+
+def _checked(found: _File) -> Loaded:
+    problems: list[str] = []
+    sessions = _endpoint("listen.front", found.listen.front, problems)
+    ready = _endpoint("listen.ready", found.listen.ready, problems)
+    store = _endpoint("platform.address", found.platform.address, problems)
+    calls = _endpoint("cloud.address", found.cloud.address, problems)
+    ports = found.internal_ports
+    if len(ports) != 2 or ports[1] - ports[0] < _METRICS_PORT:
+        problems.append("internal_ports: must be a first and a last port, with two ports or more")
+    if found.bounds.grace_s <= 0:
+        problems.append("bounds.grace_s: must be above 0")
+    if problems:
+        return _invalid(*problems)
+    return result.Success(
+        settings.Settings(
+            name=found.node_name,
+            failure_domain=found.zone,
+            sessions=sessions,
+            ready=ready,
+            peers=model.Endpoint(found.ip, ports[0] + _PEERS_PORT),
+            metrics=model.Endpoint(found.ip, ports[0] + _METRICS_PORT),
+            store=store,
+            calls=calls,
+            grace_s=found.bounds.grace_s,
+        )
+    )
+
+
+def _endpoint(name: str, text: str, problems: list[str]) -> model.Endpoint:
+    try:
+        return objects.endpoint(text)
+    except ValueError:
+        problems.append(f"{name}: {text!r} is not an IP number and a port")
+        return model.Endpoint("", 0)
+
+
+def _invalid(*problems: str) -> Loaded:
+    return typing.cast(Loaded, result.Failure(settings.Invalid(problems)))
--- /dev/null
+++ b/bilberrystack/pooling/__init__.py
@@ -0,0 +1,1 @@
+"""The session mode's asynchronous shell: client sessions over pooled connections to members."""
--- /dev/null
+++ b/bilberrystack/pooling/counters.py
@@ -0,0 +1,69 @@
+"""Counters and latency histograms of the session mode, in the Prometheus format."""
+
+from aioprometheus import collectors
+from aioprometheus.formats import text
+
+PREFIX = "bilberrystack_"
+
+# Upper bounds in seconds: aims are 0.12 to 0.8 s, time limits 2 to 12 s.
+LATENCY_BOUNDS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
+
+
+class Counters:
+    """The metrics of one instance. Labels are bounded by the program."""
+
+    __slots__ = (
+        "_registry",
+        "confirmations",
+        "duty_calls",
+        "leases",
+        "link_failures",
+        "log_lines_dropped",
+        "reads",
+        "request_seconds",
+        "requests",
+        "retries",
+        "sessions",
+        "store_calls",
+        "wait_seconds",
+    )
+
+    def __init__(self) -> None:
+        self._registry = collectors.Registry()
+        self.requests = self._counter("requests_total", "Requests by kind and outcome.")
+        self.reads = self._counter("reads_total", "Served reads by the role of the member.")
+        self.retries = self._counter("retries_total", "Statements sent anew, by cause.")
+        self.confirmations = self._counter(
+            "confirmations_total", "Answers of a primary by how they were confirmed."
+        )
+        self.link_failures = self._counter(
+            "member_link_failures_total", "Connections to members that failed, by failure."
+        )
+        self.store_calls = self._counter("store_calls_total", "Calls to the store, by result.")
+        self.duty_calls = self._counter("duty_calls_total", "Calls for promotions, by result.")
+        self.leases = self._counter("duty_leases_total", "Changes of the promotion duty.")
+        self.log_lines_dropped = self._counter(
+            "log_lines_dropped_total", "Log lines that standard output did not take."
+        )
+        self.sessions = self._gauge("sessions", "Client sessions that are open.")
+        self.request_seconds = self._histogram(
+            "request_seconds", "From a request's arrival to its answer, by kind."
+        )
+        self.wait_seconds = self._histogram(
+            "wait_seconds", "Wait of a statement for a connection, by kind."
+        )
+
+    def _counter(self, name: str, doc: str) -> collectors.Counter:
+        return collectors.Counter(PREFIX + name, doc, registry=self._registry)
+
+    def _gauge(self, name: str, doc: str) -> collectors.Gauge:
+        return collectors.Gauge(PREFIX + name, doc, registry=self._registry)
+
+    def _histogram(self, name: str, doc: str) -> collectors.Histogram:
+        return collectors.Histogram(
+            PREFIX + name, doc, registry=self._registry, buckets=list(LATENCY_BOUNDS_S)
+        )
+
+    def page(self) -> bytes:
+        """Returns all metrics as text."""
+        return text.TextFormatter().marshall(self._registry)
--- /dev/null
+++ b/bilberrystack/pooling/execution.py
@@ -0,0 +1,415 @@
+"""Runs one statement at a member: choice, preparation, retries and confirmation.
+
+A statement is sent anew only if its answer promises that nothing ran, or if it only reads.
+"""
+
+import asyncio
+import dataclasses
+import hashlib
+
+import loguru
+
+from bilberrystack.pooling import counters
+from bilberrystack.pooling import group
+from bilberrystack.pooling import interfaces
+from bilberrystack.pooling import member_link
+from bilberrystack.routing import freshness
+from bilberrystack.routing import model
+from bilberrystack.routing import permission
+from bilberrystack.routing import statements
+
+_LOG = loguru.logger.bind(component="execution")
+
+# Part of a statement's time limit that it may wait for a member; the rest is for its run.
+WAIT_PART = 0.85
+
+# Times that a read is sent anew after an answer that says that it ran and failed, or was lost.
+READ_RETRIES = 2
+
+# Times that a statement is sent anew after answers that promise that it did not run.
+NOT_RUN_RETRIES = 6
+
+
+# Pause before a write goes to the same primary again that has just turned it away.
+BUSY_PAUSE_S = 0.02
+
+
+class NotPrepared(Exception):
+    """A connection could not be brought to the session's values; the statement did not run."""
+
+
+@dataclasses.dataclass(slots=True)
+class Shape:
+    """A prepared statement."""
+
+    access: statements.Access
+    text: str
+
+    @property
+    def name(self) -> str:
+        """The name that it has at members, the same for all sessions."""
+        digest = hashlib.blake2s(f"{self.access.value} {self.text}".encode(), digest_size=8)
+        return f"p{digest.hexdigest()}"
+
+
+@dataclasses.dataclass(slots=True)
+class Work:
+    """A read or a write of a client, or the end of a transaction.
+
+    Attributes:
+      id: The client's id.
+      text: What the member is sent.
+      access: What it does.
+      shape: The prepared statement that it runs; None for another one.
+      arrived_at_s: When the request was read.
+      route: The database.
+      values: The session's values.
+      mark: The session's last write; None if there is none.
+    """
+
+    id: str
+    text: str
+    access: statements.Access
+    shape: Shape | None
+    arrived_at_s: float
+    route: model.Route
+    values: dict[str, str]
+    mark: freshness.Mark | None
+
+    @property
+    def ends_at_s(self) -> float:
+        """When its time limit is over."""
+        return self.arrived_at_s + self.route.timeout_s
+
+    @property
+    def wait_until_s(self) -> float:
+        """How long it may wait for a member."""
+        return self.arrived_at_s + self.route.timeout_s * WAIT_PART
+
+
+@dataclasses.dataclass(slots=True)
+class Trace:
+    """How a request was decided, for its log line.
+
+    Attributes:
+      member: Where it ran last, empty if nowhere.
+      term: The term of the primary that was relied on, 0 for none.
+      after: The position that the member's log had to have, empty for none.
+      after_age_ms: How old the knowledge of that position was.
+      waited_ms: How long it waited for connections.
+      sent: How often it was sent to a member.
+      confirmed: What an answer of the primary rests on: a grant, a round, or nothing.
+      cause: Why it was refused or sent anew last, empty if it was not.
+    """
+
+    member: str = ""
+    term: int = 0
+    after: str = ""
+    after_age_ms: int = 0
+    waited_ms: int = 0
+    sent: int = 0
+    confirmed: str = ""
+    cause: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """What a client is told.
+
+    Attributes:
+      rows: The lines of the result, as received.
+      done: The line that proves the result; None if there is none.
+      failure: Why there is no result; None if there is one.
+      reply: The member's last answer; None if none came.
+      leader: The primary that an answer rests on; None for replicas.
+    """
+
+    rows: tuple[bytes, ...] = ()
+    done: bytes | None = None
+    failure: statements.Failure | None = None
+    reply: statements.Reply | None = None
+    leader: permission.Leader | None = None
+
+
+def failed(code: statements.Code, text: str, reply: statements.Reply | None = None) -> Outcome:
+    """Returns the outcome of a statement without a result."""
+    return Outcome(failure=statements.Failure(code, text), reply=reply)
+
+
+def from_member(found: statements.Failure, reply: statements.Reply) -> Outcome:
+    """Returns the outcome of a statement that a member has refused or failed."""
+    return failed(found.code, "at the member", reply)
+
+
+class Executor:
+    """Runs statements at the members of a group."""
+
+    __slots__ = ("_clock", "_counters", "_dialect", "group")
+
+    def __init__(
+        self,
+        served: group.Group,
+        dialect: interfaces.Dialect,
+        clock: interfaces.Clock,
+        counted: counters.Counters,
+    ) -> None:
+        self.group = served
+        self._dialect = dialect
+        self._clock = clock
+        self._counters = counted
+
+    async def needed(self, work: Work, trace: Trace) -> group.Need:
+        """Returns what a read needs of a member by its route and session.
+
+        A read for which no position is young enough goes to the primary, whose answer is confirmed.
+        """
+        need = group.Need(
+            primary=True,
+            give_up_at_s=work.wait_until_s,
+            priority=work.route.priority,
+            values=work.values,
+        )
+        max_age_s = work.route.max_age_s
+        if max_age_s is None or work.route.consistency is model.Consistency.PRIMARY:
+            return need
+        sample = self._sample(work, max_age_s)
+        if sample is None and await self.group.sample_primary():
+            sample = self._sample(work, max_age_s)
+        if sample is None:
+            return need
+        need.primary = False
+        need.after = sample.position
+        need.after_age_s = self._clock() - sample.asked_at_s
+        trace.after = str(sample.position)
+        trace.after_age_ms = round(need.after_age_s * 1000)
+        return need
+
+    def _sample(self, work: Work, max_age_s: float) -> freshness.Sample | None:
+        history = self.group.history
+        by_age = history.needed_for_age(self._clock(), max_age_s)
+        if by_age is None or work.mark is None:
+            return by_age
+        if work.route.consistency is not model.Consistency.OWN_WRITES:
+            return by_age
+        by_mark = history.needed_for_mark(work.mark)
+        if by_mark is None:
+            return None
+        return max(by_age, by_mark, key=lambda one: one.position)
+
+    async def acquire(self, need: group.Need, trace: Trace) -> member_link.MemberLink:
+        """Waits for a connection; raises group.Unavailable."""
+        began_at_s = self._clock()
+        try:
+            link = await self.group.acquire(need)
+        finally:
+            waited_s = self._clock() - began_at_s
+            trace.waited_ms += round(waited_s * 1000)
+            kind = "primary" if need.primary else "any"
+            self._counters.wait_seconds.observe({"kind": kind}, waited_s)
+        trace.member = link.member.id
+        return link
+
+    async def prepare(
+        self, link: member_link.MemberLink, values: dict[str, str], shape: Shape | None
+    ) -> None:
+        """Brings a connection to a session's values and prepares a statement on it.
+
+        Raises:
+          NotPrepared: The member refused, or the connection ended. The connection is closed.
+        """
+        queries = []
+        if not link.values.keys() <= values.keys():
+            queries.append(self._dialect.reset())
+            link.values.clear()
+            link.prepared.clear()
+        changed = {name: one for name, one in values.items() if link.values.get(name) != one}
+        queries += [self._dialect.set_value(name, one) for name, one in changed.items()]
+        missing = shape is not None and shape.name not in link.prepared
+        if shape is not None and missing:
+            queries.append(self._dialect.prepare(shape.name, shape.access, shape.text))
+        if not queries:
+            return
+        try:
+            replies = await link.run_all(queries)
+        except member_link.Lost as error:
+            raise NotPrepared(str(error)) from error
+        if any(reply.failure is not None for reply in replies):
+            link.close()
+            raise NotPrepared("the member refused a value or a statement")
+        link.values.update(changed)
+        if shape is not None and missing:
+            link.prepared.add(shape.name)
+
+    async def run_read(self, work: Work, trace: Trace) -> Outcome:
+        """Runs a single read."""
+        need = await self.needed(work, trace)
+        reruns = 0
+        outcome = failed(statements.Code.BUSY, "no member was free")
+        while trace.sent <= NOT_RUN_RETRIES + READ_RETRIES:
+            try:
+                link = await self.acquire(need, trace)
+                reply = await self._send(link, work, need, trace)
+            except group.Unavailable as error:
+                trace.cause = error.reason
+                return outcome
+            except NotPrepared as error:
+                self._again(trace, str(error))
+                continue
+            except member_link.Lost as error:
+                self._again(trace, str(error))
+                reruns += 1
+                outcome = failed(statements.Code.FAILED, "the connection to the member ended")
+            else:
+                if reply is None:
+                    return failed(statements.Code.TIMEOUT, "no answer in time")
+                if reply.failure is None:
+                    return await self._read_done(link, reply, need, trace)
+                outcome = from_member(reply.failure, reply)
+                reruns += reply.failure.code not in statements.NOT_RUN
+                self.learn(reply.failure, link, need, trace)
+            if reruns > READ_RETRIES or self._clock() >= work.wait_until_s:
+                return outcome
+        return outcome
+
+    async def _send(
+        self, link: member_link.MemberLink, work: Work, need: group.Need, trace: Trace
+    ) -> statements.Reply | None:
+        """Sends a single statement and gives the connection back. Raises NotPrepared and Lost."""
+        try:
+            await self.prepare(link, work.values, work.shape)
+        except NotPrepared:
+            self.group.release(link)
+            raise
+        query = self._dialect.query(work.id, work.text, need.after)
+        trace.sent += 1
+        try:
+            reply = await self.group.run(link, query, work.ends_at_s - self._clock())
+        except member_link.Lost:
+            self.group.release(link)
+            raise
+        if reply is not None:
+            self.group.release(link)
+        return reply
+
+    async def _read_done(
+        self,
+        link: member_link.MemberLink,
+        reply: statements.Reply,
+        need: group.Need,
+        trace: Trace,
+    ) -> Outcome:
+        one = self.group.pools.get(link.member.id)
+        leader = self.group.permission.leader
+        at_primary = leader is not None and leader.member == link.member.id
+        if one is not None and need.after is not None:
+            one.has()
+        self._counters.reads.inc({"role": "primary" if at_primary else "replica"})
+        outcome = Outcome(reply.rows, reply.done, None, reply, leader if at_primary else None)
+        if need.after is not None or await self.confirmed(link, reply, trace):
+            return outcome
+        return failed(statements.Code.FAILED, "the primary could not be confirmed", reply)
+
+    async def confirmed(
+        self, link: member_link.MemberLink, reply: statements.Reply, trace: Trace
+    ) -> bool:
+        """Tells whether an answer came from the primary before any promotion.
+
+        Args:
+          link: Where the statement ran.
+          reply: The answer.
+          trace: Takes what the answer rests on.
+        """
+        leader = self.group.permission.leader
+        if leader is None or leader.member != link.member.id:
+            trace.confirmed = "none"
+        elif self.group.permission.valid_at(leader, reply.answered_at_s):
+            trace.confirmed = "grant"
+        elif await self.group.confirm(leader):
+            trace.confirmed = "round"
+        else:
+            trace.confirmed = "none"
+        trace.term = 0 if leader is None else leader.term
+        self._counters.confirmations.inc({"by": trace.confirmed})
+        return trace.confirmed != "none"
+
+    async def run_write(self, work: Work, trace: Trace) -> Outcome:
+        """Runs a single write. It is sent anew only after a promise that it did not run."""
+        need = group.Need(
+            primary=True,
+            give_up_at_s=work.wait_until_s,
+            priority=work.route.priority,
+            values=work.values,
+        )
+        outcome = failed(statements.Code.BUSY, "no primary was free")
+        while trace.sent <= NOT_RUN_RETRIES:
+            try:
+                link = await self.acquire(need, trace)
+                reply = await self._send(link, work, need, trace)
+            except group.Unavailable as error:
+                trace.cause = error.reason
+                return outcome
+            except NotPrepared as error:
+                self._again(trace, str(error))
+                continue
+            except member_link.Lost as error:
+                trace.cause = str(error)
+                return failed(statements.Code.UNSURE, "the connection to the member ended")
+            if reply is None:
+                return failed(statements.Code.UNSURE, "no answer in time")
+            if reply.failure is None:
+                return await self.write_done(link, reply, trace)
+            outcome = from_member(reply.failure, reply)
+            if reply.failure.code not in statements.NOT_RUN:
+                return outcome
+            self.learn(reply.failure, link, need, trace)
+            if self._clock() >= work.wait_until_s:
+                return outcome
+            await asyncio.sleep(BUSY_PAUSE_S)
+        return outcome
+
+    async def write_done(
+        self, link: member_link.MemberLink, reply: statements.Reply, trace: Trace
+    ) -> Outcome:
+        """Returns the outcome of a write that a member has committed."""
+        leader = self.group.permission.leader
+        if await self.confirmed(link, reply, trace):
+            return Outcome((), reply.done, None, reply, leader)
+        return failed(statements.Code.UNSURE, "the primary may have been replaced", reply)
+
+    def learn(
+        self,
+        found: statements.Failure,
+        link: member_link.MemberLink,
+        need: group.Need,
+        trace: Trace,
+    ) -> None:
+        """Takes what a member's refusal says of it."""
+        self._again(trace, found.code.value)
+        one = self.group.pools.get(link.member.id)
+        match found.code:
+            case statements.Code.BEHIND:
+                if one is not None:
+                    one.lacks(need.after_age_s)
+                need.avoid.add(link.member.id)
+            case statements.Code.READ_ONLY:
+                self.learn_deposed(link)
+            case statements.Code.NO_STATEMENT:
+                link.prepared.clear()
+            case _:
+                need.avoid.add(link.member.id)
+        if not need.primary and not self.group.has_way(need):
+            need.avoid.clear()
+            if found.code is statements.Code.BEHIND:
+                # No replica has the position; the primary always does.
+                need.primary = True
+
+    def learn_deposed(self, link: member_link.MemberLink) -> None:
+        """Takes that a member doesn't lead any more."""
+        leader = self.group.permission.leader
+        if leader is not None and leader.member == link.member.id:
+            self.group.permission.depose(leader)
+            self.group.on_lost(link.member.id)
+
+    def _again(self, trace: Trace, cause: str) -> None:
+        trace.cause = cause
+        self._counters.retries.inc({"cause": cause if len(cause) < 20 else "lost"})
--- /dev/null
+++ b/bilberrystack/pooling/fleet.py
@@ -0,0 +1,223 @@
+"""Datagrams between this instance and the holder of the promotion duty."""
+
+import asyncio
+import collections.abc
+import typing
+
+import loguru
+import msgspec
+
+from bilberrystack.core import positions
+from bilberrystack.pooling import duty
+from bilberrystack.pooling import group
+from bilberrystack.pooling import interfaces
+from bilberrystack.pooling import messages
+from bilberrystack.pooling import pool
+from bilberrystack.pooling import supervisor
+from bilberrystack.pooling import tasks
+from bilberrystack.routing import freshness
+from bilberrystack.routing import model
+from bilberrystack.routing import permission
+
+_LOG = loguru.logger.bind(component="fleet")
+
+# Grants last 1.5 s, so that two lost datagrams in a row do no harm.
+HEARTBEAT_S = 0.4
+
+# Pause between a sight that the holder should know at once and its heartbeat.
+URGENT_S = 0.01
+
+# A change of primary that the holder doesn't end is over after this time for this instance.
+LAPSE_S = 4.0
+
+# Members' sights are reported while they are this young.
+REPORT_S = 5.0
+
+
+class Fleet(asyncio.DatagramProtocol):
+    """Sends heartbeats to the duty's holder and takes its grants."""
+
+    __slots__ = (
+        "_clock",
+        "_granted_at_s",
+        "_groups",
+        "_lease",
+        "_own",
+        "_supervisor",
+        "_tasks",
+        "_transport",
+        "_urgent",
+        "_withdrawn_at_s",
+    )
+
+    def __init__(
+        self,
+        *,
+        own: model.Instance,
+        lease: duty.Lease,
+        watch: supervisor.Supervisor,
+        groups: collections.abc.Mapping[str, group.Group],
+        clock: interfaces.Clock,
+        running: tasks.Tasks,
+    ) -> None:
+        self._own = own
+        self._lease = lease
+        self._supervisor = watch
+        self._groups = groups
+        self._clock = clock
+        self._tasks = running
+        self._transport: asyncio.DatagramTransport | None = None
+        self._urgent: asyncio.TimerHandle | None = None
+        self._withdrawn_at_s: dict[str, float] = {}
+        self._granted_at_s = float("-inf")
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the open socket."""
+        # uvloop's datagram transports don't derive from the standard library's class.
+        self._transport = typing.cast(asyncio.DatagramTransport, transport)
+
+    def error_received(self, exc: Exception) -> None:
+        """Takes that an earlier datagram found nobody; the next heartbeat tries again."""
+        _LOG.debug("datagram not delivered", error=str(exc))
+
+    def send(self, message: messages.Message, to: model.Endpoint) -> None:
+        """Sends a datagram."""
+        if self._transport is not None:
+            self._transport.sendto(messages.encode(message), (to.host, to.port))
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Takes a datagram."""
+        try:
+            message = messages.decode(data)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            _LOG.warning("malformed datagram", sender=addr[0], error=str(error))
+            return
+        sender = model.Endpoint(addr[0], addr[1])
+        match message:
+            case messages.Grants():
+                self._take_grants(message)
+            case messages.Withdrawal():
+                self._withdraw(message, sender)
+            case messages.Check(service, member):
+                self._check(service, member)
+            case messages.Leaving():
+                self._lease.served_at_s = float("-inf")
+            case messages.Heartbeat() | messages.Acknowledgement():
+                self._supervisor.receive(message, sender)
+
+    async def beat(self) -> None:
+        """Sends heartbeats until cancelled."""
+        while True:
+            self._beat()
+            self._end_lapsed()
+            await asyncio.sleep(HEARTBEAT_S)
+
+    def _beat(self) -> None:
+        holder = self._lease.holder
+        if holder is None or holder.lifetime == self._own.lifetime:
+            return
+        now_s = self._clock()
+        reports = [
+            report(one, now_s)
+            for served in self._groups.values()
+            for one in served.pools.values()
+            if now_s - one.sight.contact_at_s < REPORT_S or one.sight.refused_at_s is not None
+        ]
+        beat = messages.Heartbeat(self._own.name, self._own.lifetime, now_s, reports)
+        self.send(beat, holder.endpoint)
+
+    def beat_soon(self) -> None:
+        """Sends a heartbeat at once, because a connection to a member was lost."""
+        if self._urgent is None:
+            self._urgent = asyncio.get_running_loop().call_later(URGENT_S, self._beat_now)
+
+    def _beat_now(self) -> None:
+        self._urgent = None
+        self._beat()
+
+    def _take_grants(self, message: messages.Grants) -> None:
+        holder = self._lease.holder
+        now_s = self._clock()
+        if holder is None or holder.lifetime != message.lifetime:
+            return
+        self._lease.served_at_s = now_s
+        until_s = message.asked_at_s + message.valid_s
+        for grant in message.grants:
+            served = self._groups.get(grant.service)
+            if served is None:
+                continue
+            leader = permission.Leader(grant.member, grant.term)
+            if served.permission.grant(leader, until_s, (message.token, grant.change)):
+                _LOG.info(
+                    "primary by grant",
+                    service=grant.service,
+                    member=grant.member,
+                    term=grant.term,
+                    token=message.token,
+                    change=grant.change,
+                )
+            self._withdrawn_at_s.pop(grant.service, None)
+            served.relay = _relay(grant.relay)
+            if grant.position is not None and served.permission.valid_at(leader, now_s):
+                asked_at_s = message.asked_at_s - grant.position_age_s
+                position = positions.Position(grant.position.term, grant.position.index)
+                served.history.record(grant.term, freshness.Sample(asked_at_s, position))
+            served.dispatch()
+
+    def _withdraw(self, message: messages.Withdrawal, sender: model.Endpoint) -> None:
+        served = self._groups.get(message.service)
+        if served is not None:
+            served.permission.withdraw((message.token, message.change))
+            self._withdrawn_at_s.setdefault(message.service, self._clock())
+            _LOG.info(
+                "grant withdrawn",
+                service=message.service,
+                token=message.token,
+                change=message.change,
+            )
+        done = messages.Acknowledgement(
+            self._own.lifetime, message.token, message.service, message.change
+        )
+        self.send(done, sender)
+
+    def _end_lapsed(self) -> None:
+        """Ends changes that no holder has ended, so that the group isn't blocked for good."""
+        now_s = self._clock()
+        for service, since_s in list(self._withdrawn_at_s.items()):
+            served = self._groups.get(service)
+            if served is None or now_s - since_s < LAPSE_S:
+                continue
+            del self._withdrawn_at_s[service]
+            served.permission.lapse()
+            _LOG.warning("change of primary lapsed", service=service)
+            served.dispatch()
+
+    def _check(self, service: str, member: str) -> None:
+        served = self._groups.get(service)
+        if served is not None and member in served.pools:
+            self._tasks.start(self._look(served, member))
+
+    async def _look(self, served: group.Group, member: str) -> None:
+        await supervisor.look(served, member, self._clock)
+        self._beat()
+
+
+def report(one: pool.MemberPool, now_s: float) -> messages.Report:
+    """Returns what the holder is told of a member."""
+    sight = one.sight
+    status = sight.status
+    received = None if status is None else status.received
+    return messages.Report(
+        member=one.member.id,
+        contact_age_s=min(now_s - sight.contact_at_s, 1e6),
+        refused=sight.refused_at_s is not None,
+        status_age_s=min(now_s - sight.status_at_s, 1e6),
+        primary=status is not None and status.primary,
+        term=0 if status is None else status.term,
+        received=None if received is None else messages.Position(received.term, received.index),
+    )
+
+
+def _relay(text: str) -> model.Endpoint | None:
+    host, _, port = text.rpartition(":")
+    return model.Endpoint(host, int(port)) if host and port.isdecimal() else None
--- /dev/null
+++ b/bilberrystack/pooling/group.py
@@ -0,0 +1,571 @@
+"""One database group as this instance sees it: members, primary, positions and who waits."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import itertools
+
+import loguru
+
+from bilberrystack.core import positions
+from bilberrystack.pooling import interfaces
+from bilberrystack.pooling import member_link
+from bilberrystack.pooling import pool
+from bilberrystack.pooling import tasks
+from bilberrystack.routing import freshness
+from bilberrystack.routing import model
+from bilberrystack.routing import permission
+from bilberrystack.routing import placement
+from bilberrystack.routing import statements
+
+_LOG = loguru.logger.bind(component="group")
+
+# Connections that all instances together leave free at a member, for restarts: connections of an
+# instance that lost power linger for 3 s.
+RESERVED_SHARE = 0.1
+
+# Connections beyond the fair share that an instance may open while the member accepts them, for
+# transactions that hold one while their client thinks.
+EXTRA_LINKS = 2
+
+# An unanswered question to a member ends after this time.
+STATUS_TIMEOUT_S = 0.6
+
+# How long the answers of a left transaction or a given-up statement are awaited.
+DRAIN_TIMEOUT_S = 5.0
+
+# Priority of questions to members: before all requests of clients, whose priorities start at 0.
+CONTROL_PRIORITY = -2
+
+
+class Unavailable(Exception):
+    """No connection could be had in time; nothing ran."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+@dataclasses.dataclass(slots=True)
+class Need:
+    """What a statement needs of a member.
+
+    Attributes:
+      primary: Whether only the primary may run it.
+      after: The position that the member's log must have; None for any.
+      after_age_s: How long ago the primary is known to have had that position.
+      avoid: Members that have turned it away.
+      only: The one member that is asked; None for any.
+      priority: Lower goes first.
+      give_up_at_s: When it is turned away if it still waits.
+      values: The session's values, for the choice of a connection.
+    """
+
+    primary: bool
+    give_up_at_s: float
+    after: positions.Position | None = None
+    after_age_s: float = 0.0
+    avoid: set[str] = dataclasses.field(default_factory=set)
+    only: str | None = None
+    priority: int = 0
+    values: dict[str, str] = dataclasses.field(default_factory=dict)
+
+
+class Group:
+    """The members of one group, the connections to them and the requests that wait."""
+
+    __slots__ = (
+        "_caller",
+        "_clock",
+        "_confirmation",
+        "_dialect",
+        "_domain",
+        "_instances",
+        "_order",
+        "_pools",
+        "_seeking",
+        "_tasks",
+        "_waiting",
+        "_wake",
+        "history",
+        "missing",
+        "on_lost",
+        "permission",
+        "relay",
+        "service",
+    )
+
+    def __init__(
+        self,
+        *,
+        service: model.Service,
+        domain: str,
+        caller: str,
+        dialect: interfaces.Dialect,
+        clock: interfaces.Clock,
+        running: tasks.Tasks,
+    ) -> None:
+        self.service = service
+        self.permission = permission.Permission()
+        self.history = freshness.History()
+        self.relay: model.Endpoint | None = None
+        self.missing: frozenset[str] = frozenset()
+        self.on_lost: collections.abc.Callable[[str], None] = lambda _: None
+        self._domain = domain
+        self._caller = caller
+        self._dialect = dialect
+        self._clock = clock
+        self._tasks = running
+        self._pools: dict[str, pool.MemberPool] = {}
+        self._waiting: list[tuple[int, int, Need, asyncio.Future[member_link.MemberLink]]] = []
+        self._order = itertools.count()
+        self._instances = 1
+        self._seeking = False
+        self._confirmation: asyncio.Task[bool] | None = None
+        self._wake: asyncio.TimerHandle | None = None
+
+    @property
+    def pools(self) -> collections.abc.Mapping[str, pool.MemberPool]:
+        """The members' pools by id."""
+        return self._pools
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait for a connection."""
+        return len(self._waiting)
+
+    @property
+    def share(self) -> int:
+        """Connections that this instance holds to each member when all instances do the same."""
+        usable = self.service.max_connections * (1 - RESERVED_SHARE)
+        return max(1, int(usable / max(1, self._instances)))
+
+    def update(
+        self,
+        service: model.Service,
+        members: collections.abc.Iterable[model.Member],
+        missing: frozenset[str],
+    ) -> None:
+        """Takes the group's members.
+
+        Args:
+          service: The group as declared.
+          members: Its members, with those whose entries have just left the store.
+          missing: The ids of the latter.
+        """
+        self.service = service
+        self.missing = missing
+        current = {member.id: member for member in members}
+        for gone in self._pools.keys() - current.keys():
+            self._pools.pop(gone).close()
+        for member in current.values():
+            known = self._pools.get(member.id)
+            if known is not None and _reborn(known.member, member):
+                _LOG.info("member started anew, its connections close", member=member.id)
+                known.close()
+                known = None
+            if known is None:
+                self._pools[member.id] = pool.MemberPool(member, self._clock)
+            else:
+                known.member = member
+        self._observe_roles()
+        self.dispatch()
+
+    def set_instances(self, count: int) -> None:
+        """Takes how many instances share the members' connections."""
+        self._instances = count
+
+    def _observe_roles(self) -> None:
+        """Takes the primary that the store names, where nothing better is known."""
+        if self.permission.leader is not None:
+            return
+        named = [one for one in self._pools.values() if one.member.role is model.Role.PRIMARY]
+        if len(named) == 1:
+            self.permission.observe(permission.Leader(named[0].member.id, 0))
+
+    def close(self) -> None:
+        """Closes all connections and turns away what waits."""
+        for one in self._pools.values():
+            one.close()
+        self._pools.clear()
+        for _, _, _, future in self._waiting:
+            if not future.done():
+                future.set_exception(Unavailable("the database group is gone"))
+        self._waiting.clear()
+
+    async def acquire(self, need: Need) -> member_link.MemberLink:
+        """Waits for a connection to a member that can run a statement.
+
+        Args:
+          need: What the statement needs.
+        Returns:
+          The connection, which the caller gives back with `release`.
+        Raises:
+          Unavailable: None came in time.
+        """
+        future: asyncio.Future[member_link.MemberLink] = asyncio.get_running_loop().create_future()
+        entry = (need.priority, next(self._order), need, future)
+        self._waiting.append(entry)
+        self._waiting.sort(key=lambda one: one[:2])
+        self.dispatch()
+        if future.done():
+            return future.result()
+        try:
+            async with asyncio.timeout(max(0.0, need.give_up_at_s - self._clock())):
+                return await asyncio.shield(future)
+        except TimeoutError:
+            if future.done() and not future.cancelled() and future.exception() is None:
+                return future.result()
+            raise Unavailable(self._why_unavailable(need)) from None
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled() and future.exception() is None:
+                self.release(future.result())
+            raise
+        finally:
+            if entry in self._waiting:
+                self._waiting.remove(entry)
+            if not future.done():
+                future.cancel()
+
+    def _why_unavailable(self, need: Need) -> str:
+        if need.primary and not self._leading():
+            return "no primary at present"
+        return "no free connection to a member that can run it"
+
+    def _leading(self) -> pool.MemberPool | None:
+        leader = self.permission.leader
+        return None if leader is None else self._pools.get(leader.member)
+
+    def has_way(self, need: Need) -> bool:
+        """Tells whether any member could run a statement now, busy or not."""
+        return bool(self._candidates(need))
+
+    def _candidates(self, need: Need) -> list[pool.MemberPool]:
+        if need.only is not None:
+            found = self._pools.get(need.only)
+            return [] if found is None else [found]
+        leading = self._leading()
+        if need.primary:
+            if leading is None or self.permission.changing:
+                return []
+            return [leading]
+        able = [
+            one
+            for one in self._pools.values()
+            if not one.member.leaving and one.member.id not in need.avoid
+        ]
+        if need.after is not None:
+            able = [
+                one for one in able if one is leading or one.may_have(need.after, need.after_age_s)
+            ]
+        return able
+
+    def dispatch(self) -> None:
+        """Gives free connections to the requests that wait, and opens connections for others."""
+        now_s = self._clock()
+        left = []
+        for entry in self._waiting:
+            _, _, need, future = entry
+            if future.done():
+                continue
+            link = self._assign(need, now_s)
+            if link is None:
+                left.append(entry)
+            else:
+                future.set_result(link)
+        self._waiting = left
+        if left and self._wake is None:
+            # Addresses that refused are tried again, and limits that were reached may have eased.
+            loop = asyncio.get_running_loop()
+            self._wake = loop.call_later(pool.RETRY_OPEN_S, self._dispatch_again)
+
+    def _dispatch_again(self) -> None:
+        self._wake = None
+        self.dispatch()
+
+    def _assign(self, need: Need, now_s: float) -> member_link.MemberLink | None:
+        candidates = self._candidates(need)
+        leading = self._leading()
+        free = {one.member.id: links for one in candidates if (links := one.idle())}
+        loads = [
+            one.load(self._domain, one is leading) for one in candidates if one.member.id in free
+        ]
+        best = placement.choose(loads, replicas_first=not need.primary)
+        if best is not None:
+            link = pool.pick(free[best], need.values)
+            assert link is not None
+            link.in_use = True
+            return link
+        share = self.share + EXTRA_LINKS
+        openable = [one for one in candidates if one.may_open(share, now_s)]
+        best = placement.choose(
+            [one.load(self._domain, one is leading) for one in openable],
+            replicas_first=not need.primary,
+        )
+        if best is not None and self._pools[best].opening < self._demand(best):
+            self._open(self._pools[best])
+        return None
+
+    def _demand(self, member: str) -> int:
+        """Returns how many connections to a member may be opened at a time."""
+        return max(1, self._pools[member].member.slots // 2)
+
+    def _open(self, one: pool.MemberPool) -> None:
+        one.opening += 1
+        self._tasks.start(self._open_link(one))
+
+    def warm(self, count: int) -> None:
+        """Opens connections ahead of requests, up to a number for each member."""
+        now_s = self._clock()
+        for one in self._pools.values():
+            if one.size < count and one.may_open(count, now_s) and not one.member.leaving:
+                self._open(one)
+
+    async def _open_link(self, one: pool.MemberPool) -> None:
+        now_s = self._clock()
+        through = self.relay if now_s < one.relayed_until_s else None
+        try:
+            link = await member_link.open_link(
+                one.member, through, self._caller, self._dialect, self._clock
+            )
+        except member_link.LinkFailure as failure:
+            one.failed_to_open(failure)
+            if isinstance(failure, member_link.Unreachable):
+                one.relayed_until_s = (
+                    self._clock() + pool.RELAY_S if through is None else float("-inf")
+                )
+            _LOG.info(
+                "no connection to a member",
+                member=one.member.id,
+                through=str(through or "direct"),
+                failure=type(failure).__name__,
+                detail=str(failure),
+            )
+        else:
+            if self._pools.get(one.member.id) is one:
+                one.add(link)
+            else:
+                link.close()
+        finally:
+            one.opening -= 1
+        self.dispatch()
+
+    def release(self, link: member_link.MemberLink) -> None:
+        """Takes a connection back. One inside a transaction is rolled back first."""
+        one = self._pools.get(link.member.id)
+        if one is None or not link.usable:
+            self._discard(link)
+        elif link.state is not statements.State.IDLE:
+            self._tasks.start(self._roll_back(link))
+            return
+        else:
+            link.in_use = False
+            if one.size > self.share and self.waiting == 0 and one.size - one.leased > 1:
+                one.discard(link)
+        self.dispatch()
+
+    def _discard(self, link: member_link.MemberLink) -> None:
+        one = self._pools.get(link.member.id)
+        if one is None:
+            link.close()
+        else:
+            one.discard(link)
+        self.on_lost(link.member.id)
+
+    async def _roll_back(self, link: member_link.MemberLink) -> None:
+        try:
+            async with asyncio.timeout(DRAIN_TIMEOUT_S):
+                await link.run(self._dialect.rollback())
+        except (member_link.Lost, TimeoutError):
+            link.close()
+        if link.state is not statements.State.IDLE:
+            link.close()
+        self.release(link)
+
+    async def run(
+        self, link: member_link.MemberLink, query: bytes, timeout_s: float
+    ) -> statements.Reply | None:
+        """Runs one statement on a connection.
+
+        Args:
+          link: A connection that the caller has acquired.
+          query: The encoded statement.
+          timeout_s: How long the answer is awaited.
+        Returns:
+          The answer; None if it did not come in time. The connection is then no longer the
+          caller's: it comes back to the pool once the answer has arrived.
+        Raises:
+          member_link.Lost: The connection ended; the statement may have run.
+        """
+        one = self._pools.get(link.member.id)
+        if one is not None:
+            one.running += 1
+        task = self._tasks.start(self._exchange(link, query, one))
+        done, _ = await asyncio.wait({task}, timeout=max(0.0, timeout_s))
+        if task not in done:
+            self._tasks.start(self._drain(link, task))
+            return None
+        return task.result()
+
+    async def _exchange(
+        self, link: member_link.MemberLink, query: bytes, one: pool.MemberPool | None
+    ) -> statements.Reply:
+        try:
+            reply = await link.run(query)
+        except member_link.Lost:
+            self.on_lost(link.member.id)
+            raise
+        finally:
+            if one is not None:
+                one.running -= 1
+        if one is not None:
+            one.answered(reply)
+            one.took(reply.answered_at_s - reply.asked_at_s)
+            self._sample(link, reply)
+        return reply
+
+    def _sample(self, link: member_link.MemberLink, reply: statements.Reply) -> None:
+        """Keeps the position that the primary showed within a grant."""
+        leader = self.permission.leader
+        if leader is None or leader.member != link.member.id or reply.position is None:
+            return
+        if self.permission.valid_at(leader, reply.answered_at_s):
+            self.history.record(leader.term, freshness.Sample(reply.asked_at_s, reply.position))
+
+    async def _drain(
+        self, link: member_link.MemberLink, task: asyncio.Task[statements.Reply]
+    ) -> None:
+        """Returns a connection whose answer is late to the pool after that answer."""
+        await asyncio.wait({task}, timeout=DRAIN_TIMEOUT_S)
+        if not task.done():
+            link.close()
+            await asyncio.wait({task})
+        if not task.cancelled():
+            task.exception()
+        self.release(link)
+
+    async def ask(
+        self, member: str, query: bytes, timeout_s: float = STATUS_TIMEOUT_S
+    ) -> statements.MemberStatus | None:
+        """Asks a member for its status, or gives it an order that is answered with it.
+
+        Args:
+          member: The member's id.
+          query: The encoded question.
+          timeout_s: How long connection and answer are awaited.
+        Returns:
+          What the member says of itself; None if it did not say.
+        """
+        until_s = self._clock() + timeout_s
+        need = Need(primary=False, give_up_at_s=until_s, only=member, priority=CONTROL_PRIORITY)
+        try:
+            link = await self.acquire(need)
+            reply = await self.run(link, query, until_s - self._clock())
+        except Unavailable:
+            return None
+        except member_link.Lost:
+            self.release(link)
+            return None
+        if reply is None:
+            return None
+        self.release(link)
+        found = self._dialect.parse_status(reply.rows[0]) if reply.rows else None
+        one = self._pools.get(member)
+        if one is not None and found is not None:
+            one.sight.status = found
+            one.sight.status_at_s = reply.asked_at_s
+            if found.primary:
+                self.observe(permission.Leader(member, found.term))
+        return found
+
+    def observe(self, leader: permission.Leader) -> None:
+        """Takes a primary that says itself that it leads a term."""
+        if self.permission.observe(leader):
+            _LOG.info(
+                "primary by a member's own word",
+                service=self.service.name,
+                member=leader.member,
+                term=leader.term,
+            )
+            self.dispatch()
+
+    async def confirm(self, leader: permission.Leader) -> bool:
+        """Asks all other members whether a newer term has begun, after a statement has run.
+
+        Rounds are shared: a request waits for the round that begins after its call.
+
+        Args:
+          leader: Whose answer is to be confirmed.
+        Returns:
+          Whether no promotion had taken effect when the round began.
+        """
+        running = self._confirmation
+        if running is not None:
+            await asyncio.wait({running})
+        if self._confirmation is running:
+            self._confirmation = self._tasks.start(self._round(leader))
+        current = self._confirmation
+        assert current is not None
+        await asyncio.wait({current})
+        return self.permission.leader == leader and current.result()
+
+    async def _round(self, leader: permission.Leader) -> bool:
+        others = [member for member in self._pools if member != leader.member]
+        asked_at_s = self._clock()
+        found = await asyncio.gather(
+            *(self.ask(member, self._dialect.status()) for member in others)
+        )
+        confirmed = bool(others) and all(
+            one is not None and one.term <= leader.term and not one.primary for one in found
+        )
+        _LOG.info(
+            "confirmation round",
+            service=self.service.name,
+            leader=leader.member,
+            term=leader.term,
+            asked=len(others),
+            confirmed=confirmed,
+            took_ms=round((self._clock() - asked_at_s) * 1000),
+        )
+        return confirmed
+
+    def unled(self, now_s: float) -> bool:
+        """Tells whether the primary has to be sought, because no grant names it."""
+        leader = self.permission.leader
+        if self._seeking or (self.permission.changing and not self.permission.deposed):
+            return False
+        return leader is None or not self.permission.valid_at(leader, now_s)
+
+    async def find_primary(self) -> None:
+        """Asks all members for their roles."""
+        self._seeking = True
+        try:
+            await asyncio.gather(*(self.ask(one, self._dialect.status()) for one in self._pools))
+        finally:
+            self._seeking = False
+
+    async def sample_primary(self) -> bool:
+        """Asks the primary for its position, when answers alone are too old or too few.
+
+        Returns:
+          Whether the history has a new, confirmed sample.
+        """
+        leader = self.permission.leader
+        if leader is None:
+            return False
+        asked_at_s = self._clock()
+        if await self.ask(leader.member, self._dialect.status()) is None:
+            return False
+        newest_s = self.history.newest_age_s(self._clock())
+        if newest_s is not None and newest_s <= self._clock() - asked_at_s:
+            return True
+        one = self._pools.get(leader.member)
+        position = None if one is None else one.sight.position
+        if position is None or not await self.confirm(leader):
+            return False
+        self.history.record(leader.term, freshness.Sample(asked_at_s, position))
+        return True
+
+
+def _reborn(before: model.Member, after: model.Member) -> bool:
+    return before.started_ms != after.started_ms or before.endpoint != after.endpoint
--- /dev/null
+++ b/bilberrystack/pooling/instance.py
@@ -0,0 +1,308 @@
+"""One serving instance: listeners, sessions, groups, and its part in the fleet."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import time
+
+import loguru
+
+from bilberrystack.pooling import counters
+from bilberrystack.pooling import directory
+from bilberrystack.pooling import duty
+from bilberrystack.pooling import execution
+from bilberrystack.pooling import fleet
+from bilberrystack.pooling import group
+from bilberrystack.pooling import http
+from bilberrystack.pooling import interfaces
+from bilberrystack.pooling import member_link
+from bilberrystack.pooling import relay
+from bilberrystack.pooling import session
+from bilberrystack.pooling import settings
+from bilberrystack.pooling import supervisor
+from bilberrystack.pooling import tasks
+from bilberrystack.routing import model
+
+_LOG = loguru.logger.bind(component="instance")
+
+# Connections to each member that are opened ahead of requests.
+WARM_LINKS = 1
+
+# How often groups are looked through: connections ahead, members that left the store, positions.
+HOUSEKEEPING_S = 0.25
+
+# Transactions get this part of the grace time to end by themselves.
+TRANSACTION_PART = 0.5
+
+# The process ends this long before the grace time does.
+END_MARGIN_S = 0.7
+
+# The platform takes an instance out of rotation after two misses of a probe each second.
+ROTATION_S = 2.5
+
+# Pause before an announcement that failed is written again.
+ANNOUNCE_AGAIN_S = 1.0
+
+BACKLOG = 512
+
+
+def boot_clock() -> float:
+    """Returns seconds on a clock that also counts a suspension of the machine."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Instance:
+    """Serves sessions until it is stopped. Implements session.Host."""
+
+    __slots__ = (
+        "_closing",
+        "_directory",
+        "_executors",
+        "_fleet",
+        "_groups",
+        "_lease",
+        "_own",
+        "_platform",
+        "_servers",
+        "_sessions",
+        "_settings",
+        "_supervisor",
+        "_tasks",
+        "_was_ready",
+        "clock",
+        "counters",
+        "dialect",
+        "stopping",
+    )
+
+    def __init__(
+        self,
+        loaded: settings.Settings,
+        platform: interfaces.Platform,
+        dialect: interfaces.Dialect,
+        counted: counters.Counters,
+        clock: interfaces.Clock = boot_clock,
+    ) -> None:
+        self.dialect = dialect
+        self.counters = counted
+        self.clock = clock
+        self.stopping = False
+        self._settings = loaded
+        self._platform = platform
+        self._own = model.Instance(
+            loaded.name, os.urandom(8).hex(), loaded.peers, loaded.failure_domain
+        )
+        self._tasks = tasks.Tasks()
+        self._groups: dict[str, group.Group] = {}
+        self._executors: dict[str, execution.Executor] = {}
+        self._sessions: set[session.Session] = set()
+        self._servers: list[asyncio.Server] = []
+        self._closing = asyncio.Event()
+        self._was_ready = False
+        self._directory = directory.Directory(platform, clock, self._refresh)
+        self._lease = duty.Lease(self._own, platform, clock, counted)
+        self._supervisor = supervisor.Supervisor(
+            own=self._own,
+            lease=self._lease,
+            platform=platform,
+            groups=self._groups,
+            dialect=dialect,
+            clock=clock,
+            running=self._tasks,
+            counted=counted,
+        )
+        self._fleet = fleet.Fleet(
+            own=self._own,
+            lease=self._lease,
+            watch=self._supervisor,
+            groups=self._groups,
+            clock=clock,
+            running=self._tasks,
+        )
+        self._supervisor.send = self._fleet.send
+
+    @property
+    def configuration(self) -> model.Configuration | None:
+        """The configuration in force; None before the first one."""
+        return self._directory.configuration
+
+    @property
+    def ready(self) -> bool:
+        """Whether new sessions may come."""
+        return self._directory.known and not self.stopping
+
+    def executor(self, service: str) -> execution.Executor | None:
+        """Returns what runs a group's statements; None if there is no such group."""
+        return self._executors.get(service)
+
+    async def run(self) -> None:
+        """Serves until a signal asks for the end, then stops gracefully."""
+        await self._listen()
+        _LOG.info("started", name=self._own.name, lifetime=self._own.lifetime)
+        for view in (
+            self._directory.configurations,
+            self._directory.members,
+            self._directory.instances,
+        ):
+            self._tasks.start(view.follow())
+        self._tasks.start(self._announce())
+        self._tasks.start(self._keep_house())
+        self._tasks.start(self._lease.keep())
+        self._tasks.start(self._supervisor.run())
+        self._tasks.start(self._fleet.beat())
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._closing.set)
+        loop.add_signal_handler(signal.SIGINT, self._closing.set)
+        loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        await self._closing.wait()
+        await self._stop()
+
+    def _note_reload(self) -> None:
+        # No setting that the file holds changes while a process lives.
+        _LOG.info("reload asked for, no setting takes effect before a restart")
+
+    async def _listen(self) -> None:
+        limit = self.dialect.MAX_LINE_BYTES + 2
+        for endpoint, serve in (
+            (self._settings.sessions, self._serve_session),
+            (self._settings.ready, self._serve_ready),
+            (self._settings.metrics, self._serve_metrics),
+            (self._settings.peers, relay.Relay(self._own.lifetime, self._is_member).serve),
+        ):
+            self._servers.append(
+                await asyncio.start_server(
+                    serve,
+                    endpoint.host,
+                    endpoint.port,
+                    limit=limit,
+                    backlog=BACKLOG,
+                    reuse_address=True,
+                )
+            )
+        await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: self._fleet,
+            local_addr=(self._settings.peers.host, self._settings.peers.port),
+        )
+
+    async def _serve_session(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        member_link.guard(writer)
+        served = session.Session(reader, writer, self)
+        self._sessions.add(served)
+        self.counters.sessions.set({}, len(self._sessions))
+        try:
+            await served.serve()
+        finally:
+            self._sessions.discard(served)
+            self.counters.sessions.set({}, len(self._sessions))
+
+    async def _serve_ready(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await http.serve_pages(reader, writer, self._ready_page)
+
+    def _ready_page(self, _target: str) -> tuple[int, bytes]:
+        return (200, b"ready\n") if self.ready else (503, b"not ready\n")
+
+    async def _serve_metrics(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await http.serve_pages(reader, writer, self._metrics_page)
+
+    def _metrics_page(self, target: str) -> tuple[int, bytes]:
+        return (200, self.counters.page()) if target == "/metrics" else (404, b"")
+
+    def _is_member(self, endpoint: model.Endpoint) -> bool:
+        return any(
+            one.member.endpoint == endpoint
+            for served in self._groups.values()
+            for one in served.pools.values()
+        )
+
+    async def _announce(self) -> None:
+        while True:
+            try:
+                await self._platform.announce(self._own)
+                return
+            except interfaces.StoreFailure as failure:
+                _LOG.info("own entry not written", failure=type(failure).__name__)
+                await asyncio.sleep(ANNOUNCE_AGAIN_S)
+
+    def _refresh(self) -> None:
+        """Takes a change in the store."""
+        self._directory.refresh()
+        configuration = self._directory.configuration
+        if configuration is None:
+            return
+        for gone in self._groups.keys() - configuration.services.keys():
+            self._executors.pop(gone)
+            self._groups.pop(gone).close()
+        for name, service in configuration.services.items():
+            served = self._groups.get(name)
+            if served is None:
+                served = self._add_group(service)
+            served.set_instances(self._directory.instance_count())
+            served.update(service, self._directory.members_of(name), self._directory.missing)
+        if self.ready and not self._was_ready:
+            self._was_ready = True
+            _LOG.info("ready", version=configuration.version, groups=len(self._groups))
+
+    def _add_group(self, service: model.Service) -> group.Group:
+        served = group.Group(
+            service=service,
+            domain=self._settings.failure_domain,
+            caller=self._own.name,
+            dialect=self.dialect,
+            clock=self.clock,
+            running=self._tasks,
+        )
+        served.on_lost = lambda _: self._fleet.beat_soon()
+        self._groups[service.name] = served
+        self._executors[service.name] = execution.Executor(
+            served, self.dialect, self.clock, self.counters
+        )
+        return served
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            if self._directory.missing:
+                self._refresh()
+            for served in self._groups.values():
+                served.warm(WARM_LINKS)
+                if served.unled(self.clock()):
+                    self._tasks.start(served.find_primary())
+
+    async def _stop(self) -> None:
+        """Stops gracefully: resting sessions end first, transactions get half the grace time."""
+        began_at_s = self.clock()
+        self.stopping = True
+        _LOG.info("stopping", sessions=len(self._sessions), grace_s=self._settings.grace_s)
+        self._supervisor.leave()
+        self._tasks.start(self._leave_store())
+        ends_at_s = began_at_s + self._settings.grace_s - END_MARGIN_S
+        while self.clock() < ends_at_s:
+            stopped_s = self.clock() - began_at_s
+            self._close_sessions(stopped_s)
+            if not self._sessions and stopped_s >= ROTATION_S:
+                break
+            await asyncio.sleep(0.02)
+        for server in self._servers:
+            server.close()
+        _LOG.info("stopped", sessions_cut=len(self._sessions))
+        await self._tasks.close()
+        for served in self._groups.values():
+            served.close()
+
+    def _close_sessions(self, stopped_s: float) -> None:
+        transactions_end = stopped_s >= self._settings.grace_s * TRANSACTION_PART
+        for served in list(self._sessions):
+            if served.resting or (transactions_end and served.idle):
+                served.close()
+
+    async def _leave_store(self) -> None:
+        with contextlib.suppress(interfaces.StoreFailure):
+            await self._platform.withdraw(self._own.name)
+        await self._lease.release()
--- /dev/null
+++ b/bilberrystack/pooling/pool.py
@@ -0,0 +1,200 @@
+"""The connections of this instance to one member, and what is known of that member."""
+
+import collections.abc
+import dataclasses
+
+from bilberrystack.core import positions
+from bilberrystack.pooling import interfaces
+from bilberrystack.pooling import member_link
+from bilberrystack.routing import model
+from bilberrystack.routing import placement
+from bilberrystack.routing import statements
+
+# A refused or unreachable address is tried again after this time.
+RETRY_OPEN_S = 0.15
+
+# After the member has turned a connection away for its limit, no extra one is tried for so long;
+# connections of an instance that lost power linger for 3 s.
+FULL_S = 1.0
+
+# How long connections are opened through another instance before the direct way is tried again.
+RELAY_S = 3.0
+
+# Weight of the newest statement in the average service time.
+SERVICE_WEIGHT = 0.1
+
+# Service time that is assumed before the first statement.
+FIRST_SERVICE_S = 0.015
+
+# Growth of the assumed lag when a replica lacks a position, and its decay when it has one.
+LAG_GROWTH = 1.3
+LAG_DECAY = 0.98
+
+
+@dataclasses.dataclass(slots=True)
+class Sight:
+    """What a member's answers have shown.
+
+    Attributes:
+      contact_at_s: When it last answered.
+      refused_at_s: Since when its address refuses connections; None if it doesn't.
+      status: Its last word about itself; None if it was never asked.
+      status_at_s: When that was asked.
+      position: The highest position that an answer showed.
+      lag_s: How far behind its log is thought to be.
+    """
+
+    contact_at_s: float = float("-inf")
+    refused_at_s: float | None = None
+    status: statements.MemberStatus | None = None
+    status_at_s: float = float("-inf")
+    position: positions.Position | None = None
+    lag_s: float = 0.0
+
+
+class MemberPool:
+    """The connections to one member."""
+
+    __slots__ = (
+        "_clock",
+        "_links",
+        "_retry_at_s",
+        "full_until_s",
+        "member",
+        "opening",
+        "relayed_until_s",
+        "running",
+        "service_s",
+        "sight",
+    )
+
+    def __init__(self, member: model.Member, clock: interfaces.Clock) -> None:
+        self.member = member
+        self.opening = 0
+        self.running = 0
+        self.service_s = FIRST_SERVICE_S
+        self.full_until_s = float("-inf")
+        self.relayed_until_s = float("-inf")
+        self.sight = Sight()
+        self._clock = clock
+        self._links: list[member_link.MemberLink] = []
+        self._retry_at_s = float("-inf")
+
+    @property
+    def size(self) -> int:
+        """Connections that are open or being opened."""
+        return len(self._links) + self.opening
+
+    @property
+    def leased(self) -> int:
+        """Connections that a session or a question uses."""
+        return sum(link.in_use for link in self._links)
+
+    def idle(self) -> list[member_link.MemberLink]:
+        """Returns the connections that are free to use; closed ones are dropped."""
+        for link in [one for one in self._links if not one.in_use and not one.usable]:
+            self.discard(link)
+        return [link for link in self._links if not link.in_use]
+
+    def may_open(self, share: int, now_s: float) -> bool:
+        """Tells whether another connection may be opened now."""
+        if now_s < self._retry_at_s or now_s < self.full_until_s:
+            return False
+        return self.size < share
+
+    def add(self, link: member_link.MemberLink) -> None:
+        """Takes a connection that has just been opened."""
+        self._links.append(link)
+        self.contacted()
+
+    def discard(self, link: member_link.MemberLink) -> None:
+        """Closes a connection."""
+        link.close()
+        if link in self._links:
+            self._links.remove(link)
+
+    def close(self) -> None:
+        """Closes all connections."""
+        for link in list(self._links):
+            self.discard(link)
+
+    def contacted(self) -> None:
+        """Takes that the member has answered."""
+        self.sight.contact_at_s = self._clock()
+        self.sight.refused_at_s = None
+
+    def failed_to_open(self, failure: member_link.LinkFailure) -> None:
+        """Takes why a connection could not be opened."""
+        now_s = self._clock()
+        match failure:
+            case member_link.Refused():
+                self._retry_at_s = now_s + RETRY_OPEN_S
+                if self.sight.refused_at_s is None:
+                    self.sight.refused_at_s = now_s
+            case member_link.Rejected(failure=found):
+                self.contacted()
+                full = found.code is statements.Code.TOO_MANY_CONNECTIONS
+                self.full_until_s = now_s + (FULL_S if full else RETRY_OPEN_S)
+            case _:
+                self._retry_at_s = now_s + RETRY_OPEN_S
+
+    def answered(self, reply: statements.Reply) -> None:
+        """Takes an answer of the member."""
+        self.contacted()
+        if reply.position is not None and (
+            self.sight.position is None or reply.position > self.sight.position
+        ):
+            self.sight.position = reply.position
+
+    def took(self, seconds: float) -> None:
+        """Takes how long a statement took."""
+        self.service_s += SERVICE_WEIGHT * (seconds - self.service_s)
+
+    def lacks(self, age_s: float) -> None:
+        """Takes that the member's log lacked a position that was so old."""
+        self.sight.lag_s = max(self.sight.lag_s, age_s * LAG_GROWTH)
+
+    def has(self) -> None:
+        """Takes that the member's log had the position that was asked for."""
+        self.sight.lag_s *= LAG_DECAY
+
+    def may_have(self, position: positions.Position, age_s: float) -> bool:
+        """Tells whether the member's log is thought to have a position.
+
+        Args:
+          position: The position.
+          age_s: How long ago the primary is known to have had it.
+        """
+        known = self.sight.position
+        return (known is not None and known >= position) or age_s >= self.sight.lag_s
+
+    def load(self, near_domain: str, primary: bool) -> placement.Load:
+        """Returns the member's load as placement takes it."""
+        status = self.sight.status
+        return placement.Load(
+            member=self.member.id,
+            slots=max(1, self.member.slots),
+            in_flight=self.running,
+            others=0.0 if status is None else max(0.0, status.busy - self.running),
+            service_s=self.service_s,
+            near=self.member.failure_domain == near_domain,
+            primary=primary,
+        )
+
+
+def pick(
+    links: collections.abc.Iterable[member_link.MemberLink], values: dict[str, str]
+) -> member_link.MemberLink | None:
+    """Chooses the connection that needs the least preparation for a session.
+
+    Args:
+      links: Free connections of one member.
+      values: The session's values.
+    """
+
+    def cost(link: member_link.MemberLink) -> int:
+        if link.values == values:
+            return 0
+        return 1 if link.values.items() <= values.items() else 2
+
+    return min(links, key=cost, default=None)
--- /dev/null
+++ b/bilberrystack/pooling/supervisor.py
@@ -0,0 +1,407 @@
+"""What the holder of the promotion duty does: polls members, grants primaries, replaces them."""
+
+import asyncio
+import collections.abc
+import dataclasses
+
+import loguru
+
+from bilberrystack.core import positions
+from bilberrystack.pooling import counters
+from bilberrystack.pooling import duty
+from bilberrystack.pooling import group
+from bilberrystack.pooling import interfaces
+from bilberrystack.pooling import member_link
+from bilberrystack.pooling import messages
+from bilberrystack.pooling import pool
+from bilberrystack.pooling import tasks
+from bilberrystack.routing import model
+from bilberrystack.routing import permission
+from bilberrystack.routing import succession
+
+_LOG = loguru.logger.bind(component="supervisor")
+
+# How often decisions are taken; a change of primary goes forward by these steps.
+STEP_S = 0.04
+
+# How often members are asked for their status when nothing is amiss; a status takes a member's
+# slot for 0.5 ms. Positions in the answers tell the instances what replicas need.
+POLL_S = 0.4
+
+# The same during a change of primary.
+POLL_CHANGE_S = 0.05
+
+# A member that has not answered for so long is looked at by all instances.
+SUSPECT_S = 0.4
+
+# Time for the bare connection that tells a busy member from a dead one.
+LOOK_S = 0.3
+
+# Instances whose heartbeat is older than this have no say.
+REPORTER_S = 1.2
+
+# Repeats of a withdrawal until it is acknowledged.
+WITHDRAW_AGAIN_S = 0.06
+
+
+async def look(served: group.Group, member: str, clock: interfaces.Clock) -> None:
+    """Looks whether a member's address takes connections; its sight takes what is found."""
+    one = served.pools.get(member)
+    if one is None:
+        return
+    try:
+        _, writer = await member_link.connect(one.member.endpoint, 64, LOOK_S)
+    except member_link.LinkFailure as failure:
+        one.failed_to_open(failure)
+        _LOG.info("member not reached", member=member, failure=type(failure).__name__)
+    else:
+        writer.close()
+        one.contacted()
+
+
+@dataclasses.dataclass(slots=True)
+class _Reporter:
+    """What another instance last reported."""
+
+    endpoint: model.Endpoint
+    heard_at_s: float
+    reports: dict[str, messages.Report]
+
+
+@dataclasses.dataclass(slots=True)
+class _Watched:
+    """One group under the holder's eyes."""
+
+    change: succession.Succession
+    number: int = 0
+    unacknowledged: dict[str, float] = dataclasses.field(default_factory=dict)
+    granted: dict[str, float] = dataclasses.field(default_factory=dict)
+    withdrawn_at_s: float = 0.0
+    withdrawing: bool = False
+    busy: bool = False
+
+
+class Supervisor:
+    """Acts for all groups while this instance holds the promotion duty."""
+
+    __slots__ = (
+        "_asked_at_s",
+        "_clock",
+        "_counters",
+        "_dialect",
+        "_groups",
+        "_lease",
+        "_looking",
+        "_own",
+        "_platform",
+        "_reporters",
+        "_tasks",
+        "_token",
+        "_watched",
+        "send",
+    )
+
+    def __init__(
+        self,
+        *,
+        own: model.Instance,
+        lease: duty.Lease,
+        platform: interfaces.Platform,
+        groups: collections.abc.Mapping[str, group.Group],
+        dialect: interfaces.Dialect,
+        clock: interfaces.Clock,
+        running: tasks.Tasks,
+        counted: counters.Counters,
+    ) -> None:
+        self._own = own
+        self._lease = lease
+        self._platform = platform
+        self._groups = groups
+        self._dialect = dialect
+        self._clock = clock
+        self._tasks = running
+        self._counters = counted
+        self._token: int | None = None
+        self._watched: dict[str, _Watched] = {}
+        self._reporters: dict[str, _Reporter] = {}
+        self._asked_at_s: dict[str, float] = {}
+        self._looking: set[str] = set()
+        self.send: collections.abc.Callable[[messages.Message, model.Endpoint], None] = (
+            lambda _message, _to: None
+        )
+
+    async def run(self) -> None:
+        """Takes decisions until cancelled."""
+        while True:
+            self.step()
+            await asyncio.sleep(STEP_S)
+
+    def step(self) -> None:
+        """Takes the decisions that are due, if this instance holds the duty."""
+        token = self._lease.token
+        if token != self._token:
+            self._token = token
+            self._watched.clear()
+            self._reporters.clear()
+        if token is None:
+            return
+        for service, served in list(self._groups.items()):
+            watched = self._watched.get(service)
+            if watched is None:
+                change = succession.Succession(self._lease.settled_at_s)
+                watched = self._watched[service] = _Watched(change)
+            self._step_group(service, served, watched, token)
+        for gone in self._watched.keys() - self._groups.keys():
+            del self._watched[gone]
+
+    def _step_group(self, service: str, served: group.Group, watched: _Watched, token: int) -> None:
+        now_s = self._clock()
+        self._poll(service, served, watched, now_s)
+        self._repeat_withdrawal(service, watched, token, now_s)
+        views = [self._view(served, one, now_s) for one in served.pools.values()]
+        if watched.busy:
+            return
+        before = watched.change.phase
+        action = watched.change.step(views, self._grants_end_s(watched), now_s)
+        if watched.change.phase is not before:
+            _LOG.info(
+                "change of primary goes on",
+                service=service,
+                phase=watched.change.phase.value,
+                reason=watched.change.reason,
+                token=token,
+                members=[
+                    f"{one.id} {'p' if one.primary else 'r'} {one.term} {one.received}"
+                    f" {round(min(now_s - one.contact_at_s, 99) * 1000)}ms"
+                    for one in views
+                ],
+            )
+        match action:
+            case succession.Withdraw():
+                self._withdraw(service, served, watched, token, now_s)
+            case succession.Fence(member, term):
+                self._start(watched, self._fence(served, watched, member, term))
+            case succession.Promote(member):
+                self._start(watched, self._promote(service, watched, member))
+        self._grant_self(served, watched, token, now_s)
+
+    def _start(self, watched: _Watched, work: collections.abc.Coroutine[None, None, None]) -> None:
+        """Starts an action; the group's next step waits for its end."""
+        watched.busy = True
+        task = self._tasks.start(work)
+        task.add_done_callback(lambda _: setattr(watched, "busy", False))
+
+    def _poll(self, service: str, served: group.Group, watched: _Watched, now_s: float) -> None:
+        steady = watched.change.phase is succession.Phase.STEADY
+        pause_s = POLL_S if steady else POLL_CHANGE_S
+        for member, one in served.pools.items():
+            asked_at_s = self._asked_at_s.get(member, float("-inf"))
+            if member not in self._looking and now_s - asked_at_s >= pause_s:
+                self._asked_at_s[member] = now_s
+                self._looking.add(member)
+                self._tasks.start(self._ask(served, member))
+            silent_s = now_s - one.sight.contact_at_s
+            if silent_s >= SUSPECT_S and now_s - asked_at_s >= LOOK_S:
+                self._suspect(service, served, member, now_s)
+
+    async def _ask(self, served: group.Group, member: str) -> None:
+        try:
+            await served.ask(member, self._dialect.status())
+        finally:
+            self._looking.discard(member)
+
+    def _suspect(self, service: str, served: group.Group, member: str, now_s: float) -> None:
+        """Lets this and all other instances look at a member that has gone silent."""
+        self._asked_at_s[member] = now_s
+        self._tasks.start(look(served, member, self._clock))
+        for reporter in self._reporters.values():
+            self.send(messages.Check(service, member), reporter.endpoint)
+
+    def _view(self, served: group.Group, one: pool.MemberPool, now_s: float) -> succession.View:
+        """Combines what this instance and the others see of a member."""
+        sight = one.sight
+        status = sight.status
+        contact_at_s, status_at_s = sight.contact_at_s, sight.status_at_s
+        primary = one.member.role is model.Role.PRIMARY if status is None else status.primary
+        term = 0 if status is None else status.term
+        received = None if status is None else status.received
+        for reporter in self._reporters.values():
+            found = reporter.reports.get(one.member.id)
+            if found is None or now_s - reporter.heard_at_s > REPORTER_S:
+                continue
+            contact_at_s = max(contact_at_s, reporter.heard_at_s - found.contact_age_s)
+            their_status_at_s = reporter.heard_at_s - found.status_age_s
+            if found.term and their_status_at_s > status_at_s:
+                status_at_s = their_status_at_s
+                primary, term = found.primary, found.term
+                received = _position(found.received)
+        return succession.View(
+            id=one.member.id,
+            present=one.member.id not in served.missing,
+            leaving=one.member.leaving,
+            primary=primary,
+            term=term,
+            received=received,
+            contact_at_s=contact_at_s,
+            refused_at_s=sight.refused_at_s,
+        )
+
+    def _grants_end_s(self, watched: _Watched) -> float:
+        return max(watched.unacknowledged.values(), default=float("-inf"))
+
+    def _withdraw(
+        self, service: str, served: group.Group, watched: _Watched, token: int, now_s: float
+    ) -> None:
+        watched.number += 1
+        watched.withdrawing = True
+        watched.unacknowledged = {
+            lifetime: until_s for lifetime, until_s in watched.granted.items() if until_s > now_s
+        }
+        watched.granted.clear()
+        served.permission.withdraw((token, watched.number))
+        watched.withdrawn_at_s = float("-inf")
+        self._repeat_withdrawal(service, watched, token, now_s)
+
+    def _repeat_withdrawal(self, service: str, watched: _Watched, token: int, now_s: float) -> None:
+        if not watched.unacknowledged or now_s - watched.withdrawn_at_s < WITHDRAW_AGAIN_S:
+            return
+        watched.withdrawn_at_s = now_s
+        message = messages.Withdrawal(
+            self._own.name, self._own.lifetime, token, service, watched.number
+        )
+        for lifetime, until_s in list(watched.unacknowledged.items()):
+            if until_s < now_s:
+                del watched.unacknowledged[lifetime]
+            elif lifetime in self._reporters:
+                self.send(message, self._reporters[lifetime].endpoint)
+
+    async def _fence(self, served: group.Group, watched: _Watched, member: str, term: int) -> None:
+        found = await served.ask(member, self._dialect.demote(term))
+        _LOG.info(
+            "old primary asked to step back",
+            service=served.service.name,
+            member=member,
+            term=term,
+            stepped_back=found is not None and not found.primary,
+        )
+        if found is not None and not found.primary:
+            watched.change.fenced()
+
+    async def _promote(self, service: str, watched: _Watched, member: str) -> None:
+        token = self._lease.token
+        if token is None or token != self._token:
+            watched.change.answered(member, succession.Answer.NOT_MADE, self._clock())
+            return
+        try:
+            accepted = await self._platform.promote(service, member, self._own.name, token)
+            answer = succession.Answer.ACCEPTED if accepted else succession.Answer.REJECTED
+        except interfaces.NotDone as failure:
+            answer = succession.Answer.NOT_MADE
+            _LOG.warning("promotion not called for", service=service, detail=str(failure))
+        except interfaces.StoreFailure as failure:
+            answer = succession.Answer.UNKNOWN
+            _LOG.warning("promotion not answered", service=service, detail=str(failure))
+        self._counters.duty_calls.inc({"result": answer.value})
+        _LOG.info(
+            "promotion called for",
+            service=service,
+            member=member,
+            token=token,
+            answer=answer.value,
+        )
+        watched.change.answered(member, answer, self._clock())
+
+    def _grant_self(self, served: group.Group, watched: _Watched, token: int, now_s: float) -> None:
+        leader = watched.change.grantable(now_s)
+        if leader is None:
+            return
+        until_s = min(now_s + permission.GRANT_S, self._lease.ends_at_s)
+        if served.permission.grant(leader, until_s, (token, watched.number)):
+            served.dispatch()
+
+    def receive(
+        self,
+        message: messages.Heartbeat | messages.Acknowledgement,
+        sender: model.Endpoint,
+    ) -> None:
+        """Takes a message of another instance to the holder."""
+        if self._token is None or self._lease.token != self._token:
+            return
+        match message:
+            case messages.Heartbeat():
+                reports = {one.member: one for one in message.reports}
+                now_s = self._clock()
+                self._reporters[message.lifetime] = _Reporter(sender, now_s, reports)
+                self._grant(message, sender, self._token, now_s)
+            case messages.Acknowledgement(lifetime, token, service, number):
+                watched = self._watched.get(service)
+                if watched is not None and (token, number) == (self._token, watched.number):
+                    watched.unacknowledged.pop(lifetime, None)
+
+    def _grant(
+        self, beat: messages.Heartbeat, sender: model.Endpoint, token: int, now_s: float
+    ) -> None:
+        valid_s = min(permission.GRANT_S, self._lease.ends_at_s - now_s)
+        grants = []
+        for service, watched in self._watched.items():
+            served = self._groups.get(service)
+            leader = watched.change.grantable(now_s)
+            if served is None or leader is None:
+                continue
+            watched.granted[beat.lifetime] = now_s + valid_s
+            grants.append(self._grant_of(served, leader, watched.number, beat, now_s))
+        answer = messages.Grants(
+            self._own.name, self._own.lifetime, token, beat.sent_at_s, valid_s, grants
+        )
+        self.send(answer, sender)
+
+    def _grant_of(
+        self,
+        served: group.Group,
+        leader: permission.Leader,
+        number: int,
+        beat: messages.Heartbeat,
+        now_s: float,
+    ) -> messages.Grant:
+        newest = served.history.newest()
+        position, age_s = None, 0.0
+        if newest is not None and served.history.term == leader.term:
+            position = messages.Position(newest.position.term, newest.position.index)
+            age_s = now_s - newest.asked_at_s
+        return messages.Grant(
+            service=served.service.name,
+            member=leader.member,
+            term=leader.term,
+            change=number,
+            position=position,
+            position_age_s=age_s,
+            relay=self._relay(leader.member, beat.lifetime, now_s),
+        )
+
+    def _relay(self, member: str, asking: str, now_s: float) -> str:
+        """Returns an instance that lately reached a member, for one that may not."""
+        best, best_at_s = "", now_s - succession.SILENCE_S
+        for served in self._groups.values():
+            one = served.pools.get(member)
+            if one is not None and one.sight.contact_at_s > best_at_s:
+                best, best_at_s = str(self._own.endpoint), one.sight.contact_at_s
+        for lifetime, reporter in self._reporters.items():
+            found = reporter.reports.get(member)
+            if found is None or lifetime == asking:
+                continue
+            contact_at_s = reporter.heard_at_s - found.contact_age_s
+            if contact_at_s > best_at_s:
+                best, best_at_s = str(reporter.endpoint), contact_at_s
+        return best
+
+    def leave(self) -> None:
+        """Tells the other instances that the duty is free."""
+        if self._token is None:
+            return
+        message = messages.Leaving(self._own.lifetime, self._token)
+        for reporter in self._reporters.values():
+            self.send(message, reporter.endpoint)
+
+
+def _position(found: messages.Position | None) -> positions.Position | None:
+    return None if found is None else positions.Position(found.term, found.index)
--- /dev/null
+++ b/bilberrystack/pooling/views.py
@@ -0,0 +1,111 @@
+"""Keeps a copy of one kind of the store's objects: lists once, then watches."""
+
+import asyncio
+import collections.abc
+import random
+
+import loguru
+
+from bilberrystack.pooling import interfaces
+
+_LOG = loguru.logger.bind(component="views")
+
+# How long one watch waits. Keep-alive of the connection notices sooner if it went silent.
+WATCH_S = 10.0
+
+# Pause after a call that failed, so that an outage isn't answered with a storm of calls.
+RETRY_S = 0.4
+
+
+class View:
+    """A copy of one kind, which follows the store."""
+
+    __slots__ = ("_changed", "_items", "_kind", "_lost", "_revision")
+
+    def __init__(self, kind: interfaces.Kind, changed: collections.abc.Callable[[], None]) -> None:
+        """Creates an empty copy.
+
+        Args:
+          kind: The kind in the store.
+          changed: Called after each change of the copy.
+        """
+        self._kind = kind
+        self._changed = changed
+        self._items: dict[str, object] = {}
+        self._revision: int | None = None
+        self._lost = False
+
+    @property
+    def items(self) -> collections.abc.Mapping[str, object]:
+        """The objects by name."""
+        return self._items
+
+    @property
+    def known(self) -> bool:
+        """Whether the store has been read at least once."""
+        return self._revision is not None
+
+    @property
+    def lost(self) -> bool:
+        """Whether the last call to the store failed."""
+        return self._lost
+
+    async def follow(self) -> None:
+        """Follows the store until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except interfaces.HistoryGone:
+                _LOG.info("history is gone, listing again", kind=self._kind.name)
+                await self._list_again()
+            except interfaces.StoreFailure as failure:
+                self._note_lost(failure)
+                await asyncio.sleep(RETRY_S * random.uniform(0.5, 1.5))
+
+    async def _step(self) -> None:
+        if self._revision is None:
+            await self._list()
+            return
+        changes = await self._kind.watch(self._revision, WATCH_S)
+        self._note_regained()
+        self._revision = changes.revision
+        for name, item in changes.items.items():
+            if item is None:
+                self._items.pop(name, None)
+            else:
+                self._items[name] = item
+        if changes.items:
+            self._changed()
+
+    async def _list_again(self) -> None:
+        try:
+            await self._list()
+        except interfaces.StoreFailure as failure:
+            self._note_lost(failure)
+            await asyncio.sleep(RETRY_S * random.uniform(0.5, 1.5))
+
+    async def _list(self) -> None:
+        snapshot = await self._kind.list()
+        self._note_regained()
+        if self._revision is not None and snapshot.revision < self._revision:
+            # An older answer must not take back what is known.
+            return
+        self._items = dict(snapshot.items)
+        self._revision = snapshot.revision
+        self._changed()
+
+    def _note_lost(self, failure: interfaces.StoreFailure) -> None:
+        if not self._lost:
+            self._lost = True
+            _LOG.warning(
+                "store lost",
+                kind=self._kind.name,
+                revision=self._revision,
+                failure=type(failure).__name__,
+                detail=str(failure),
+            )
+
+    def _note_regained(self) -> None:
+        if self._lost:
+            self._lost = False
+            _LOG.info("store regained", kind=self._kind.name, revision=self._revision)
