Spare sessions that a stop would cut before their first operation; fewer own statements

Change: session.preparing, one shared question (group.sample_primary), pool.trim, replicas polled each 3 s, refusal before an unconfirmed primary, second sending of slow reads, START waits for the first configuration.

--- a/bilberrystack/pooling/duty.py
+++ b/bilberrystack/pooling/duty.py
@@ -14,7 +14,6 @@
 from bilberrystack.pooling import counters
 from bilberrystack.pooling import interfaces
 from bilberrystack.pooling import member_link
-from bilberrystack.pooling import tasks
 from bilberrystack.routing import model
 from bilberrystack.routing import succession
 
@@ -52,6 +51,7 @@
         "_held",
         "_own",
         "_platform",
+        "_released",
         "_renewed_at_s",
         "_seen",
         "_seen_at_s",
@@ -74,6 +74,7 @@
         self._renewed_at_s = 0.0
         self._seen: interfaces.Duty | None = None
         self._seen_at_s = 0.0
+        self._released = False
         self.served_at_s = float("-inf")
         self.settled_at_s = 0.0
 
@@ -99,7 +100,7 @@
     async def keep(self) -> None:
         """Keeps or seeks the duty until cancelled."""
         await asyncio.sleep(random.uniform(0, SEEK_SPREAD_S))
-        while True:
+        while not self._released:
             try:
                 await (self._seek() if self._held is None else self._renew())
             except interfaces.StoreFailure as failure:
@@ -122,16 +123,20 @@
             return
         asked_at_s = self._clock()
         try:
-            self._held = await self._platform.renew_duty(held)
+            renewed = await self._platform.renew_duty(held)
         except interfaces.Conflict:
             # An own renewal without an answer may have changed the object.
             found = await self._platform.read_duty()
+            if self._released:
+                return
             if found is None or found.token != held.token or not self._is_own(found):
                 self._drop("another instance holds the duty")
-                return
-            self._held = found
+            else:
+                self._held = found
             return
-        self._renewed_at_s = asked_at_s
+        if not self._released:
+            self._held = renewed
+            self._renewed_at_s = asked_at_s
 
     def _drop(self, reason: str) -> None:
         assert self._held is not None
@@ -174,23 +179,25 @@
     async def _take(self, found: interfaces.Duty | None, reason: str) -> None:
         asked_at_s = self._clock()
         try:
-            self._held = await self._platform.take_duty(self._own, found)
+            taken = await self._platform.take_duty(self._own, found)
         except interfaces.Conflict:
             # Another instance was faster; the next look shows it.
             self._seen = None
             return
+        self._held = taken
         self._renewed_at_s = asked_at_s
         self.settled_at_s = self._clock() + (0.0 if found is None else SETTLE_S)
         self._counters.leases.inc({"change": "taken"})
         _LOG.info(
             "duty taken",
             reason=reason,
-            token=self._held.token,
+            token=taken.token,
             former="" if found is None or found.holder is None else found.holder.name,
         )
 
     async def release(self) -> None:
         """Gives the duty up at a graceful stop."""
+        self._released = True
         held, self._held = self._held, None
         if held is None:
             return
@@ -219,8 +226,3 @@
     finally:
         writer.close()
     return answer.decode(errors="replace") != holder.lifetime
-
-
-def start(lease: Lease, running: tasks.Tasks) -> None:
-    """Starts to keep or seek the duty."""
-    running.start(lease.keep())
--- a/bilberrystack/pooling/execution.py
+++ b/bilberrystack/pooling/execution.py
@@ -34,6 +34,20 @@
 BUSY_PAUSE_S = 0.02
 
 
+# A read whose answer takes longer than this, and than several usual service times, is sent to a
+# second member: lost answers and dead members show in nothing else.
+HEDGE_S = 0.12
+HEDGE_X = 5.0
+
+# Second sendings for each read on average, and how many may be saved up.
+HEDGE_PART = 0.1
+HEDGE_BUDGET = 10.0
+
+
+class Untrusted(Exception):
+    """The primary can't be confirmed, so the statement was not sent."""
+
+
 class NotPrepared(Exception):
     """A connection could not be brought to the session's values; the statement did not run."""
 
@@ -141,10 +155,52 @@
     return failed(found.code, "at the member", reply)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ended:
+    """How one sending of a read ended.
+
+    Attributes:
+      link: Where it succeeded; None if it failed.
+      reply: The answer of success; None if it failed.
+      outcome: What the client is told if nothing better comes; None if it did not run.
+      again: Whether another sending may help.
+    """
+
+    link: member_link.MemberLink | None
+    reply: statements.Reply | None
+    outcome: Outcome | None
+    again: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Attempts:
+    """The sendings of one read."""
+
+    running: set[asyncio.Task[Ended]] = dataclasses.field(default_factory=set)
+    started: int = 0
+    reruns: int = 0
+    hedged: bool = False
+    member: str = ""
+    began_at_s: float = 0.0
+
+    def may_start(self, now_s: float, work: Work) -> bool:
+        """Tells whether the read may be sent once more."""
+        return (
+            self.started <= NOT_RUN_RETRIES + READ_RETRIES
+            and self.reruns <= READ_RETRIES
+            and now_s < work.wait_until_s
+        )
+
+    def cancel(self) -> None:
+        """Gives up the sendings that still run; their connections wait for the answers."""
+        for task in self.running:
+            task.cancel()
+
+
 class Executor:
     """Runs statements at the members of a group."""
 
-    __slots__ = ("_clock", "_counters", "_dialect", "group")
+    __slots__ = ("_budget", "_clock", "_counters", "_dialect", "group")
 
     def __init__(
         self,
@@ -154,6 +210,7 @@
         counted: counters.Counters,
     ) -> None:
         self.group = served
+        self._budget = HEDGE_BUDGET
         self._dialect = dialect
         self._clock = clock
         self._counters = counted
@@ -241,43 +298,116 @@
             link.prepared.add(shape.name)
 
     async def run_read(self, work: Work, trace: Trace) -> Outcome:
-        """Runs a single read."""
+        """Runs a single read; one that waits long for its answer is sent to a second member too."""
         need = await self.needed(work, trace)
-        reruns = 0
+        attempts = Attempts()
+        self._budget = min(HEDGE_BUDGET, self._budget + HEDGE_PART)
         outcome = failed(statements.Code.BUSY, "no member was free")
-        while trace.sent <= NOT_RUN_RETRIES + READ_RETRIES:
-            try:
-                link = await self.acquire(need, trace)
-                reply = await self._send(link, work, need, trace)
-            except group.Unavailable as error:
-                trace.cause = error.reason
-                return outcome
-            except NotPrepared as error:
-                self._again(trace, str(error))
-                continue
-            except member_link.Lost as error:
-                self._again(trace, str(error))
-                reruns += 1
-                outcome = failed(statements.Code.FAILED, "the connection to the member ended")
-            else:
-                if reply is None:
+        try:
+            self._start_read(attempts, work, need, trace)
+            while attempts.running:
+                timeout_s = work.ends_at_s - self._clock()
+                if self._may_hedge(attempts, need):
+                    timeout_s = min(timeout_s, self._hedge_after_s(attempts, work))
+                done, _ = await asyncio.wait(
+                    attempts.running,
+                    timeout=max(0.0, timeout_s),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if not done and self._clock() >= work.ends_at_s:
                     return failed(statements.Code.TIMEOUT, "no answer in time")
-                if reply.failure is None:
-                    return await self._read_done(link, reply, need, trace)
-                outcome = from_member(reply.failure, reply)
-                reruns += reply.failure.code not in statements.NOT_RUN
-                self.learn(reply.failure, link, need, trace)
-            if reruns > READ_RETRIES or self._clock() >= work.wait_until_s:
-                return outcome
+                if not done:
+                    self._hedge(attempts, work, need, trace)
+                for task in done:
+                    attempts.running.discard(task)
+                    ended = task.result()
+                    if ended.reply is not None and ended.reply.failure is None:
+                        return await self._read_done(ended, need, trace)
+                    if ended.outcome is not None:
+                        outcome = ended.outcome
+                    if ended.again and attempts.may_start(self._clock(), work):
+                        self._start_read(attempts, work, need, trace)
+        finally:
+            attempts.cancel()
         return outcome
 
+    def _start_read(self, attempts: "Attempts", work: Work, need: group.Need, trace: Trace) -> None:
+        attempts.started += 1
+        attempts.began_at_s = self._clock()
+        task = asyncio.get_running_loop().create_task(self._read_once(work, need, trace, attempts))
+        attempts.running.add(task)
+
+    def _hedge_after_s(self, attempts: "Attempts", work: Work) -> float:
+        """Returns how long the running attempt may still take before a second one starts."""
+        one = self.group.pools.get(attempts.member)
+        service_s = 0.0 if one is None else one.service_s
+        return attempts.began_at_s + max(HEDGE_S, HEDGE_X * service_s) - self._clock()
+
+    def _may_hedge(self, attempts: "Attempts", need: group.Need) -> bool:
+        return bool(
+            attempts.member
+            and not need.primary
+            and not attempts.hedged
+            and self._budget >= 1
+            and len(self.group.pools) > 1
+        )
+
+    def _hedge(self, attempts: "Attempts", work: Work, need: group.Need, trace: Trace) -> None:
+        """Sends a read to a second member, because the first has not answered for long."""
+        attempts.hedged = True
+        self._budget -= 1
+        need.avoid.add(attempts.member)
+        if self.group.has_way(need):
+            self._again(trace, "no answer yet")
+            self._start_read(attempts, work, need, trace)
+
+    async def _read_once(
+        self, work: Work, need: group.Need, trace: Trace, attempts: "Attempts"
+    ) -> "Ended":
+        """Sends a read to one member."""
+        link = None
+        try:
+            link = await self.acquire(need, trace)
+            attempts.member = link.member.id
+            attempts.began_at_s = self._clock()
+            reply = await self._send(link, work, need, trace)
+        except (group.Unavailable, Untrusted) as error:
+            trace.cause = str(error)
+            return Ended(None, None, failed(statements.Code.BUSY, str(error)), again=False)
+        except NotPrepared as error:
+            self._again(trace, str(error))
+            return Ended(None, None, None, again=True)
+        except member_link.Lost as error:
+            self._again(trace, str(error))
+            attempts.reruns += 1
+            outcome = failed(statements.Code.FAILED, "the connection to the member ended")
+            return Ended(None, None, outcome, again=True)
+        if reply is None:
+            return Ended(None, None, failed(statements.Code.TIMEOUT, "no answer in time"), False)
+        if reply.failure is None:
+            return Ended(link, reply, None, again=False)
+        attempts.reruns += reply.failure.code not in statements.NOT_RUN
+        self.learn(reply.failure, link, need, trace)
+        return Ended(None, None, from_member(reply.failure, reply), again=True)
+
     async def _send(
         self, link: member_link.MemberLink, work: Work, need: group.Need, trace: Trace
     ) -> statements.Reply | None:
-        """Sends a single statement and gives the connection back. Raises NotPrepared and Lost."""
+        """Sends a single statement and gives the connection back.
+
+        Raises:
+          Untrusted, NotPrepared: The statement did not run.
+          member_link.Lost: It may have run.
+        """
         try:
+            if need.after is None and not await self.group.trust():
+                raise Untrusted("the primary can't be confirmed, come back in 1 s")
             await self.prepare(link, work.values, work.shape)
-        except NotPrepared:
+        except asyncio.CancelledError:
+            link.close()
+            self.group.release(link)
+            raise
+        except (NotPrepared, Untrusted):
             self.group.release(link)
             raise
         query = self._dialect.query(work.id, work.text, need.after)
@@ -291,13 +421,10 @@
             self.group.release(link)
         return reply
 
-    async def _read_done(
-        self,
-        link: member_link.MemberLink,
-        reply: statements.Reply,
-        need: group.Need,
-        trace: Trace,
-    ) -> Outcome:
+    async def _read_done(self, ended: "Ended", need: group.Need, trace: Trace) -> Outcome:
+        link, reply = ended.link, ended.reply
+        assert link is not None and reply is not None
+        trace.member = link.member.id
         one = self.group.pools.get(link.member.id)
         leader = self.group.permission.leader
         at_primary = leader is not None and leader.member == link.member.id
@@ -345,8 +472,8 @@
             try:
                 link = await self.acquire(need, trace)
                 reply = await self._send(link, work, need, trace)
-            except group.Unavailable as error:
-                trace.cause = error.reason
+            except (group.Unavailable, Untrusted) as error:
+                trace.cause = str(error)
                 return outcome
             except NotPrepared as error:
                 self._again(trace, str(error))
--- a/bilberrystack/pooling/fleet.py
+++ b/bilberrystack/pooling/fleet.py
@@ -198,7 +198,7 @@
             self._tasks.start(self._look(served, member))
 
     async def _look(self, served: group.Group, member: str) -> None:
-        await supervisor.look(served, member, self._clock)
+        await served.look(member)
         self._beat()
 
 
--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -26,7 +26,7 @@
 
 # Connections beyond the fair share that an instance may open while the member accepts them, for
 # transactions that hold one while their client thinks.
-EXTRA_LINKS = 2
+EXTRA_LINKS = 1
 
 # An unanswered question to a member ends after this time.
 STATUS_TIMEOUT_S = 0.6
@@ -34,6 +34,18 @@
 # How long the answers of a left transaction or a given-up statement are awaited.
 DRAIN_TIMEOUT_S = 5.0
 
+# An answer that has not come after this time puts its member under suspicion: a bare connection
+# then tells a slow member from a dead one. Statements take 5 to 55 ms.
+SUSPECT_S = 0.3
+
+# Time for that bare connection.
+LOOK_S = 0.3
+
+# How long a confirmation round speaks for statements that are about to be sent, and how long a
+# failed one does.
+TRUST_S = 1.0
+DISTRUST_S = 0.3
+
 # Priority of questions to members: before all requests of clients, whose priorities start at 0.
 CONTROL_PRIORITY = -2
 
@@ -83,6 +95,8 @@
         "_instances",
         "_order",
         "_pools",
+        "_round_ended",
+        "_sampling",
         "_seeking",
         "_tasks",
         "_waiting",
@@ -120,7 +134,9 @@
         self._waiting: list[tuple[int, int, Need, asyncio.Future[member_link.MemberLink]]] = []
         self._order = itertools.count()
         self._instances = 1
+        self._round_ended: dict[permission.Leader, tuple[float, bool]] = {}
         self._seeking = False
+        self._sampling: asyncio.Task[bool] | None = None
         self._confirmation: asyncio.Task[bool] | None = None
         self._wake: asyncio.TimerHandle | None = None
 
@@ -246,7 +262,7 @@
             return [] if found is None else [found]
         leading = self._leading()
         if need.primary:
-            if leading is None or self.permission.changing:
+            if leading is None or self.permission.changing or leading.sight.suspect:
                 return []
             return [leading]
         able = [
@@ -258,7 +274,7 @@
             able = [
                 one for one in able if one is leading or one.may_have(need.after, need.after_age_s)
             ]
-        return able
+        return [one for one in able if not one.sight.suspect] or able
 
     def dispatch(self) -> None:
         """Gives free connections to the requests that wait, and opens connections for others."""
@@ -315,9 +331,14 @@
         self._tasks.start(self._open_link(one))
 
     def warm(self, count: int) -> None:
-        """Opens connections ahead of requests, up to a number for each member."""
+        """Opens connections ahead of requests, and closes those that are not needed any more.
+
+        Args:
+          count: How many connections to each member are kept.
+        """
         now_s = self._clock()
         for one in self._pools.values():
+            one.trim(count, now_s)
             if one.size < count and one.may_open(count, now_s) and not one.member.leaving:
                 self._open(one)
 
@@ -360,8 +381,7 @@
             return
         else:
             link.in_use = False
-            if one.size > self.share and self.waiting == 0 and one.size - one.leased > 1:
-                one.discard(link)
+            link.rested_since_s = self._clock()
         self.dispatch()
 
     def _discard(self, link: member_link.MemberLink) -> None:
@@ -401,12 +421,43 @@
         if one is not None:
             one.running += 1
         task = self._tasks.start(self._exchange(link, query, one))
-        done, _ = await asyncio.wait({task}, timeout=max(0.0, timeout_s))
-        if task not in done:
+        try:
+            await asyncio.wait({task}, timeout=max(0.0, min(timeout_s, SUSPECT_S)))
+            if not task.done() and timeout_s > SUSPECT_S:
+                self._suspect(link.member.id)
+                await asyncio.wait({task}, timeout=timeout_s - SUSPECT_S)
+        except asyncio.CancelledError:
+            self._tasks.start(self._drain(link, task))
+            raise
+        if not task.done():
             self._tasks.start(self._drain(link, task))
             return None
         return task.result()
 
+    def _suspect(self, member: str) -> None:
+        """Looks at a member that has not answered for long."""
+        one = self._pools.get(member)
+        if one is not None and not one.sight.suspect:
+            one.sight.suspect = True
+            _LOG.info("member suspected", member=member, service=self.service.name)
+            self._tasks.start(self.look(member))
+
+    async def look(self, member: str) -> None:
+        """Looks whether a member's address takes connections; its sight takes what is found."""
+        one = self._pools.get(member)
+        if one is None:
+            return
+        try:
+            _, writer = await member_link.connect(one.member.endpoint, 64, LOOK_S)
+        except member_link.LinkFailure as failure:
+            one.failed_to_open(failure)
+            self.on_lost(member)
+            _LOG.info("member not reached", member=member, failure=type(failure).__name__)
+        else:
+            writer.close()
+            one.contacted()
+            self.dispatch()
+
     async def _exchange(
         self, link: member_link.MemberLink, query: bytes, one: pool.MemberPool | None
     ) -> statements.Reply:
@@ -457,6 +508,9 @@
           What the member says of itself; None if it did not say.
         """
         until_s = self._clock() + timeout_s
+        known = self._pools.get(member)
+        if known is None or known.unreachable(self._clock()):
+            return None
         need = Need(primary=False, give_up_at_s=until_s, only=member, priority=CONTROL_PRIORITY)
         try:
             link = await self.acquire(need)
@@ -489,6 +543,25 @@
             )
             self.dispatch()
 
+    async def trust(self) -> bool:
+        """Tells whether the primary may be sent statements that have to be confirmed afterwards.
+
+        A statement that can't be confirmed is better refused before it runs, so that the client
+        turns to another instance.
+        """
+        leader = self.permission.leader
+        now_s = self._clock()
+        if leader is None:
+            return False
+        if self.permission.valid_at(leader, now_s):
+            return True
+        known = self._round_ended.get(leader)
+        if known is not None:
+            ended_at_s, confirmed = known
+            if now_s - ended_at_s < (TRUST_S if confirmed else DISTRUST_S):
+                return confirmed
+        return await self.confirm(leader)
+
     async def confirm(self, leader: permission.Leader) -> bool:
         """Asks all other members whether a newer term has begun, after a statement has run.
 
@@ -518,6 +591,7 @@
         confirmed = bool(others) and all(
             one is not None and one.term <= leader.term and not one.primary for one in found
         )
+        self._round_ended = {leader: (self._clock(), confirmed)}
         _LOG.info(
             "confirmation round",
             service=self.service.name,
@@ -550,6 +624,13 @@
         Returns:
           Whether the history has a new, confirmed sample.
         """
+        running = self._sampling
+        if running is None or running.done():
+            running = self._sampling = self._tasks.start(self._sample_primary())
+        await asyncio.wait({running})
+        return running.result()
+
+    async def _sample_primary(self) -> bool:
         leader = self.permission.leader
         if leader is None:
             return False
--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -61,6 +61,7 @@
         "_executors",
         "_fleet",
         "_groups",
+        "_known",
         "_lease",
         "_own",
         "_platform",
@@ -99,6 +100,7 @@
         self._sessions: set[session.Session] = set()
         self._servers: list[asyncio.Server] = []
         self._closing = asyncio.Event()
+        self._known = asyncio.Event()
         self._was_ready = False
         self._directory = directory.Directory(platform, clock, self._refresh)
         self._lease = duty.Lease(self._own, platform, clock, counted)
@@ -136,6 +138,15 @@
         """Returns what runs a group's statements; None if there is no such group."""
         return self._executors.get(service)
 
+    async def wait_known(self, timeout_s: float) -> bool:
+        """Waits for the first configuration; returns whether it is there."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._known.wait()
+        except TimeoutError:
+            return False
+        return True
+
     async def run(self) -> None:
         """Serves until a signal asks for the end, then stops gracefully."""
         await self._listen()
@@ -245,6 +256,8 @@
                 served = self._add_group(service)
             served.set_instances(self._directory.instance_count())
             served.update(service, self._directory.members_of(name), self._directory.missing)
+        if self._directory.known:
+            self._known.set()
         if self.ready and not self._was_ready:
             self._was_ready = True
             _LOG.info("ready", version=configuration.version, groups=len(self._groups))
@@ -299,7 +312,7 @@
     def _close_sessions(self, stopped_s: float) -> None:
         transactions_end = stopped_s >= self._settings.grace_s * TRANSACTION_PART
         for served in list(self._sessions):
-            if served.resting or (transactions_end and served.idle):
+            if (served.resting and not served.preparing) or (transactions_end and served.idle):
                 served.close()
 
     async def _leave_store(self) -> None:
--- a/bilberrystack/pooling/member_link.py
+++ b/bilberrystack/pooling/member_link.py
@@ -85,6 +85,7 @@
         "member",
         "position",
         "prepared",
+        "rested_since_s",
         "state",
         "values",
     )
@@ -99,6 +100,7 @@
     ) -> None:
         self.member = member
         self.in_use = False
+        self.rested_since_s = clock()
         self.state = statements.State.IDLE
         self.position: positions.Position | None = None
         self.values: dict[str, str] = {}
--- a/bilberrystack/pooling/pool.py
+++ b/bilberrystack/pooling/pool.py
@@ -17,6 +17,12 @@
 # connections of an instance that lost power linger for 3 s.
 FULL_S = 1.0
 
+# The same for an instance that has no connection to the member at all.
+FULL_WITHOUT_LINK_S = 0.25
+
+# A connection beyond those that are kept is closed after resting for so long.
+EXTRA_REST_S = 2.0
+
 # How long connections are opened through another instance before the direct way is tried again.
 RELAY_S = 3.0
 
@@ -42,6 +48,7 @@
       status_at_s: When that was asked.
       position: The highest position that an answer showed.
       lag_s: How far behind its log is thought to be.
+      suspect: Whether a statement has waited long for its answer and nothing has come since.
     """
 
     contact_at_s: float = float("-inf")
@@ -50,6 +57,7 @@
     status_at_s: float = float("-inf")
     position: positions.Position | None = None
     lag_s: float = 0.0
+    suspect: bool = False
 
 
 class MemberPool:
@@ -96,6 +104,10 @@
             self.discard(link)
         return [link for link in self._links if not link.in_use]
 
+    def unreachable(self, now_s: float) -> bool:
+        """Tells whether there is no connection and the last try to open one has just failed."""
+        return not self._links and now_s < self._retry_at_s
+
     def may_open(self, share: int, now_s: float) -> bool:
         """Tells whether another connection may be opened now."""
         if now_s < self._retry_at_s or now_s < self.full_until_s:
@@ -113,6 +125,13 @@
         if link in self._links:
             self._links.remove(link)
 
+    def trim(self, keep: int, now_s: float) -> None:
+        """Closes connections beyond a number that have rested for long."""
+        resting = sorted(self.idle(), key=lambda link: link.rested_since_s)
+        for link in resting[: max(0, len(self._links) - keep)]:
+            if now_s - link.rested_since_s >= EXTRA_REST_S:
+                self.discard(link)
+
     def close(self) -> None:
         """Closes all connections."""
         for link in list(self._links):
@@ -122,6 +141,7 @@
         """Takes that the member has answered."""
         self.sight.contact_at_s = self._clock()
         self.sight.refused_at_s = None
+        self.sight.suspect = False
 
     def failed_to_open(self, failure: member_link.LinkFailure) -> None:
         """Takes why a connection could not be opened."""
@@ -134,7 +154,8 @@
             case member_link.Rejected(failure=found):
                 self.contacted()
                 full = found.code is statements.Code.TOO_MANY_CONNECTIONS
-                self.full_until_s = now_s + (FULL_S if full else RETRY_OPEN_S)
+                wait_s = FULL_S if self._links else FULL_WITHOUT_LINK_S
+                self.full_until_s = now_s + (wait_s if full else RETRY_OPEN_S)
             case _:
                 self._retry_at_s = now_s + RETRY_OPEN_S
 
--- a/bilberrystack/pooling/session.py
+++ b/bilberrystack/pooling/session.py
@@ -21,6 +21,13 @@
 # A connection that doesn't say what it wants within this time is closed.
 START_TIMEOUT_S = 5.0
 
+# A graceful stop waits so long for the operation of a session that has begun or set values.
+OPERATION_FOLLOWS_S = 1.0
+
+# How long a session waits for an instance that has just started and knows no databases yet; a
+# client waits 2 s for the answer to its start.
+KNOWN_TIMEOUT_S = 1.7
+
 # Bytes that a client may leave unread before the session stops reading from it.
 MAX_UNREAD_BYTES = 4_194_304
 
@@ -45,6 +52,7 @@
 
     def clock(self) -> float: ...
     def executor(self, service: str) -> execution.Executor | None: ...
+    async def wait_known(self, timeout_s: float) -> bool: ...
 
 
 class Session:
@@ -56,6 +64,7 @@
         "_host",
         "_mark",
         "_position",
+        "_prepared_at_s",
         "_reader",
         "_shapes",
         "_transaction",
@@ -75,13 +84,20 @@
         self._transaction: transaction.Transaction | None = None
         self._mark: freshness.Mark | None = None
         self._position: positions.Position | None = None
-        self._busy = False
+        self._busy = True
+        self._prepared_at_s: float | None = None
 
     @property
     def resting(self) -> bool:
         """Whether it is outside a transaction and no request is out."""
         return not self._busy and self._transaction is None
 
+    @property
+    def preparing(self) -> bool:
+        """Whether it has just begun or set values, so that an operation is likely on its way."""
+        since_s = self._prepared_at_s
+        return since_s is not None and self._host.clock() - since_s < OPERATION_FOLLOWS_S
+
     @property
     def idle(self) -> bool:
         """Whether no request is out, also inside a transaction."""
@@ -128,10 +144,17 @@
             case _:
                 self._send(dialect.error(statements.Code.BAD, "a session begins with its database"))
                 return False
+        if not await self._host.wait_known(KNOWN_TIMEOUT_S):
+            self._send(
+                dialect.error(statements.Code.BUSY, "no configuration yet, come back in 1 s")
+            )
+            return False
         if self._route() is None:
             self._send(dialect.error(statements.Code.NO_DATABASE, "no such database"))
             return False
         self._send(dialect.ready(self.state, None))
+        self._prepared_at_s = self._host.clock()
+        self._busy = False
         return True
 
     def _route(self) -> model.Route | None:
@@ -142,6 +165,7 @@
         """Answers one request; returns whether the session goes on."""
         line = await self._next_line()
         self._busy = True
+        self._prepared_at_s = None
         try:
             match self._host.dialect.parse_client(line):
                 case statements.Query(request_id, text):
@@ -154,7 +178,8 @@
             await self._flush()
         finally:
             self._busy = False
-        return not (self._host.stopping and self._transaction is None)
+        ended = self._transaction is None and self._prepared_at_s is None
+        return not (self._host.stopping and ended)
 
     async def _next_line(self) -> bytes:
         """Reads a line; a transaction that rests too long is rolled back meanwhile."""
@@ -250,6 +275,7 @@
                 self._shapes[name] = execution.Shape(access, shape)
             case statements.Forget(name):
                 self._shapes.pop(name, None)
+        self._prepared_at_s = self._host.clock()
         self._reply(self._host.dialect.done())
 
     def _work(
--- a/bilberrystack/pooling/supervisor.py
+++ b/bilberrystack/pooling/supervisor.py
@@ -11,7 +11,6 @@
 from bilberrystack.pooling import duty
 from bilberrystack.pooling import group
 from bilberrystack.pooling import interfaces
-from bilberrystack.pooling import member_link
 from bilberrystack.pooling import messages
 from bilberrystack.pooling import pool
 from bilberrystack.pooling import tasks
@@ -24,19 +23,19 @@
 # How often decisions are taken; a change of primary goes forward by these steps.
 STEP_S = 0.04
 
-# How often members are asked for their status when nothing is amiss; a status takes a member's
+# How often the primary is asked for its status when nothing is amiss; a status takes a member's
 # slot for 0.5 ms. Positions in the answers tell the instances what replicas need.
 POLL_S = 0.4
 
+# The same for replicas: a replica that has died is found by the requests that it doesn't answer.
+POLL_REPLICA_S = 3.0
+
 # The same during a change of primary.
 POLL_CHANGE_S = 0.05
 
 # A member that has not answered for so long is looked at by all instances.
 SUSPECT_S = 0.4
 
-# Time for the bare connection that tells a busy member from a dead one.
-LOOK_S = 0.3
-
 # Instances whose heartbeat is older than this have no say.
 REPORTER_S = 1.2
 
@@ -44,21 +43,6 @@
 WITHDRAW_AGAIN_S = 0.06
 
 
-async def look(served: group.Group, member: str, clock: interfaces.Clock) -> None:
-    """Looks whether a member's address takes connections; its sight takes what is found."""
-    one = served.pools.get(member)
-    if one is None:
-        return
-    try:
-        _, writer = await member_link.connect(one.member.endpoint, 64, LOOK_S)
-    except member_link.LinkFailure as failure:
-        one.failed_to_open(failure)
-        _LOG.info("member not reached", member=member, failure=type(failure).__name__)
-    else:
-        writer.close()
-        one.contacted()
-
-
 @dataclasses.dataclass(slots=True)
 class _Reporter:
     """What another instance last reported."""
@@ -192,18 +176,28 @@
         task.add_done_callback(lambda _: setattr(watched, "busy", False))
 
     def _poll(self, service: str, served: group.Group, watched: _Watched, now_s: float) -> None:
-        steady = watched.change.phase is succession.Phase.STEADY
-        pause_s = POLL_S if steady else POLL_CHANGE_S
+        change = watched.change
+        steady = change.phase is succession.Phase.STEADY and not change.leaderless
+        leader = watched.change.leader
         for member, one in served.pools.items():
             asked_at_s = self._asked_at_s.get(member, float("-inf"))
+            leads = leader is None or leader.member == member
+            pause_s = (POLL_S if leads else POLL_REPLICA_S) if steady else POLL_CHANGE_S
+            if leads and steady and self._fresh(served, now_s):
+                continue
             if member not in self._looking and now_s - asked_at_s >= pause_s:
                 self._asked_at_s[member] = now_s
                 self._looking.add(member)
                 self._tasks.start(self._ask(served, member))
             silent_s = now_s - one.sight.contact_at_s
-            if silent_s >= SUSPECT_S and now_s - asked_at_s >= LOOK_S:
+            if leads and silent_s >= SUSPECT_S and now_s - asked_at_s >= group.LOOK_S:
                 self._suspect(service, served, member, now_s)
 
+    def _fresh(self, served: group.Group, now_s: float) -> bool:
+        """Tells whether traffic alone has shown the primary's position lately."""
+        age_s = served.history.newest_age_s(now_s)
+        return age_s is not None and age_s < POLL_S
+
     async def _ask(self, served: group.Group, member: str) -> None:
         try:
             await served.ask(member, self._dialect.status())
@@ -213,7 +207,7 @@
     def _suspect(self, service: str, served: group.Group, member: str, now_s: float) -> None:
         """Lets this and all other instances look at a member that has gone silent."""
         self._asked_at_s[member] = now_s
-        self._tasks.start(look(served, member, self._clock))
+        self._tasks.start(served.look(member))
         for reporter in self._reporters.values():
             self.send(messages.Check(service, member), reporter.endpoint)
 
--- a/bilberrystack/pooling/transaction.py
+++ b/bilberrystack/pooling/transaction.py
@@ -151,6 +151,10 @@
                 return refused
             try:
                 reply = await self._open(link, work, need)
+            except execution.Untrusted as error:
+                self._executor.group.release(link)
+                trace.cause = str(error)
+                return refused
             except (execution.NotPrepared, member_link.Lost) as error:
                 self._executor.group.release(link)
                 trace.cause = str(error)
@@ -173,6 +177,8 @@
     async def _open(
         self, link: member_link.MemberLink, work: execution.Work, need: group.Need
     ) -> statements.Reply | None:
+        if need.after is None and not await self._executor.group.trust():
+            raise execution.Untrusted("the primary can't be confirmed, come back in 1 s")
         await self._executor.prepare(link, work.values, work.shape)
         query = self._dialect.query(self._opening.id, self._opening.text, need.after)
         return await self._executor.group.run(link, query, work.route.timeout_s)
--- a/bilberrystack/routing/succession.py
+++ b/bilberrystack/routing/succession.py
@@ -142,6 +142,16 @@
         """How far a change of primary has come."""
         return self._phase
 
+    @property
+    def leader(self) -> permission.Leader | None:
+        """The primary as last seen."""
+        return self._leader
+
+    @property
+    def leaderless(self) -> bool:
+        """Whether no member leads the newest term, as far as is seen."""
+        return self._leader is None or self._leaderless_since_s is not None
+
     @property
     def reason(self) -> str:
         """Why the last change was started."""
@@ -214,7 +224,7 @@
         reason = self._why_change(leader, now_s)
         if not reason or now_s < self._settled_at_s:
             return None
-        if self._best(views, now_s) is None:
+        if not any(view.present and not view.primary and not view.leaving for view in views):
             return None
         self._phase = Phase.FENCING
         self._reason = reason
@@ -272,7 +282,8 @@
             return None
         best = self._best(views, now_s)
         if best is None:
-            self._give_up(now_s)
+            if waited_s > EFFECT_S:
+                self._give_up(now_s)
             return None
         if self._behind(best, views) and waited_s < CATCH_UP_S:
             return None
