Keep to one member connection after a start and after a refusal for the limit

Change: pool.SCARCE_S; extra connections rest 0.7 s instead of 2 s; a released duty is not taken again.

--- a/bilberrystack/pooling/duty.py
+++ b/bilberrystack/pooling/duty.py
@@ -184,6 +184,9 @@
             # Another instance was faster; the next look shows it.
             self._seen = None
             return
+        if self._released:
+            await self._platform.release_duty(taken)
+            return
         self._held = taken
         self._renewed_at_s = asked_at_s
         self.settled_at_s = self._clock() + (0.0 if found is None else SETTLE_S)
--- a/bilberrystack/pooling/pool.py
+++ b/bilberrystack/pooling/pool.py
@@ -21,11 +21,15 @@
 FULL_WITHOUT_LINK_S = 0.25
 
 # A connection beyond those that are kept is closed after resting for so long.
-EXTRA_REST_S = 2.0
+EXTRA_REST_S = 0.7
 
 # How long connections are opened through another instance before the direct way is tried again.
 RELAY_S = 3.0
 
+# After its start, and after a member has turned a connection away, an instance keeps to one
+# connection for so long: those of instances that lost power linger for 3 s and leave few to share.
+SCARCE_S = 3.2
+
 # Weight of the newest statement in the average service time.
 SERVICE_WEIGHT = 0.1
 
@@ -67,6 +71,7 @@
         "_clock",
         "_links",
         "_retry_at_s",
+        "_scarce_until_s",
         "full_until_s",
         "member",
         "opening",
@@ -86,6 +91,7 @@
         self.sight = Sight()
         self._clock = clock
         self._links: list[member_link.MemberLink] = []
+        self._scarce_until_s = clock() + SCARCE_S
         self._retry_at_s = float("-inf")
 
     @property
@@ -112,7 +118,7 @@
         """Tells whether another connection may be opened now."""
         if now_s < self._retry_at_s or now_s < self.full_until_s:
             return False
-        return self.size < share
+        return self.size < (1 if now_s < self._scarce_until_s else share)
 
     def add(self, link: member_link.MemberLink) -> None:
         """Takes a connection that has just been opened."""
@@ -154,6 +160,8 @@
             case member_link.Rejected(failure=found):
                 self.contacted()
                 full = found.code is statements.Code.TOO_MANY_CONNECTIONS
+                if full:
+                    self._scarce_until_s = now_s + SCARCE_S
                 wait_s = FULL_S if self._links else FULL_WITHOUT_LINK_S
                 self.full_until_s = now_s + (wait_s if full else RETRY_OPEN_S)
             case _:
