Test the session mode against stand-ins; mend four faults that the tests found

Cause, each with the test that failed: the second sending of a slow read never came, since the first wait began before the first sending had a member (instance_test: a lost answer to a read); a new holder of the duty replaced a healthy primary that it had not asked yet (succession_test: two tests); a statement held the only connection to the primary while the question that it waited for needed it (instance_test: a session reads its own write); a rolled back transaction answered as broken before it said so once (instance_test: a transaction that rests too long). Ruled out: the stand-ins' lag and their limit of connections.

--- a/bilberrystack/pooling/execution.py
+++ b/bilberrystack/pooling/execution.py
@@ -39,6 +39,9 @@
 HEDGE_S = 0.12
 HEDGE_X = 5.0
 
+# Least pause between two looks at a read that waits.
+HEDGE_STEP_S = 0.005
+
 # Second sendings for each read on average, and how many may be saved up.
 HEDGE_PART = 0.1
 HEDGE_BUDGET = 10.0
@@ -163,7 +166,7 @@
       link: Where it succeeded; None if it failed.
       reply: The answer of success; None if it failed.
       outcome: What the client is told if nothing better comes; None if it did not run.
-      again: Whether another sending may help.
+      again: Whether another sending may help, for a success if it can't be confirmed.
     """
 
     link: member_link.MemberLink | None
@@ -181,7 +184,15 @@
     reruns: int = 0
     hedged: bool = False
     member: str = ""
-    began_at_s: float = 0.0
+    due_at_s: float | None = None
+
+    def due_in_s(self, now_s: float) -> float:
+        """Returns how long the last sending may still take before it counts as overdue."""
+        return HEDGE_S if self.due_at_s is None else self.due_at_s - now_s
+
+    def overdue(self, now_s: float) -> bool:
+        """Tells whether the last sending has reached a member and takes unusually long."""
+        return self.due_at_s is not None and now_s >= self.due_at_s
 
     def may_start(self, now_s: float, work: Work) -> bool:
         """Tells whether the read may be sent once more."""
@@ -254,10 +265,15 @@
         return max(by_age, by_mark, key=lambda one: one.position)
 
     async def acquire(self, need: group.Need, trace: Trace) -> member_link.MemberLink:
-        """Waits for a connection; raises group.Unavailable."""
+        """Waits for a connection.
+
+        Raises:
+          Untrusted: It would be one to a primary that can't be confirmed.
+          group.Unavailable: None came in time.
+        """
         began_at_s = self._clock()
         try:
-            link = await self.group.acquire(need)
+            link = await self._acquire_trusted(need)
         finally:
             waited_s = self._clock() - began_at_s
             trace.waited_ms += round(waited_s * 1000)
@@ -266,6 +282,18 @@
         trace.member = link.member.id
         return link
 
+    async def _acquire_trusted(self, need: group.Need) -> member_link.MemberLink:
+        """Waits for a connection; that to a primary only while its answers can be confirmed."""
+        while True:
+            # A change of primary is waited for; afterwards a grant is likely there.
+            checked = need.after is not None or self.group.permission.changing
+            if not checked and not await self.group.trust():
+                raise Untrusted("the primary can't be confirmed, come back in 1 s")
+            link = await self.group.acquire(need)
+            if need.after is not None or self.group.trusted_now():
+                return link
+            self.group.release(link)
+
     async def prepare(
         self, link: member_link.MemberLink, values: dict[str, str], shape: Shape | None
     ) -> None:
@@ -308,7 +336,7 @@
             while attempts.running:
                 timeout_s = work.ends_at_s - self._clock()
                 if self._may_hedge(attempts, need):
-                    timeout_s = min(timeout_s, self._hedge_after_s(attempts, work))
+                    timeout_s = min(timeout_s, max(HEDGE_STEP_S, attempts.due_in_s(self._clock())))
                 done, _ = await asyncio.wait(
                     attempts.running,
                     timeout=max(0.0, timeout_s),
@@ -316,14 +344,17 @@
                 )
                 if not done and self._clock() >= work.ends_at_s:
                     return failed(statements.Code.TIMEOUT, "no answer in time")
-                if not done:
+                if not done and attempts.overdue(self._clock()):
                     self._hedge(attempts, work, need, trace)
                 for task in done:
                     attempts.running.discard(task)
                     ended = task.result()
-                    if ended.reply is not None and ended.reply.failure is None:
-                        return await self._read_done(ended, need, trace)
-                    if ended.outcome is not None:
+                    if ended.reply is not None:
+                        outcome = await self._read_done(ended, need, trace)
+                        if outcome.failure is None:
+                            return outcome
+                        attempts.reruns += 1
+                    elif ended.outcome is not None:
                         outcome = ended.outcome
                     if ended.again and attempts.may_start(self._clock(), work):
                         self._start_read(attempts, work, need, trace)
@@ -333,20 +364,12 @@
 
     def _start_read(self, attempts: "Attempts", work: Work, need: group.Need, trace: Trace) -> None:
         attempts.started += 1
-        attempts.began_at_s = self._clock()
         task = asyncio.get_running_loop().create_task(self._read_once(work, need, trace, attempts))
         attempts.running.add(task)
 
-    def _hedge_after_s(self, attempts: "Attempts", work: Work) -> float:
-        """Returns how long the running attempt may still take before a second one starts."""
-        one = self.group.pools.get(attempts.member)
-        service_s = 0.0 if one is None else one.service_s
-        return attempts.began_at_s + max(HEDGE_S, HEDGE_X * service_s) - self._clock()
-
     def _may_hedge(self, attempts: "Attempts", need: group.Need) -> bool:
         return bool(
-            attempts.member
-            and not need.primary
+            not need.primary
             and not attempts.hedged
             and self._budget >= 1
             and len(self.group.pools) > 1
@@ -369,7 +392,9 @@
         try:
             link = await self.acquire(need, trace)
             attempts.member = link.member.id
-            attempts.began_at_s = self._clock()
+            one = self.group.pools.get(link.member.id)
+            usual_s = 0.0 if one is None else one.service_s
+            attempts.due_at_s = self._clock() + max(HEDGE_S, HEDGE_X * usual_s)
             reply = await self._send(link, work, need, trace)
         except (group.Unavailable, Untrusted) as error:
             trace.cause = str(error)
@@ -385,7 +410,7 @@
         if reply is None:
             return Ended(None, None, failed(statements.Code.TIMEOUT, "no answer in time"), False)
         if reply.failure is None:
-            return Ended(link, reply, None, again=False)
+            return Ended(link, reply, None, again=True)
         attempts.reruns += reply.failure.code not in statements.NOT_RUN
         self.learn(reply.failure, link, need, trace)
         return Ended(None, None, from_member(reply.failure, reply), again=True)
@@ -396,18 +421,16 @@
         """Sends a single statement and gives the connection back.
 
         Raises:
-          Untrusted, NotPrepared: The statement did not run.
+          NotPrepared: The statement did not run.
           member_link.Lost: It may have run.
         """
         try:
-            if need.after is None and not await self.group.trust():
-                raise Untrusted("the primary can't be confirmed, come back in 1 s")
             await self.prepare(link, work.values, work.shape)
         except asyncio.CancelledError:
             link.close()
             self.group.release(link)
             raise
-        except (NotPrepared, Untrusted):
+        except NotPrepared:
             self.group.release(link)
             raise
         query = self._dialect.query(work.id, work.text, need.after)
--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -46,6 +46,9 @@
 TRUST_S = 1.0
 DISTRUST_S = 0.3
 
+# Term of a primary that only the store names; terms of members begin at 1.
+UNKNOWN_TERM = 0
+
 # Priority of questions to members: before all requests of clients, whose priorities start at 0.
 CONTROL_PRIORITY = -2
 
@@ -71,6 +74,7 @@
       priority: Lower goes first.
       give_up_at_s: When it is turned away if it still waits.
       values: The session's values, for the choice of a connection.
+      asked_at_s: When it began to wait; `Group.acquire` sets it.
     """
 
     primary: bool
@@ -81,6 +85,7 @@
     only: str | None = None
     priority: int = 0
     values: dict[str, str] = dataclasses.field(default_factory=dict)
+    asked_at_s: float = 0.0
 
 
 class Group:
@@ -135,7 +140,7 @@
         self._order = itertools.count()
         self._instances = 1
         self._round_ended: dict[permission.Leader, tuple[float, bool]] = {}
-        self._seeking = False
+        self._seeking: asyncio.Task[None] | None = None
         self._sampling: asyncio.Task[bool] | None = None
         self._confirmation: asyncio.Task[bool] | None = None
         self._wake: asyncio.TimerHandle | None = None
@@ -197,7 +202,7 @@
             return
         named = [one for one in self._pools.values() if one.member.role is model.Role.PRIMARY]
         if len(named) == 1:
-            self.permission.observe(permission.Leader(named[0].member.id, 0))
+            self.permission.observe(permission.Leader(named[0].member.id, UNKNOWN_TERM))
 
     def close(self) -> None:
         """Closes all connections and turns away what waits."""
@@ -220,6 +225,7 @@
           Unavailable: None came in time.
         """
         future: asyncio.Future[member_link.MemberLink] = asyncio.get_running_loop().create_future()
+        need.asked_at_s = self._clock()
         entry = (need.priority, next(self._order), need, future)
         self._waiting.append(entry)
         self._waiting.sort(key=lambda one: one[:2])
@@ -313,7 +319,8 @@
             link.in_use = True
             return link
         share = self.share + EXTRA_LINKS
-        openable = [one for one in candidates if one.may_open(share, now_s)]
+        waited_s = now_s - need.asked_at_s
+        openable = [one for one in candidates if one.may_open(share, waited_s, now_s)]
         best = placement.choose(
             [one.load(self._domain, one is leading) for one in openable],
             replicas_first=not need.primary,
@@ -339,7 +346,7 @@
         now_s = self._clock()
         for one in self._pools.values():
             one.trim(count, now_s)
-            if one.size < count and one.may_open(count, now_s) and not one.member.leaving:
+            if one.size < count and one.may_open(count, 0.0, now_s) and not one.member.leaving:
                 self._open(one)
 
     async def _open_link(self, one: pool.MemberPool) -> None:
@@ -543,6 +550,16 @@
             )
             self.dispatch()
 
+    def trusted_now(self) -> bool:
+        """Tells whether a grant or a recent confirmation round speaks for the primary."""
+        leader = self.permission.leader
+        if leader is None:
+            return False
+        now_s = self._clock()
+        known = self._round_ended.get(leader)
+        fresh = known is not None and known[1] and now_s - known[0] < TRUST_S
+        return fresh or self.permission.valid_at(leader, now_s)
+
     async def trust(self) -> bool:
         """Tells whether the primary may be sent statements that have to be confirmed afterwards.
 
@@ -550,6 +567,9 @@
         turns to another instance.
         """
         leader = self.permission.leader
+        if leader is None or leader.term == UNKNOWN_TERM:
+            await self.find_primary()
+            leader = self.permission.leader
         now_s = self._clock()
         if leader is None:
             return False
@@ -606,17 +626,20 @@
     def unled(self, now_s: float) -> bool:
         """Tells whether the primary has to be sought, because no grant names it."""
         leader = self.permission.leader
-        if self._seeking or (self.permission.changing and not self.permission.deposed):
+        seeking = self._seeking is not None and not self._seeking.done()
+        if seeking or (self.permission.changing and not self.permission.deposed):
             return False
         return leader is None or not self.permission.valid_at(leader, now_s)
 
     async def find_primary(self) -> None:
-        """Asks all members for their roles."""
-        self._seeking = True
-        try:
-            await asyncio.gather(*(self.ask(one, self._dialect.status()) for one in self._pools))
-        finally:
-            self._seeking = False
+        """Asks all members for their roles; calls at the same time share one round."""
+        running = self._seeking
+        if running is None or running.done():
+            running = self._seeking = self._tasks.start(self._ask_all())
+        await asyncio.wait({running})
+
+    async def _ask_all(self) -> None:
+        await asyncio.gather(*(self.ask(one, self._dialect.status()) for one in self._pools))
 
     async def sample_primary(self) -> bool:
         """Asks the primary for its position, when answers alone are too old or too few.
--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -57,6 +57,7 @@
 
     __slots__ = (
         "_closing",
+        "_datagrams",
         "_directory",
         "_executors",
         "_fleet",
@@ -99,6 +100,7 @@
         self._executors: dict[str, execution.Executor] = {}
         self._sessions: set[session.Session] = set()
         self._servers: list[asyncio.Server] = []
+        self._datagrams: asyncio.DatagramTransport | None = None
         self._closing = asyncio.Event()
         self._known = asyncio.Event()
         self._was_ready = False
@@ -129,6 +131,11 @@
         """The configuration in force; None before the first one."""
         return self._directory.configuration
 
+    @property
+    def endpoint(self) -> model.Endpoint:
+        """Where other instances reach this one."""
+        return self._own.endpoint
+
     @property
     def ready(self) -> bool:
         """Whether new sessions may come."""
@@ -163,12 +170,28 @@
         self._tasks.start(self._supervisor.run())
         self._tasks.start(self._fleet.beat())
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._closing.set)
-        loop.add_signal_handler(signal.SIGINT, self._closing.set)
+        loop.add_signal_handler(signal.SIGTERM, self.request_stop)
+        loop.add_signal_handler(signal.SIGINT, self.request_stop)
         loop.add_signal_handler(signal.SIGHUP, self._note_reload)
         await self._closing.wait()
         await self._stop()
 
+    async def abandon(self) -> None:
+        """Ends at once, as a process that is killed does."""
+        for server in self._servers:
+            server.close()
+        for served in list(self._sessions):
+            served.close()
+        if self._datagrams is not None:
+            self._datagrams.close()
+        await self._tasks.close()
+        for one in self._groups.values():
+            one.close()
+
+    def request_stop(self) -> None:
+        """Asks for a graceful stop."""
+        self._closing.set()
+
     def _note_reload(self) -> None:
         # No setting that the file holds changes while a process lives.
         _LOG.info("reload asked for, no setting takes effect before a restart")
@@ -191,7 +214,8 @@
                     reuse_address=True,
                 )
             )
-        await asyncio.get_running_loop().create_datagram_endpoint(
+        loop = asyncio.get_running_loop()
+        self._datagrams, _ = await loop.create_datagram_endpoint(
             lambda: self._fleet,
             local_addr=(self._settings.peers.host, self._settings.peers.port),
         )
@@ -302,12 +326,8 @@
             if not self._sessions and stopped_s >= ROTATION_S:
                 break
             await asyncio.sleep(0.02)
-        for server in self._servers:
-            server.close()
         _LOG.info("stopped", sessions_cut=len(self._sessions))
-        await self._tasks.close()
-        for served in self._groups.values():
-            served.close()
+        await self.abandon()
 
     def _close_sessions(self, stopped_s: float) -> None:
         transactions_end = stopped_s >= self._settings.grace_s * TRANSACTION_PART
--- a/bilberrystack/pooling/pool.py
+++ b/bilberrystack/pooling/pool.py
@@ -30,6 +30,10 @@
 # connection for so long: those of instances that lost power linger for 3 s and leave few to share.
 SCARCE_S = 3.2
 
+# A request that has waited so long may open a second one all the same: a transaction whose client
+# thinks may hold the first.
+SCARCE_PATIENCE_S = 0.1
+
 # Weight of the newest statement in the average service time.
 SERVICE_WEIGHT = 0.1
 
@@ -114,11 +118,19 @@
         """Tells whether there is no connection and the last try to open one has just failed."""
         return not self._links and now_s < self._retry_at_s
 
-    def may_open(self, share: int, now_s: float) -> bool:
-        """Tells whether another connection may be opened now."""
+    def may_open(self, share: int, waited_s: float, now_s: float) -> bool:
+        """Tells whether another connection may be opened now.
+
+        Args:
+          share: Connections that the instance may have to the member.
+          waited_s: How long the request that needs it has waited.
+          now_s: The present.
+        """
         if now_s < self._retry_at_s or now_s < self.full_until_s:
             return False
-        return self.size < (1 if now_s < self._scarce_until_s else share)
+        if now_s < self._scarce_until_s:
+            share = 1 if waited_s < SCARCE_PATIENCE_S else 2
+        return self.size < share
 
     def add(self, link: member_link.MemberLink) -> None:
         """Takes a connection that has just been opened."""
--- a/bilberrystack/pooling/session.py
+++ b/bilberrystack/pooling/session.py
@@ -193,7 +193,7 @@
             if not done:
                 _LOG.info("transaction rested too long, rolled back", database=self._database)
                 open_transaction.leave()
-                open_transaction.failed = True
+                open_transaction.failed = open_transaction.unannounced = True
             return await task
         finally:
             task.cancel()
@@ -240,6 +240,9 @@
             case statements.Commit():
                 self._end()
                 self._refuse(statements.Code.ABORTED, "the transaction had failed")
+            case _ if self._transaction is not None and self._transaction.unannounced:
+                self._transaction.unannounced = False
+                self._refuse(statements.Code.ABORTED, "the transaction rested too long")
             case _:
                 self._refuse(statements.Code.BAD, "the transaction has failed")
 
--- a/bilberrystack/pooling/transaction.py
+++ b/bilberrystack/pooling/transaction.py
@@ -43,6 +43,7 @@
         "_wrote",
         "failed",
         "route",
+        "unannounced",
     )
 
     def __init__(
@@ -54,6 +55,8 @@
     ) -> None:
         self.route = route
         self.failed = False
+        # Whether it was rolled back without the client having been told yet.
+        self.unannounced = False
         self._opening = opening
         self._executor = executor
         self._dialect = dialect
@@ -146,15 +149,11 @@
         for _ in range(execution.NOT_RUN_RETRIES):
             try:
                 link = await self._executor.acquire(need, trace)
-            except group.Unavailable as error:
-                trace.cause = error.reason
+            except (group.Unavailable, execution.Untrusted) as error:
+                trace.cause = str(error)
                 return refused
             try:
                 reply = await self._open(link, work, need)
-            except execution.Untrusted as error:
-                self._executor.group.release(link)
-                trace.cause = str(error)
-                return refused
             except (execution.NotPrepared, member_link.Lost) as error:
                 self._executor.group.release(link)
                 trace.cause = str(error)
@@ -177,8 +176,6 @@
     async def _open(
         self, link: member_link.MemberLink, work: execution.Work, need: group.Need
     ) -> statements.Reply | None:
-        if need.after is None and not await self._executor.group.trust():
-            raise execution.Untrusted("the primary can't be confirmed, come back in 1 s")
         await self._executor.prepare(link, work.values, work.shape)
         query = self._dialect.query(self._opening.id, self._opening.text, need.after)
         return await self._executor.group.run(link, query, work.route.timeout_s)
--- a/bilberrystack/routing/permission.py
+++ b/bilberrystack/routing/permission.py
@@ -14,6 +14,9 @@
 GRANT_S = 1.5
 
 
+# Before every instant of a clock.
+NEVER_S = float("-inf")
+
 # Counts changes of primary: the token of the duty's holder, then the holder's own count. A later
 # holder has a higher token, so that pairs of all holders can be compared.
 Change = tuple[int, int]
@@ -40,7 +43,7 @@
 
     def __init__(self) -> None:
         self._leader: Leader | None = None
-        self._until_s = 0.0
+        self._until_s = NEVER_S
         self._withdrawn = False
         self._deposed = False
         self._change = NO_CHANGE
@@ -97,7 +100,7 @@
             return
         self._change = change
         self._withdrawn = True
-        self._until_s = 0.0
+        self._until_s = NEVER_S
 
     def observe(self, leader: Leader) -> bool:
         """Takes a primary that a member's own word names; it comes with no permission.
@@ -108,18 +111,18 @@
         if self._leader is not None and leader.term <= self._leader.term:
             return False
         self._leader = leader
-        self._until_s = 0.0
+        self._until_s = NEVER_S
         self._deposed = False
         return True
 
     def depose(self, leader: Leader) -> None:
         """Takes that a leader has said itself that it isn't one any more."""
         if self._leader == leader:
-            self._until_s = 0.0
+            self._until_s = NEVER_S
             self._deposed = True
 
     def lapse(self) -> None:
         """Ends a change whose holder is gone; answers then have to be confirmed by rounds."""
         self._withdrawn = False
         self._deposed = False
-        self._until_s = 0.0
+        self._until_s = NEVER_S
--- a/bilberrystack/routing/succession.py
+++ b/bilberrystack/routing/succession.py
@@ -117,6 +117,7 @@
         "_rejected",
         "_settled_at_s",
         "_started_at_s",
+        "_watched_since_s",
     )
 
     def __init__(self, settled_at_s: float) -> None:
@@ -129,6 +130,7 @@
         self._leader: permission.Leader | None = None
         self._settled_at_s = settled_at_s
         self._started_at_s = 0.0
+        self._watched_since_s: float | None = None
         self._called_at_s: float | None = None
         self._candidate: str | None = None
         self._fenced = False
@@ -219,8 +221,13 @@
     def _watch(
         self, leader: View | None, views: collections.abc.Sequence[View], now_s: float
     ) -> Action | None:
+        if self._watched_since_s is None:
+            # A member that nobody has asked yet is not silent.
+            self._watched_since_s = now_s
         if leader is not None:
             self._leader = permission.Leader(leader.id, leader.term)
+        if leader is None and self._awaits_words(views, now_s):
+            return None
         reason = self._why_change(leader, now_s)
         if not reason or now_s < self._settled_at_s:
             return None
@@ -233,6 +240,12 @@
         self._fenced = False
         return Withdraw(reason)
 
+    def _awaits_words(self, views: collections.abc.Sequence[View], now_s: float) -> bool:
+        """Tells whether a member may still say that it leads, because it has said nothing yet."""
+        assert self._watched_since_s is not None
+        unheard = any(view.term == 0 for view in views)
+        return unheard and now_s - self._watched_since_s < SILENCE_S
+
     def _why_change(self, leader: View | None, now_s: float) -> str:
         if leader is None:
             if self._leaderless_since_s is None:
@@ -247,7 +260,8 @@
             return "primary leaves"
         if self._missing_since_s is not None and now_s - self._missing_since_s >= MISSING_S:
             return "primary left the store"
-        silent_s = now_s - leader.contact_at_s
+        assert self._watched_since_s is not None
+        silent_s = now_s - max(leader.contact_at_s, self._watched_since_s)
         if leader.refused_at_s is not None and silent_s >= REFUSED_S:
             return "primary refuses connections"
         return "primary is silent" if silent_s >= SILENCE_S else ""
--- /dev/null
+++ b/bilberrystack_standins/line_group.py
@@ -0,0 +1,350 @@
+"""A database group whose members speak the line protocol of the session mode.
+
+Members replicate asynchronously, run statements in slots, limit their connections and follow the
+promotions of the platform's stand-in. Tests make them dark, deaf or let them lose answers.
+"""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+
+# A member that can't reach its client drops the connection; the stand-in's connections just end.
+_LIMIT = 1_048_580
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Commit:
+    """An entry of the log: its position and what it writes."""
+
+    term: int
+    number: int
+    items: tuple[tuple[str, str], ...]
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """A statement that a member has run, for the tests' checks."""
+
+    member: str
+    id: str
+    text: str
+    values: dict[str, str]
+
+
+@dataclasses.dataclass(slots=True)
+class GroupOptions:
+    """How a group behaves.
+
+    Attributes:
+      slots: Statements that a member runs at a time.
+      max_connections: Connections that a member accepts.
+      lag_s: Between a commit and its application at replicas.
+      work_s: How long a read, a write or a commit takes.
+      promote_s: Between a call for a promotion and its effect.
+    """
+
+    slots: int = 2
+    max_connections: int = 16
+    lag_s: float = 0.02
+    work_s: float = 0.002
+    promote_s: float = 0.05
+
+
+class _Connection:
+    """What a member keeps for one connection."""
+
+    __slots__ = ("begun", "prepared", "state", "values", "writes")
+
+    def __init__(self) -> None:
+        self.state = "I"
+        self.begun = ""
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, tuple[str, str]] = {}
+        self.writes: list[tuple[str, str]] = []
+
+
+class LineMember:
+    """One member of a group."""
+
+    def __init__(self, group: "LineGroup", member_id: str, primary: bool) -> None:
+        self.group = group
+        self.id = member_id
+        self.primary = primary
+        self.term = 1
+        self.held_term = 0
+        self.log: list[Commit] = []
+        self.applied = 0
+        self.deaf = False
+        self.silent = False
+        self.lose_answers = 0
+        self.fail_reads = 0
+        self.connections = 0
+        self.busy = 0
+        self.port = 0
+        self._slots = asyncio.Semaphore(group.options.slots)
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    @property
+    def address(self) -> str:
+        """Where the member listens."""
+        return f"127.0.0.1:{self.port}"
+
+    @property
+    def position(self) -> str:
+        """The position of the applied log."""
+        return self._position_of(self.applied)
+
+    def _position_of(self, count: int) -> str:
+        if count == 0:
+            return "1.0"
+        return f"{self.log[count - 1].term}.{self.log[count - 1].number}"
+
+    async def start(self) -> None:
+        """Starts to listen, at the port of before if there was one."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port, limit=_LIMIT)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Ends like a process that is killed; the log stays."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for writer in list(self._writers):
+            writer.transport.abort()
+        await asyncio.sleep(0)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        self.connections += 1
+        try:
+            words = (await reader.readline()).decode().split()
+            refusal = self._refusal(words)
+            if refusal:
+                writer.write(f"ERR {refusal} {self.id}\r\n".encode())
+                return
+            writer.write(f"READY I {self.position}\r\n".encode())
+            connection = _Connection()
+            while line := await reader.readline():
+                if self.silent:
+                    await asyncio.sleep(3600)
+                await self._answer(line.decode().rstrip("\r\n"), connection, writer)
+        except (OSError, asyncio.IncompleteReadError):
+            # The other side has gone; what was open is rolled back.
+            pass
+        finally:
+            self.connections -= 1
+            self._writers.discard(writer)
+            with contextlib.suppress(OSError):
+                writer.close()
+
+    def _refusal(self, words: list[str]) -> str:
+        if len(words) < 3 or words[0] != "START":
+            return "BAD"
+        if words[1] != self.group.name or (len(words) > 3 and words[3] != self.id):
+            return "WRONGNODE"
+        if self.connections > self.group.options.max_connections:
+            return "TOOMANY"
+        return ""
+
+    async def _answer(
+        self, line: str, connection: _Connection, writer: asyncio.StreamWriter
+    ) -> None:
+        _, request_id, text = line.split(" ", 2)
+        words = text.split(" ")
+        after = ""
+        if words[0] == "AFTER":
+            after, words = words[1], words[2:]
+        if words[0] in ("READ", "WRITE", "EXEC", "COMMIT"):
+            self.busy += 1
+            async with self._slots:
+                await asyncio.sleep(self.group.options.work_s)
+                answer = self._run(request_id, words, after, connection)
+            self.busy -= 1
+            if self.lose_answers > 0:
+                self.lose_answers -= 1
+                await asyncio.sleep(3600)
+        else:
+            answer = self._run(request_id, words, after, connection)
+        writer.write(f"{answer}\r\nREADY {connection.state} {self.position}\r\n".encode())
+
+    def _run(self, request_id: str, words: list[str], after: str, connection: _Connection) -> str:
+        if after and _parse(after) > _parse(self.position):
+            return "ERR BEHIND"
+        match words:
+            case ["BEGIN", *rest]:
+                if not rest and not self.primary:
+                    return "ERR READONLY"
+                connection.state, connection.begun = "T", "READ" if rest else "PLAIN"
+                return "DONE -"
+            case ["ROLLBACK"]:
+                self._end(connection)
+                return "DONE -"
+            case ["COMMIT"]:
+                return self._commit_transaction(request_id, connection)
+            case ["READ" | "WRITE", *_]:
+                return self._data(request_id, words[0], words, connection)
+            case ["EXEC", name, *rest]:
+                if name not in connection.prepared:
+                    return "ERR NOSTMT"
+                access = connection.prepared[name][0]
+                return self._data(request_id, access, [access, *rest], connection)
+            case ["SET", name, *value]:
+                connection.values[name] = " ".join(value)
+                return "DONE -"
+            case ["PREPARE", name, access, *shape]:
+                connection.prepared[name] = (access, " ".join(shape))
+                return "DONE -"
+            case ["RESET"]:
+                connection.values.clear()
+                connection.prepared.clear()
+                return "DONE -"
+            case ["STATUS"]:
+                return self._status()
+            case ["DEMOTE", term]:
+                if self.primary and int(term) > self.term:
+                    self.primary, self.term = False, int(term)
+                    self.group.roles_changed()
+                return self._status()
+            case ["HOLD", term]:
+                self.held_term = int(term)
+                return self._status()
+            case ["RESUME"]:
+                self.held_term = 0
+                return self._status()
+            case _:
+                return "ERR BAD"
+
+    def _status(self) -> str:
+        role = "primary" if self.primary else "replica"
+        received = self._position_of(len(self.log))
+        return (
+            f"ROW {role} {self.term} {received} {self.held_term} 0 {self.busy}"
+            f" {self.connections}\r\nDONE -"
+        )
+
+    def _data(self, request_id: str, access: str, words: list[str], connection: _Connection) -> str:
+        if access == "WRITE" and not self.primary:
+            connection.state = "E" if connection.state == "T" else "I"
+            return "ERR READONLY"
+        text = " ".join(words)
+        self.group.runs.append(Run(self.id, request_id, text, dict(connection.values)))
+        if access == "READ":
+            if self.fail_reads > 0:
+                self.fail_reads -= 1
+                return "ERR FAILED on purpose"
+            return f"ROW {self.value(words[1])}\r\nDONE proof-{self.id}"
+        write = (words[1], " ".join(words[2:]))
+        if connection.state == "T":
+            connection.writes.append(write)
+        else:
+            self._commit(request_id, (write,))
+        return f"DONE proof-{self.id}"
+
+    def _commit_transaction(self, request_id: str, connection: _Connection) -> str:
+        writes = tuple(connection.writes)
+        self._end(connection)
+        if writes and not self.primary:
+            return "ERR READONLY"
+        self.group.runs.append(Run(self.id, request_id, "COMMIT", dict(connection.values)))
+        if writes:
+            self._commit(request_id, writes)
+        return f"DONE proof-{self.id}"
+
+    def _end(self, connection: _Connection) -> None:
+        connection.state, connection.begun = "I", ""
+        connection.writes.clear()
+
+    def _commit(self, request_id: str, items: tuple[tuple[str, str], ...]) -> None:
+        number = self.log[-1].number + 1 if self.log else 1
+        entry = Commit(self.term, number, items)
+        self.log.append(entry)
+        self.applied = len(self.log)
+        self.group.commits[request_id] += 1
+        self.group.replicate(self, entry)
+
+    def receive(self, leader: "LineMember") -> None:
+        """Receives the log of the primary; it is applied later."""
+        if self.deaf or self.held_term or leader.term < self.term:
+            return
+        self.log = list(leader.log)
+        self.applied = min(self.applied, len(self.log))
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.group.options.lag_s, self._apply, len(self.log))
+
+    def _apply(self, count: int) -> None:
+        self.applied = max(self.applied, min(count, len(self.log)))
+
+    def value(self, item: str) -> str:
+        """Returns an item's value in the applied log, "-" for none."""
+        for entry in reversed(self.log[: self.applied]):
+            for name, value in reversed(entry.items):
+                if name == item:
+                    return value
+        return "-"
+
+
+class LineGroup:
+    """The members of one group."""
+
+    def __init__(
+        self, name: str, members: tuple[str, ...], options: GroupOptions | None = None
+    ) -> None:
+        self.name = name
+        self.options = options or GroupOptions()
+        self.runs: list[Run] = []
+        self.commits: collections.Counter[str] = collections.Counter()
+        self.members = {one: LineMember(self, one, primary=one == members[0]) for one in members}
+        self.on_roles: list[asyncio.Event] = []
+
+    async def start(self) -> None:
+        """Starts all members."""
+        for one in self.members.values():
+            await one.start()
+
+    async def stop(self) -> None:
+        """Stops all members."""
+        for one in self.members.values():
+            await one.stop()
+
+    @property
+    def primaries(self) -> list[LineMember]:
+        """The members that see themselves as the primary."""
+        return [one for one in self.members.values() if one.primary]
+
+    def roles_changed(self) -> None:
+        """Tells those who wait for a change of roles."""
+        for event in self.on_roles:
+            event.set()
+
+    def replicate(self, leader: LineMember, _entry: Commit) -> None:
+        """Sends a commit to the replicas."""
+        for one in self.members.values():
+            if one is not leader and not one.primary:
+                one.receive(leader)
+
+    def promote(self, member_id: str) -> bool:
+        """Takes a call for a promotion; it takes effect later. False if no such member runs."""
+        one = self.members.get(member_id)
+        if one is None or one._server is None:
+            return False
+        if not one.primary:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.options.promote_s, self._take_effect, one)
+        return True
+
+    def _take_effect(self, one: LineMember) -> None:
+        one.term = max(other.term for other in self.members.values()) + 1
+        one.primary, one.held_term = True, 0
+        one.applied = len(one.log)
+        for other in self.members.values():
+            if other is not one and not other.primary and not other.deaf:
+                other.term = one.term
+                other.receive(one)
+        self.roles_changed()
+
+
+def _parse(position: str) -> tuple[int, int]:
+    term, _, number = position.partition(".")
+    return int(term), int(number)
