Forward statements to owners where a member's connections don't go round; a holder that hears too few waits

Ruled out: fewer warm connections alone (one each is still twice the limit). Change: routing/owners (owner sets from the limit, by rendezvous hashing over failure domains), pooling/forwarding (one link for each owner, true outcomes when it breaks); the list of instances is read again each 5 s at a tenth of a watch's price; watches wait 25 s; succession asks for a majority of voices before it believes in silence, and the holder offers the duty to others meanwhile.

--- a/bilberrystack/core/ownership.py
+++ b/bilberrystack/core/ownership.py
@@ -47,7 +47,7 @@
     Returns:
       Up to OWNERS_PER_GROUP instances.
     """
-    ranked = sorted(candidates, key=lambda one: (_score(group, one.instance), one.instance))
+    ranked = sorted(candidates, key=lambda one: (score(group, one.instance), one.instance))
     domains: set[str] = set()
     first: list[Candidate] = []
     rest: list[Candidate] = []
@@ -99,6 +99,7 @@
         return self._owners.get(group, ())
 
 
-def _score(group: str, instance: str) -> bytes:
+def score(group: str, instance: str) -> bytes:
+    """Returns an instance's rendezvous score for a group; the lowest comes first."""
     text = f"{len(group)}:{group}{instance}".encode()
     return hashlib.blake2b(text, digest_size=8).digest()
--- a/bilberrystack/platform/client.py
+++ b/bilberrystack/platform/client.py
@@ -94,11 +94,18 @@
         self._decode = decode
         self._malformed: dict[str, int] = {}
 
-    async def list(self) -> interfaces.Snapshot:
-        """Returns all objects; raises interfaces.StoreFailure."""
+    async def list(self, may_be_old: bool = False) -> interfaces.Snapshot:
+        """Returns all objects.
+
+        Args:
+          may_be_old: Whether the answer may be seconds old, at a tenth of the price.
+        Raises:
+          interfaces.StoreFailure: The store did not answer properly.
+        """
+        suffix = "stale_ok=1" if may_be_old else ""
         found: dict[str, object] = {}
         revision: int | None = None
-        target = f"/objects/{self.name}"
+        target = f"/objects/{self.name}" + (f"?{suffix}" if suffix else "")
         while True:
             response = await self._store.get(target)
             page = _decoded(response, objects.Listing)
@@ -112,7 +119,8 @@
                     found[name] = item
             if not page.more or not last:
                 return interfaces.Snapshot(found, revision)
-            target = f"/objects/{self.name}?after={urllib.parse.quote(last, safe='')}"
+            after = f"after={urllib.parse.quote(last, safe='')}"
+            target = f"/objects/{self.name}?{after}" + (f"&{suffix}" if suffix else "")
 
     async def watch(self, revision: int, wait_s: float) -> interfaces.Changes:
         """Returns the changes since a revision; raises interfaces.StoreFailure."""
--- a/bilberrystack/pooling/directory.py
+++ b/bilberrystack/pooling/directory.py
@@ -106,6 +106,6 @@
         """Returns a group's members, with those that have just left the store."""
         return [one for one in self._kept.values() if one.service == service]
 
-    def instance_count(self) -> int:
-        """Returns how many instances share the members' connections."""
-        return max(1, len(self.instances.items))
+    def all_instances(self) -> list[model.Instance]:
+        """Returns all instances that have announced themselves, this one included."""
+        return [one for one in self.instances.items.values() if isinstance(one, model.Instance)]
--- a/bilberrystack/pooling/duty.py
+++ b/bilberrystack/pooling/duty.py
@@ -35,6 +35,9 @@
 # Spreads the instances that look after the duty at the same time.
 SEEK_SPREAD_S = 0.25
 
+# An instance that gave the duty up because it hears too few others leaves it to them for so long.
+BARRED_S = 2.0
+
 # Time for the holder's process to say that it lives.
 PROBE_S = 0.5
 
@@ -46,6 +49,7 @@
     """The promotion duty as this instance sees it."""
 
     __slots__ = (
+        "_barred_until_s",
         "_clock",
         "_counters",
         "_held",
@@ -75,6 +79,7 @@
         self._seen: interfaces.Duty | None = None
         self._seen_at_s = 0.0
         self._released = False
+        self._barred_until_s = float("-inf")
         self.served_at_s = float("-inf")
         self.settled_at_s = 0.0
 
@@ -127,14 +132,14 @@
         except interfaces.Conflict:
             # An own renewal without an answer may have changed the object.
             found = await self._platform.read_duty()
-            if self._released:
+            if self._held is not held:
                 return
             if found is None or found.token != held.token or not self._is_own(found):
                 self._drop("another instance holds the duty")
             else:
                 self._held = found
             return
-        if not self._released:
+        if self._held is held:
             self._held = renewed
             self._renewed_at_s = asked_at_s
 
@@ -148,6 +153,10 @@
         return duty.holder is not None and duty.holder.lifetime == self._own.lifetime
 
     async def _seek(self) -> None:
+        barred_s = self._barred_until_s - self._clock()
+        if barred_s > 0:
+            await asyncio.sleep(barred_s)
+            return
         silent_s = self._clock() - self.served_at_s
         if self._seen is not None and silent_s < SEEK_AFTER_S:
             await asyncio.sleep(SEEK_AFTER_S - silent_s + random.uniform(0, SEEK_SPREAD_S))
@@ -201,11 +210,31 @@
     async def release(self) -> None:
         """Gives the duty up at a graceful stop."""
         self._released = True
+        await self._give_up("stopping")
+
+    async def resign(self, reason: str) -> None:
+        """Gives the duty up, so that an instance in a better position takes it."""
+        self._barred_until_s = self._clock() + BARRED_S
+        held = self._held
+        if held is None:
+            return
+        try:
+            await self._platform.release_duty(held)
+        except interfaces.StoreFailure as failure:
+            # Nobody else can take a duty that is not given up in the store; it is kept.
+            _LOG.info("duty kept", reason=reason, failure=type(failure).__name__)
+            return
+        if self._held is held:
+            self._held = None
+            self._counters.leases.inc({"change": "released"})
+            _LOG.info("duty released", token=held.token, reason=reason)
+
+    async def _give_up(self, reason: str) -> None:
         held, self._held = self._held, None
         if held is None:
             return
         self._counters.leases.inc({"change": "released"})
-        _LOG.info("duty released", token=held.token)
+        _LOG.info("duty released", token=held.token, reason=reason)
         try:
             await self._platform.release_duty(held)
         except interfaces.StoreFailure as failure:
--- a/bilberrystack/pooling/execution.py
+++ b/bilberrystack/pooling/execution.py
@@ -6,6 +6,7 @@
 import asyncio
 import dataclasses
 import hashlib
+from typing import Protocol
 
 import loguru
 
@@ -128,6 +129,16 @@
     confirmed: str = ""
     cause: str = ""
 
+    def fields(self) -> dict[str, str | int]:
+        """Returns the fields by name, for a log line or another instance."""
+        return dataclasses.asdict(self)
+
+    def update(self, fields: dict[str, str | int]) -> None:
+        """Takes the fields of another instance's trace; unknown ones are left out."""
+        for name, value in fields.items():
+            if hasattr(self, name):
+                setattr(self, name, value)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outcome:
@@ -158,6 +169,13 @@
     return failed(found.code, "at the member", reply)
 
 
+class Runner(Protocol):
+    """Runs single statements of a group, here or at an owner."""
+
+    async def run_read(self, work: Work, trace: Trace) -> Outcome: ...
+    async def run_write(self, work: Work, trace: Trace) -> Outcome: ...
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ended:
     """How one sending of a read ended.
--- /dev/null
+++ b/bilberrystack/pooling/forwarding_test.py
@@ -0,0 +1,107 @@
+"""Guards the promises for statements that run at an owner, also when that owner is lost."""
+
+import asyncio
+
+import pytest
+
+from bilberrystack_standins import line_group
+from bilberrystack_standins import line_site
+
+pytestmark = pytest.mark.asyncio
+
+INSTANCES = 5
+
+# Room for two owners with three connections each.
+SCARCE = line_group.GroupOptions(max_connections=7, lag_s=0.2)
+
+
+async def _started(site):
+    """Waits until all instances know who owns the group; returns a session at another one."""
+    await site.until(lambda: _owned(site).count(True) == 2)
+    return await site.connect("own", _owned(site).index(False))
+
+
+def _owned(site):
+    groups = [one.executor(line_site.SERVICE) for one in site.instances]
+    return [group is not None and group.group.owned for group in groups]
+
+
+async def test_a_forwarded_session_reads_its_own_writes():
+    """The mark of the session's last write goes with each statement."""
+    async with line_site.Site(INSTANCES, SCARCE) as site:
+        session = await _started(site)
+        await session.ask("SET zone a")
+        await session.ask("PREPARE put WRITE q")
+        for number in range(4):
+            assert (await session.ask(f"EXEC put x {number}"))[0].startswith("DONE proof")
+            assert (await session.ask("READ x"))[0] == f"ROW {number}"
+        assert all(run.values == {"zone": "a"} for run in site.group.runs)
+
+
+async def test_members_see_no_more_connections_than_they_accept():
+    """Five instances with a share each would not fit."""
+    async with line_site.Site(INSTANCES, SCARCE) as site:
+        sessions = [await _started(site) for _ in range(6)]
+        await asyncio.gather(*(one.ask("READ x") for one in sessions))
+        held = [member.connections for member in site.group.members.values()]
+        assert max(held) <= SCARCE.max_connections
+
+
+async def test_a_forwarded_transaction_is_one_at_the_member():
+    """Statements of one transaction must not spread over connections of the owner."""
+    async with line_site.Site(INSTANCES, SCARCE) as site:
+        one = await _started(site)
+        other = await _started(site)
+        assert await one.ask("BEGIN") == ["DONE -", "READY T -"]
+        assert (await one.ask("WRITE x 1"))[-1].startswith("READY T")
+        assert (await other.ask("READ x"))[0] == "ROW -"
+        assert (await one.ask("COMMIT"))[0].startswith("DONE proof")
+        assert (await one.ask("READ x"))[0] == "ROW 1"
+
+
+async def test_a_client_that_leaves_frees_the_owners_connection():
+    """Transactions of clients that have gone would use up the owner's connections."""
+    async with line_site.Site(INSTANCES, SCARCE) as site:
+        for _ in range(8):
+            one = await _started(site)
+            await one.ask("BEGIN")
+            await one.ask("WRITE x 1")
+            one.close()
+        other = await _started(site)
+        assert (await other.ask("WRITE y 2"))[0].startswith("DONE proof")
+        assert (await other.ask("READ x"))[0] == "ROW -"
+
+
+async def test_the_loss_of_an_owner_gives_true_outcomes():
+    """An open transaction is rolled back, and the next statement runs at another owner."""
+    async with line_site.Site(INSTANCES, SCARCE) as site:
+        sessions = [await _started(site) for _ in range(4)]
+        for number, one in enumerate(sessions):
+            await one.ask("BEGIN")
+            await one.ask(f"WRITE k{number} 1")
+        lost = _owned(site).index(True)
+        await site.instances[lost].abandon()
+        answers = [await one.ask("COMMIT", f"c{n}") for n, one in enumerate(sessions)]
+        for number, answer in enumerate(answers):
+            assert answer[0].startswith(("DONE proof", "ERR ABORTED", "ERR UNSURE"))
+            if answer[0].startswith("ERR ABORTED"):
+                assert site.group.commits[f"c{number}"] == 0
+        again = ["ERR BUSY"]
+        async with asyncio.timeout(10):
+            while again[0].startswith("ERR BUSY"):
+                again = await sessions[0].ask("WRITE z 1", "again")
+        assert again[0].startswith("DONE proof")
+        assert site.group.commits["again"] == 1
+
+
+async def test_a_broken_frame_ends_that_link_alone():
+    """Another process's bytes on the internal port must not end the instance."""
+    async with line_site.Site(1) as site:
+        endpoint = site.settings[0].peers
+        reader, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
+        writer.write(b"forward\n\x00\x00\x00\x03abc")
+        assert await reader.read() == b""
+        reader, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
+        writer.write(b"forward\n\xff\xff\xff\xff")
+        assert await reader.read() == b""
+        assert (await (await site.connect("own")).ask("READ x"))[0] == "ROW -"
--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -14,16 +14,13 @@
 from bilberrystack.pooling import tasks
 from bilberrystack.routing import freshness
 from bilberrystack.routing import model
+from bilberrystack.routing import owners
 from bilberrystack.routing import permission
 from bilberrystack.routing import placement
 from bilberrystack.routing import statements
 
 _LOG = loguru.logger.bind(component="group")
 
-# Connections that all instances together leave free at a member, for restarts: connections of an
-# instance that lost power linger for 3 s.
-RESERVED_SHARE = 0.1
-
 # Connections beyond the fair share that an instance may open while the member accepts them, for
 # transactions that hold one while their client thinks.
 EXTRA_LINKS = 1
@@ -97,8 +94,8 @@
         "_confirmation",
         "_dialect",
         "_domain",
-        "_instances",
         "_order",
+        "_owners",
         "_pools",
         "_round_ended",
         "_sampling",
@@ -109,6 +106,7 @@
         "history",
         "missing",
         "on_lost",
+        "owned",
         "permission",
         "relay",
         "service",
@@ -138,7 +136,8 @@
         self._pools: dict[str, pool.MemberPool] = {}
         self._waiting: list[tuple[int, int, Need, asyncio.Future[member_link.MemberLink]]] = []
         self._order = itertools.count()
-        self._instances = 1
+        self._owners = 1
+        self.owned = True
         self._round_ended: dict[permission.Leader, tuple[float, bool]] = {}
         self._seeking: asyncio.Task[None] | None = None
         self._sampling: asyncio.Task[bool] | None = None
@@ -158,8 +157,7 @@
     @property
     def share(self) -> int:
         """Connections that this instance holds to each member when all instances do the same."""
-        usable = self.service.max_connections * (1 - RESERVED_SHARE)
-        return max(1, int(usable / max(1, self._instances)))
+        return owners.share(self.service.max_connections, self._owners)
 
     def update(
         self,
@@ -192,9 +190,10 @@
         self._observe_roles()
         self.dispatch()
 
-    def set_instances(self, count: int) -> None:
-        """Takes how many instances share the members' connections."""
-        self._instances = count
+    def set_owners(self, count: int, owned: bool) -> None:
+        """Takes how many instances share the members' connections, and whether this one does."""
+        self._owners = count
+        self.owned = owned
 
     def _observe_roles(self) -> None:
         """Takes the primary that the store names, where nothing better is known."""
@@ -341,8 +340,10 @@
         """Opens connections ahead of requests, and closes those that are not needed any more.
 
         Args:
-          count: How many connections to each member are kept.
+          count: How many connections to each member are kept; an instance that doesn't own the
+            group keeps none.
         """
+        count = count if self.owned else 0
         now_s = self._clock()
         for one in self._pools.values():
             one.trim(count, now_s)
@@ -626,6 +627,8 @@
     def unled(self, now_s: float) -> bool:
         """Tells whether the primary has to be sought, because no grant names it."""
         leader = self.permission.leader
+        if not self.owned:
+            return False
         seeking = self._seeking is not None and not self._seeking.done()
         if seeking or (self.permission.changing and not self.permission.deposed):
             return False
--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -13,6 +13,7 @@
 from bilberrystack.pooling import duty
 from bilberrystack.pooling import execution
 from bilberrystack.pooling import fleet
+from bilberrystack.pooling import forwarding
 from bilberrystack.pooling import group
 from bilberrystack.pooling import http
 from bilberrystack.pooling import interfaces
@@ -22,7 +23,9 @@
 from bilberrystack.pooling import settings
 from bilberrystack.pooling import supervisor
 from bilberrystack.pooling import tasks
+from bilberrystack.pooling import transaction
 from bilberrystack.routing import model
+from bilberrystack.routing import owners
 
 _LOG = loguru.logger.bind(component="instance")
 
@@ -32,6 +35,9 @@
 # How often groups are looked through: connections ahead, members that left the store, positions.
 HOUSEKEEPING_S = 0.25
 
+# How often members are asked who leads, while no grant says it: each question is paid for.
+SEEK_PRIMARY_S = 0.75
+
 # Transactions get this part of the grace time to end by themselves.
 TRANSACTION_PART = 0.5
 
@@ -61,10 +67,12 @@
         "_directory",
         "_executors",
         "_fleet",
+        "_forwarders",
         "_groups",
         "_known",
         "_lease",
         "_own",
+        "_owner_links",
         "_platform",
         "_servers",
         "_sessions",
@@ -97,6 +105,8 @@
         )
         self._tasks = tasks.Tasks()
         self._groups: dict[str, group.Group] = {}
+        self._forwarders: dict[str, forwarding.Forwarder] = {}
+        self._owner_links: dict[model.Endpoint, forwarding.OwnerLink] = {}
         self._executors: dict[str, execution.Executor] = {}
         self._sessions: set[session.Session] = set()
         self._servers: list[asyncio.Server] = []
@@ -142,9 +152,33 @@
         return self._directory.known and not self.stopping
 
     def executor(self, service: str) -> execution.Executor | None:
-        """Returns what runs a group's statements; None if there is no such group."""
+        """Returns what runs a group's statements at its members; None if there is no such group."""
         return self._executors.get(service)
 
+    def runner(self, service: str) -> execution.Runner | None:
+        """Returns what runs a group's statements, here or at an owner; None for no such group."""
+        served = self._groups.get(service)
+        if served is None or served.owned:
+            return self._executors.get(service)
+        return self._forwarders[service]
+
+    def begin(self, opening: transaction.Opening, route: model.Route) -> transaction.Pinned | None:
+        """Begins a transaction, here or at an owner; None if there is no such group."""
+        served = self._groups.get(route.service)
+        if served is None:
+            return None
+        if not served.owned:
+            return self._forwarders[route.service].begin(opening, route)
+        executor = self._executors[route.service]
+        return transaction.Transaction(opening, route, executor, self.dialect)
+
+    def _owner_link(self, owner: model.Instance) -> forwarding.OwnerLink:
+        found = self._owner_links.get(owner.endpoint)
+        if found is None:
+            found = forwarding.OwnerLink(owner.endpoint, self.clock, self._tasks)
+            self._owner_links[owner.endpoint] = found
+        return found
+
     async def wait_known(self, timeout_s: float) -> bool:
         """Waits for the first configuration; returns whether it is there."""
         try:
@@ -158,12 +192,9 @@
         """Serves until a signal asks for the end, then stops gracefully."""
         await self._listen()
         _LOG.info("started", name=self._own.name, lifetime=self._own.lifetime)
-        for view in (
-            self._directory.configurations,
-            self._directory.members,
-            self._directory.instances,
-        ):
-            self._tasks.start(view.follow())
+        self._tasks.start(self._directory.configurations.follow())
+        self._tasks.start(self._directory.members.follow())
+        self._tasks.start(self._directory.instances.reread())
         self._tasks.start(self._announce())
         self._tasks.start(self._keep_house())
         self._tasks.start(self._lease.keep())
@@ -187,6 +218,8 @@
         await self._tasks.close()
         for one in self._groups.values():
             one.close()
+        for link in self._owner_links.values():
+            link.close()
 
     def request_stop(self) -> None:
         """Asks for a graceful stop."""
@@ -198,11 +231,13 @@
 
     async def _listen(self) -> None:
         limit = self.dialect.MAX_LINE_BYTES + 2
+        owner = forwarding.OwnerServer(self.executor, self.dialect, self.clock, self._tasks)
+        joined = relay.Relay(self._own.lifetime, self._is_member, owner)
         for endpoint, serve in (
             (self._settings.sessions, self._serve_session),
             (self._settings.ready, self._serve_ready),
             (self._settings.metrics, self._serve_metrics),
-            (self._settings.peers, relay.Relay(self._own.lifetime, self._is_member).serve),
+            (self._settings.peers, joined.serve),
         ):
             self._servers.append(
                 await asyncio.start_server(
@@ -273,12 +308,13 @@
             return
         for gone in self._groups.keys() - configuration.services.keys():
             self._executors.pop(gone)
+            self._forwarders.pop(gone)
             self._groups.pop(gone).close()
         for name, service in configuration.services.items():
             served = self._groups.get(name)
             if served is None:
                 served = self._add_group(service)
-            served.set_instances(self._directory.instance_count())
+            self._share_out(served)
             served.update(service, self._directory.members_of(name), self._directory.missing)
         if self._directory.known:
             self._known.set()
@@ -286,6 +322,19 @@
             self._was_ready = True
             _LOG.info("ready", version=configuration.version, groups=len(self._groups))
 
+    def _share_out(self, served: group.Group) -> None:
+        """Takes who owns a group."""
+        chosen = owners.choose(served.service, self._directory.all_instances())
+        # An instance that the store doesn't list yet serves by itself.
+        listed = self._own.name in self._directory.instances.items
+        owned = not listed or any(one.name == self._own.name for one in chosen)
+        if owned != served.owned:
+            _LOG.info(
+                "owned" if owned else "not owned", service=served.service.name, owners=len(chosen)
+            )
+        served.set_owners(max(1, len(chosen)), owned)
+        self._forwarders[served.service.name].set_owners(chosen)
+
     def _add_group(self, service: model.Service) -> group.Group:
         served = group.Group(
             service=service,
@@ -297,19 +346,24 @@
         )
         served.on_lost = lambda _: self._fleet.beat_soon()
         self._groups[service.name] = served
+        self._forwarders[service.name] = forwarding.Forwarder(
+            self._own, self._owner_link, self.clock
+        )
         self._executors[service.name] = execution.Executor(
             served, self.dialect, self.clock, self.counters
         )
         return served
 
     async def _keep_house(self) -> None:
+        sought_s = float("-inf")
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             if self._directory.missing:
                 self._refresh()
             for served in self._groups.values():
                 served.warm(WARM_LINKS)
-                if served.unled(self.clock()):
+                if served.unled(self.clock()) and self.clock() >= sought_s + SEEK_PRIMARY_S:
+                    sought_s = self.clock()
                     self._tasks.start(served.find_primary())
 
     async def _stop(self) -> None:
--- a/bilberrystack/pooling/relay.py
+++ b/bilberrystack/pooling/relay.py
@@ -1,4 +1,4 @@
-"""Relays connections of other instances to members that they don't reach themselves."""
+"""Serves other instances: forwarded statements, and connections to members they don't reach."""
 
 import asyncio
 import collections.abc
@@ -6,6 +6,7 @@
 
 import loguru
 
+from bilberrystack.pooling import forwarding
 from bilberrystack.pooling import member_link
 from bilberrystack.routing import model
 
@@ -22,10 +23,11 @@
 class Relay:
     """Serves the connections of other instances."""
 
-    __slots__ = ("_is_member", "_lifetime")
+    __slots__ = ("_is_member", "_lifetime", "_owner")
 
-    def __init__(self, lifetime: str, is_member: IsMember) -> None:
+    def __init__(self, lifetime: str, is_member: IsMember, owner: forwarding.OwnerServer) -> None:
         self._lifetime = lifetime
+        self._owner = owner
         self._is_member = is_member
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -37,6 +39,9 @@
             if line == b"lifetime":
                 member_link.write(writer, f"{self._lifetime}\n".encode())
                 return
+            if line == b"forward":
+                await self._owner.serve(reader, writer)
+                return
             target = _endpoint(line)
             if target is None or not self._is_member(target):
                 _LOG.warning("relay to an address that is no member's refused")
--- a/bilberrystack/pooling/session.py
+++ b/bilberrystack/pooling/session.py
@@ -51,7 +51,10 @@
     def stopping(self) -> bool: ...
 
     def clock(self) -> float: ...
-    def executor(self, service: str) -> execution.Executor | None: ...
+    def runner(self, service: str) -> execution.Runner | None: ...
+    def begin(
+        self, opening: transaction.Opening, route: model.Route
+    ) -> transaction.Pinned | None: ...
     async def wait_known(self, timeout_s: float) -> bool: ...
 
 
@@ -81,7 +84,7 @@
         self._database = ""
         self._values: dict[str, str] = {}
         self._shapes: dict[str, execution.Shape] = {}
-        self._transaction: transaction.Transaction | None = None
+        self._transaction: transaction.Pinned | None = None
         self._mark: freshness.Mark | None = None
         self._position: positions.Position | None = None
         self._busy = True
@@ -256,12 +259,12 @@
             self._refuse(statements.Code.BAD, "already in a transaction")
             return
         route = self._route()
-        executor = None if route is None else self._host.executor(route.service)
-        if route is None or executor is None:
+        opening = transaction.Opening(request_id, text, read_only)
+        begun = None if route is None else self._host.begin(opening, route)
+        if begun is None:
             self._refuse(statements.Code.NO_DATABASE, "no such database")
             return
-        opening = transaction.Opening(request_id, text, read_only)
-        self._transaction = transaction.Transaction(opening, route, executor, self._host.dialect)
+        self._transaction = begun
         self._reply(self._host.dialect.done())
 
     def _keep(
@@ -298,8 +301,8 @@
 
     async def _run(self, work: execution.Work | None, statement: statements.Statement) -> None:
         """Runs a statement at a member and answers with its outcome."""
-        executor = None if work is None else self._host.executor(work.route.service)
-        if work is None or executor is None:
+        runner = None if work is None else self._host.runner(work.route.service)
+        if work is None or runner is None:
             self._refuse(statements.Code.NO_DATABASE, "no such database")
             return
         trace = execution.Trace()
@@ -314,10 +317,10 @@
             case _ if current is not None:
                 outcome = await current.run(work, trace)
             case _ if work.access is statements.Access.WRITE:
-                outcome = await executor.run_write(work, trace)
+                outcome = await runner.run_write(work, trace)
                 wrote = True
             case _:
-                outcome = await executor.run_read(work, trace)
+                outcome = await runner.run_read(work, trace)
         self._remember(outcome, wrote)
         self._report(work, statement, outcome, trace)
         if outcome.failure is not None:
@@ -357,15 +360,8 @@
             consistency=work.route.consistency.value,
             transaction=self._transaction is not None or kind == "commit",
             outcome=code,
-            member=trace.member,
-            term=trace.term,
-            after=trace.after,
-            after_age_ms=trace.after_age_ms,
-            confirmed=trace.confirmed,
-            waited_ms=trace.waited_ms,
             took_ms=round(took_s * 1000),
-            sent=trace.sent,
-            cause=trace.cause,
+            **trace.fields(),
         )
 
     def _refuse(self, code: statements.Code, text: str) -> None:
--- a/bilberrystack/pooling/supervisor.py
+++ b/bilberrystack/pooling/supervisor.py
@@ -39,6 +39,16 @@
 # Instances whose heartbeat is older than this have no say.
 REPORTER_S = 1.2
 
+# Instances that were heard within this time speak for a primary that has gone silent; a heartbeat
+# comes each 0.4 s, and at once when the holder asks.
+VOICE_S = 0.6
+
+# Instances that were heard within this time count for the majority that a holder has to hear.
+MEMORY_S = 10.0
+
+# A holder that hears less than half of them for so long gives the duty up.
+ALONE_S = 1.0
+
 # Repeats of a withdrawal until it is acknowledged.
 WITHDRAW_AGAIN_S = 0.06
 
@@ -74,6 +84,7 @@
         "_counters",
         "_dialect",
         "_groups",
+        "_heard_at_s",
         "_lease",
         "_looking",
         "_own",
@@ -106,6 +117,7 @@
         self._tasks = running
         self._counters = counted
         self._token: int | None = None
+        self._heard_at_s = 0.0
         self._watched: dict[str, _Watched] = {}
         self._reporters: dict[str, _Reporter] = {}
         self._asked_at_s: dict[str, float] = {}
@@ -127,8 +139,15 @@
             self._token = token
             self._watched.clear()
             self._reporters.clear()
+            self._heard_at_s = self._clock()
         if token is None:
             return
+        if self._is_alone():
+            if self._clock() - self._heard_at_s > ALONE_S:
+                self._heard_at_s = self._clock()
+                self._tasks.start(self._lease.resign("too few instances are heard"))
+        else:
+            self._heard_at_s = self._clock()
         for service, served in list(self._groups.items()):
             watched = self._watched.get(service)
             if watched is None:
@@ -138,6 +157,13 @@
         for gone in self._watched.keys() - self._groups.keys():
             del self._watched[gone]
 
+    def _is_alone(self) -> bool:
+        """Tells whether less than half of the instances of late are heard now."""
+        now_s = self._clock()
+        known = [one for one in self._reporters.values() if now_s - one.heard_at_s < MEMORY_S]
+        heard = [one for one in known if now_s - one.heard_at_s < VOICE_S]
+        return 2 * (len(heard) + 1) < len(known) + 1
+
     def _step_group(self, service: str, served: group.Group, watched: _Watched, token: int) -> None:
         now_s = self._clock()
         self._poll(service, served, watched, now_s)
@@ -146,7 +172,8 @@
         if watched.busy:
             return
         before = watched.change.phase
-        action = watched.change.step(views, self._grants_end_s(watched), now_s)
+        grants_end_s = self._grants_end_s(watched)
+        action = watched.change.step(views, grants_end_s, now_s, self._is_alone())
         if watched.change.phase is not before:
             _LOG.info(
                 "change of primary goes on",
--- a/bilberrystack/pooling/transaction.py
+++ b/bilberrystack/pooling/transaction.py
@@ -1,6 +1,7 @@
 """One transaction: pinned to a member connection from its first statement to its end."""
 
 import dataclasses
+from typing import Protocol
 
 from bilberrystack.pooling import execution
 from bilberrystack.pooling import group
@@ -26,8 +27,29 @@
     read_only: bool
 
 
+class Pinned(Protocol):
+    """A transaction of one session, here or at an owner.
+
+    Attributes:
+      route: The database, as it was when the transaction began.
+      failed: Whether it can only be ended.
+      unannounced: Whether it was rolled back without the client having been told yet.
+    """
+
+    route: model.Route
+    failed: bool
+    unannounced: bool
+
+    @property
+    def pinned(self) -> bool: ...
+
+    async def run(self, work: execution.Work, trace: execution.Trace) -> execution.Outcome: ...
+    async def commit(self, work: execution.Work, trace: execution.Trace) -> execution.Outcome: ...
+    def leave(self) -> None: ...
+
+
 class Transaction:
-    """A transaction of one session.
+    """A transaction that runs at a member connection of this instance.
 
     The member is chosen at the first statement, so that a client that thinks after its BEGIN holds
     no connection.
--- a/bilberrystack/pooling/views.py
+++ b/bilberrystack/pooling/views.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import itertools
 import random
 
 import loguru
@@ -11,7 +12,11 @@
 _LOG = loguru.logger.bind(component="views")
 
 # How long one watch waits. Keep-alive of the connection notices sooner if it went silent.
-WATCH_S = 10.0
+WATCH_S = 25.0
+
+# Pauses between readings of a kind that is not watched: short while a fleet starts, then long.
+FIRST_READINGS_S = (0.5, 1.0, 1.5, 2.0)
+READING_S = 5.0
 
 # Pause after a call that failed, so that an outage isn't answered with a storm of calls.
 RETRY_S = 0.4
@@ -20,7 +25,7 @@
 class View:
     """A copy of one kind, which follows the store."""
 
-    __slots__ = ("_changed", "_items", "_kind", "_lost", "_revision")
+    __slots__ = ("_changed", "_items", "_kind", "_lost", "_read", "_revision")
 
     def __init__(self, kind: interfaces.Kind, changed: collections.abc.Callable[[], None]) -> None:
         """Creates an empty copy.
@@ -34,6 +39,7 @@
         self._items: dict[str, object] = {}
         self._revision: int | None = None
         self._lost = False
+        self._read = False
 
     @property
     def items(self) -> collections.abc.Mapping[str, object]:
@@ -50,6 +56,21 @@
         """Whether the last call to the store failed."""
         return self._lost
 
+    async def reread(self) -> None:
+        """Reads the kind again and again until cancelled, at a fraction of a watch's price.
+
+        For kinds whose changes may be known seconds late.
+        """
+        pauses = itertools.chain(FIRST_READINGS_S, itertools.repeat(READING_S))
+        while True:
+            try:
+                await self._list(may_be_old=self.known)
+            except interfaces.StoreFailure as failure:
+                self._note_lost(failure)
+                await asyncio.sleep(RETRY_S * random.uniform(0.5, 1.5))
+            else:
+                await asyncio.sleep(next(pauses) * random.uniform(0.9, 1.1))
+
     async def follow(self) -> None:
         """Follows the store until cancelled."""
         while True:
@@ -84,15 +105,17 @@
             self._note_lost(failure)
             await asyncio.sleep(RETRY_S * random.uniform(0.5, 1.5))
 
-    async def _list(self) -> None:
-        snapshot = await self._kind.list()
+    async def _list(self, may_be_old: bool = False) -> None:
+        snapshot = await self._kind.list(may_be_old)
         self._note_regained()
         if self._revision is not None and snapshot.revision < self._revision:
             # An older answer must not take back what is known.
             return
-        self._items = dict(snapshot.items)
         self._revision = snapshot.revision
-        self._changed()
+        if self._items != snapshot.items or not self._read:
+            self._read = True
+            self._items = dict(snapshot.items)
+            self._changed()
 
     def _note_lost(self, failure: interfaces.StoreFailure) -> None:
         if not self._lost:
--- a/bilberrystack/routing/succession.py
+++ b/bilberrystack/routing/succession.py
@@ -16,6 +16,10 @@
 # the promotion's own 0.3 to 1 s; the links' round trips are below 10 ms.
 SILENCE_S = 0.8
 
+# The same for a holder that hears too few other instances: by then an instance that hears more has
+# taken the duty, if it reaches the store.
+SILENCE_ALONE_S = 3.0
+
 # The same for a primary whose address refuses connections: no process listens there.
 REFUSED_S = 0.25
 
@@ -189,7 +193,11 @@
         self._phase = Phase.FENCING
 
     def step(
-        self, views: collections.abc.Sequence[View], grants_end_s: float, now_s: float
+        self,
+        views: collections.abc.Sequence[View],
+        grants_end_s: float,
+        now_s: float,
+        alone: bool = False,
     ) -> Action | None:
         """Decides what is to be done next.
 
@@ -197,13 +205,15 @@
           views: What is seen of the group's members.
           grants_end_s: When the last grant that wasn't acknowledged as withdrawn ends.
           now_s: The present.
+          alone: Whether the holder hears too few instances to tell a dead primary from one that
+            only it can't reach.
         Returns:
           The action; None to wait.
         """
         leader = self._newest_primary(views)
         match self._phase:
             case Phase.STEADY:
-                return self._watch(leader, views, now_s)
+                return self._watch(leader, views, now_s, alone)
             case Phase.FENCING:
                 return self._fence(views, grants_end_s, now_s)
             case Phase.CALLING:
@@ -219,7 +229,11 @@
         return max(primaries, key=lambda view: view.contact_at_s, default=None)
 
     def _watch(
-        self, leader: View | None, views: collections.abc.Sequence[View], now_s: float
+        self,
+        leader: View | None,
+        views: collections.abc.Sequence[View],
+        now_s: float,
+        alone: bool,
     ) -> Action | None:
         if self._watched_since_s is None:
             # A member that nobody has asked yet is not silent.
@@ -228,7 +242,7 @@
             self._leader = permission.Leader(leader.id, leader.term)
         if leader is None and self._awaits_words(views, now_s):
             return None
-        reason = self._why_change(leader, now_s)
+        reason = self._why_change(leader, now_s, alone)
         if not reason or now_s < self._settled_at_s:
             return None
         if not any(view.present and not view.primary and not view.leaving for view in views):
@@ -246,7 +260,7 @@
         unheard = any(view.term == 0 for view in views)
         return unheard and now_s - self._watched_since_s < SILENCE_S
 
-    def _why_change(self, leader: View | None, now_s: float) -> str:
+    def _why_change(self, leader: View | None, now_s: float, alone: bool) -> str:
         if leader is None:
             if self._leaderless_since_s is None:
                 self._leaderless_since_s = now_s
@@ -262,6 +276,8 @@
             return "primary left the store"
         assert self._watched_since_s is not None
         silent_s = now_s - max(leader.contact_at_s, self._watched_since_s)
+        if alone and silent_s < SILENCE_ALONE_S:
+            return ""
         if leader.refused_at_s is not None and silent_s >= REFUSED_S:
             return "primary refuses connections"
         return "primary is silent" if silent_s >= SILENCE_S else ""
--- a/bilberrystack/routing/succession_test.py
+++ b/bilberrystack/routing/succession_test.py
@@ -151,6 +151,16 @@
     assert group.step(succession.LEADERLESS_S + 0.1) == succession.Promote("c")
 
 
+def test_a_holder_that_hears_too_few_instances_replaces_nobody_for_silence():
+    """A holder that was cut off promoted away from the primary that all others reached."""
+    group = _Group()
+    group.step(0.0)
+    views = list(group.views.values())
+    before_s = succession.SILENCE_ALONE_S - 0.1
+    assert group.change.step(views, NO_GRANTS, before_s, alone=True) is None
+    assert isinstance(group.change.step(views, NO_GRANTS, before_s), succession.Withdraw)
+
+
 def test_does_nothing_before_the_former_holder_is_over():
     """Its grants and calls may still have an effect."""
     group = _Group()
