End the accepted connections of an instance with it; say aborted when a transaction's owner is gone

Cause: an instance that had ended went on to answer forwarded statements over connections that its listener had accepted, without any member (forwarding_test: the loss of an owner, 10 s of refusals). Ruled out: connections that linger at the members; the member had three of seven. Change: instance._accept keeps accepted connections, abandon ends them; a commit whose owner is gone is aborted, not busy.

--- a/bilberrystack/pooling/fleet.py
+++ b/bilberrystack/pooling/fleet.py
@@ -82,7 +82,7 @@
 
     def send(self, message: messages.Message, to: model.Endpoint) -> None:
         """Sends a datagram."""
-        if self._transport is not None:
+        if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(messages.encode(message), (to.host, to.port))
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
--- a/bilberrystack/pooling/forwarding.py
+++ b/bilberrystack/pooling/forwarding.py
@@ -501,6 +501,8 @@
             self.pinned = ended.pinned
             return _decode_outcome(ended, trace, self._clock())
         self.failed = True
+        if self._link is not None:
+            return execution.failed(statements.Code.ABORTED, "the transaction's owner is gone")
         return execution.failed(statements.Code.BUSY, "no owner was reached")
 
     def leave(self) -> None:
--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -1,7 +1,9 @@
 """One serving instance: listeners, sessions, groups, and its part in the fleet."""
 
 import asyncio
+import collections.abc
 import contextlib
+import functools
 import os
 import signal
 import time
@@ -52,6 +54,10 @@
 
 BACKLOG = 512
 
+Serve = collections.abc.Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter], collections.abc.Awaitable[None]
+]
+
 
 def boot_clock() -> float:
     """Returns seconds on a clock that also counts a suspension of the machine."""
@@ -62,6 +68,7 @@
     """Serves sessions until it is stopped. Implements session.Host."""
 
     __slots__ = (
+        "_accepted",
         "_closing",
         "_datagrams",
         "_directory",
@@ -109,6 +116,7 @@
         self._owner_links: dict[model.Endpoint, forwarding.OwnerLink] = {}
         self._executors: dict[str, execution.Executor] = {}
         self._sessions: set[session.Session] = set()
+        self._accepted: set[asyncio.StreamWriter] = set()
         self._servers: list[asyncio.Server] = []
         self._datagrams: asyncio.DatagramTransport | None = None
         self._closing = asyncio.Event()
@@ -211,8 +219,8 @@
         """Ends at once, as a process that is killed does."""
         for server in self._servers:
             server.close()
-        for served in list(self._sessions):
-            served.close()
+        for writer in list(self._accepted):
+            writer.transport.abort()
         if self._datagrams is not None:
             self._datagrams.close()
         await self._tasks.close()
@@ -241,7 +249,7 @@
         ):
             self._servers.append(
                 await asyncio.start_server(
-                    serve,
+                    functools.partial(self._accept, serve),
                     endpoint.host,
                     endpoint.port,
                     limit=limit,
@@ -255,6 +263,16 @@
             local_addr=(self._settings.peers.host, self._settings.peers.port),
         )
 
+    async def _accept(
+        self, serve: Serve, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves a connection and keeps it in mind until its end."""
+        self._accepted.add(writer)
+        try:
+            await serve(reader, writer)
+        finally:
+            self._accepted.discard(writer)
+
     async def _serve_session(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
