--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -28,8 +28,12 @@
 # An unanswered question to a member ends after this time.
 STATUS_TIMEOUT_S = 0.6
 
-# How long the answers of a left transaction or a given-up statement are awaited.
-DRAIN_TIMEOUT_S = 5.0
+# How long the rollback of a left transaction is awaited.
+ROLLBACK_TIMEOUT_S = 1.0
+
+# How long an answer is awaited beyond its statement's time limit; then its connection is closed. An
+# answer that was lost never comes, and its connection counts toward the member's limit.
+LATE_S = 0.3
 
 # An answer that has not come after this time puts its member under suspicion: a bare connection
 # then tells a slow member from a dead one. Statements take 5 to 55 ms.
@@ -402,7 +406,7 @@
 
     async def _roll_back(self, link: member_link.MemberLink) -> None:
         try:
-            async with asyncio.timeout(DRAIN_TIMEOUT_S):
+            async with asyncio.timeout(ROLLBACK_TIMEOUT_S):
                 await link.run(self._dialect.rollback())
         except (member_link.Lost, TimeoutError):
             link.close()
@@ -428,6 +432,7 @@
         one = self._pools.get(link.member.id)
         if one is not None:
             one.running += 1
+        asked_at_s = self._clock()
         task = self._tasks.start(self._exchange(link, query, one))
         try:
             await asyncio.wait({task}, timeout=max(0.0, min(timeout_s, SUSPECT_S)))
@@ -435,10 +440,12 @@
                 self._suspect(link.member.id)
                 await asyncio.wait({task}, timeout=timeout_s - SUSPECT_S)
         except asyncio.CancelledError:
-            self._tasks.start(self._drain(link, task))
+            # Another member has answered; this one may until the statement's time limit.
+            left_s = asked_at_s + timeout_s - self._clock()
+            self._tasks.start(self._drain(link, task, max(LATE_S, left_s)))
             raise
         if not task.done():
-            self._tasks.start(self._drain(link, task))
+            self._tasks.start(self._drain(link, task, LATE_S))
             return None
         return task.result()
 
@@ -492,10 +499,16 @@
             self.history.record(leader.term, freshness.Sample(reply.asked_at_s, reply.position))
 
     async def _drain(
-        self, link: member_link.MemberLink, task: asyncio.Task[statements.Reply]
+        self,
+        link: member_link.MemberLink,
+        task: asyncio.Task[statements.Reply],
+        timeout_s: float,
     ) -> None:
-        """Returns a connection whose answer is late to the pool after that answer."""
-        await asyncio.wait({task}, timeout=DRAIN_TIMEOUT_S)
+        """Returns a connection whose answer is late to the pool after that answer.
+
+        It is closed instead if the answer does not come in time.
+        """
+        await asyncio.wait({task}, timeout=timeout_s)
         if not task.done():
             link.close()
             await asyncio.wait({task})
--- a/bilberrystack/pooling/instance_test.py
+++ b/bilberrystack/pooling/instance_test.py
@@ -121,6 +121,24 @@
         assert site.group.commits["once"] == 1
 
 
+async def test_a_connection_whose_answer_is_lost_is_soon_replaced():
+    """It was kept for 5 s, so that few lost answers left an instance without a connection."""
+    options = line_group.GroupOptions(max_connections=2)
+    async with line_site.Site(options=options) as site:
+        one = await site.connect("strict")
+        await one.ask("READ x")
+        site.group.members["a"].lose_answers = 2
+        lost = [await site.connect("strict") for _ in range(2)]
+        answers = await asyncio.gather(*(session.ask("WRITE x 1") for session in lost))
+        assert all(answer[0].startswith("ERR UNSURE") for answer in answers)
+        began = asyncio.get_running_loop().time()
+        answer = ["ERR BUSY"]
+        while answer[0].startswith("ERR BUSY"):
+            answer = await one.ask("READ x")
+        assert answer[0] == "ROW 1"
+        assert asyncio.get_running_loop().time() - began < 2.0
+
+
 async def test_a_dead_primary_is_replaced_and_writes_go_on():
     """Nobody else orders a promotion."""
     async with line_site.Site(3) as site:
--- a/bilberrystack_standins/line_group.py
+++ b/bilberrystack_standins/line_group.py
@@ -127,9 +127,10 @@
             writer.write(f"READY I {self.position}\r\n".encode())
             connection = _Connection()
             while line := await reader.readline():
-                if self.silent:
-                    await asyncio.sleep(3600)
-                await self._answer(line.decode().rstrip("\r\n"), connection, writer)
+                text = line.decode().rstrip("\r\n")
+                if self.silent or not await self._answer(text, connection, writer):
+                    # Nothing more comes over this connection; it is held until it is closed.
+                    await reader.read()
         except (OSError, asyncio.IncompleteReadError):
             # The other side has gone; what was open is rolled back.
             pass
@@ -150,7 +151,8 @@
 
     async def _answer(
         self, line: str, connection: _Connection, writer: asyncio.StreamWriter
-    ) -> None:
+    ) -> bool:
+        """Runs a statement; returns False if its answer is lost."""
         _, request_id, text = line.split(" ", 2)
         words = text.split(" ")
         after = ""
@@ -164,10 +166,11 @@
             self.busy -= 1
             if self.lose_answers > 0:
                 self.lose_answers -= 1
-                await asyncio.sleep(3600)
+                return False
         else:
             answer = self._run(request_id, words, after, connection)
         writer.write(f"{answer}\r\nREADY {connection.state} {self.position}\r\n".encode())
+        return True
 
     def _run(self, request_id: str, words: list[str], after: str, connection: _Connection) -> str:
         if after and _parse(after) > _parse(self.position):
