--- a/Makefile
+++ b/Makefile
@@ -22,10 +22,13 @@
 	$(PY) -m black --quiet .
 	$(PY) -m ruff check --fix --quiet .
 
-.PHONY: demo faults measure
+.PHONY: demo demo-sessions faults measure
 demo: setup
 	$(PY) -m system.demo
 
+demo-sessions: setup
+	$(PY) -m system.demo_sessions
+
 faults: setup
 	$(PY) -m faults --processes $(PROCESSES)
 
