Remove definitions of the session mode that nothing uses

Cause: read as a newcomer, interfaces.forever, MemberPool.leased, the counter of link failures (always zero) and a flag of the supervisor had no reader. Ruled out: use by tests, the adapter or metrics pages. Change: removed, 19 lines; no behaviour changes.

--- a/bilberrystack/pooling/counters.py
+++ b/bilberrystack/pooling/counters.py
@@ -17,7 +17,6 @@
         "confirmations",
         "duty_calls",
         "leases",
-        "link_failures",
         "log_lines_dropped",
         "reads",
         "request_seconds",
@@ -36,9 +35,6 @@
         self.confirmations = self._counter(
             "confirmations_total", "Answers of a primary by how they were confirmed."
         )
-        self.link_failures = self._counter(
-            "member_link_failures_total", "Connections to members that failed, by failure."
-        )
         self.store_calls = self._counter("store_calls_total", "Calls to the store, by result.")
         self.duty_calls = self._counter("duty_calls_total", "Calls for promotions, by result.")
         self.leases = self._counter("duty_leases_total", "Changes of the promotion duty.")
--- a/bilberrystack/pooling/interfaces.py
+++ b/bilberrystack/pooling/interfaces.py
@@ -1,6 +1,5 @@
 """What the session mode needs of a platform. The adapter implements it, tests stand in for it."""
 
-import asyncio
 import collections.abc
 import dataclasses
 from typing import Protocol
@@ -123,10 +122,3 @@
     async def renew_duty(self, held: Duty) -> Duty: ...
     async def release_duty(self, held: Duty) -> None: ...
     async def promote(self, service: str, member: str, holder: str, token: int) -> bool: ...
-
-
-async def forever(step: collections.abc.Callable[[], collections.abc.Awaitable[None]]) -> None:
-    """Repeats a step until the task is cancelled."""
-    while True:
-        await step()
-        await asyncio.sleep(0)
--- a/bilberrystack/pooling/pool.py
+++ b/bilberrystack/pooling/pool.py
@@ -103,11 +103,6 @@
         """Connections that are open or being opened."""
         return len(self._links) + self.opening
 
-    @property
-    def leased(self) -> int:
-        """Connections that a session or a question uses."""
-        return sum(link.in_use for link in self._links)
-
     def idle(self) -> list[member_link.MemberLink]:
         """Returns the connections that are free to use; closed ones are dropped."""
         for link in [one for one in self._links if not one.in_use and not one.usable]:
--- a/bilberrystack/pooling/supervisor.py
+++ b/bilberrystack/pooling/supervisor.py
@@ -71,7 +71,6 @@
     unacknowledged: dict[str, float] = dataclasses.field(default_factory=dict)
     granted: dict[str, float] = dataclasses.field(default_factory=dict)
     withdrawn_at_s: float = 0.0
-    withdrawing: bool = False
     busy: bool = False
 
 
@@ -274,7 +273,6 @@
         self, service: str, served: group.Group, watched: _Watched, token: int, now_s: float
     ) -> None:
         watched.number += 1
-        watched.withdrawing = True
         watched.unacknowledged = {
             lifetime: until_s for lifetime, until_s in watched.granted.items() if until_s > now_s
         }
