Make what an instance costs independent of the fleet's size

Cause: on the large site (195 machines, 30 members) four healthy primaries were replaced within 4 s of the start. All instances took themselves for owners until the store listed them, and opened 195 x 30 connections at members that accept one each 6 ms; a primary that had answered nobody yet counted as silent after 0.8 s. A stopping owner went on taking forwarded statements until it ended, and cut them off: writes became unsure. One unexpected error ended a loop (heartbeats, lease, watch) for good while the instance looked ready, and one in a datagram closed the socket. Ruled out: the members' load (6.3 times the mean at one primary is the requests that test which configuration is in force; the others are within 1.3); a shorter reading of instances, which costs more calls. Change: an instance counts itself among the listed ones, and opens nothing ahead before it is listed. A primary that has answered nobody is silent after 3.5 s, the time in which an opening packet is sent three times (routing/succession.py). Owners are the largest machines of each failure domain first, small ones seek the duty 1 s later. Grants go to a group's owners only; others send each 2 s. Only owners and the duty's holder watch the store; others hear of new configurations from the holder, and read cheaply first. A forwarded statement carries the version of the configuration, so that neither side takes the other back (NODB for a dropped route). A stopping owner declines new statements and ends what it has. Lasting work starts again after a failure (pooling/tasks.py). A live holder that answered a look is not asked for again at once.

--- a/bilberrystack/platform/objects.py
+++ b/bilberrystack/platform/objects.py
@@ -101,6 +101,7 @@
     lifetime: str
     address: str
     zone: str
+    cores: float = 1.0
 
 
 class _Holder(msgspec.Struct):
@@ -178,12 +179,12 @@
 def instance(name: str, spec: bytes) -> model.Instance:
     """Decodes an instance's entry. Raises msgspec.MsgspecError or ValueError."""
     found = msgspec.json.decode(spec, type=_Instance)
-    return model.Instance(name, found.lifetime, endpoint(found.address), found.zone)
+    return model.Instance(name, found.lifetime, endpoint(found.address), found.zone, found.cores)
 
 
 def encode_instance(found: model.Instance) -> msgspec.Struct:
     """Returns an instance's entry."""
-    return _Instance(found.lifetime, str(found.endpoint), found.failure_domain)
+    return _Instance(found.lifetime, str(found.endpoint), found.failure_domain, found.cores)
 
 
 def duty(found: Object) -> interfaces.Duty:
--- a/bilberrystack/platform/settings_file.py
+++ b/bilberrystack/platform/settings_file.py
@@ -31,6 +31,12 @@
     address: str
 
 
+class _Limits(msgspec.Struct):
+    # Part of one core, and how many times as fast as a usual one that core is.
+    cpu_share: float = 1.0
+    cores: float = 1.0
+
+
 class _File(msgspec.Struct):
     node_name: str
     ip: str
@@ -41,6 +47,7 @@
     platform: _Store
     cloud: _Cloud
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 # Ports of the instances among themselves, counted from the first internal one.
@@ -101,6 +108,8 @@
         problems.append("internal_ports: must be a first and a last port, with two ports or more")
     if found.bounds.grace_s <= 0:
         problems.append("bounds.grace_s: must be above 0")
+    if found.limits.cpu_share <= 0 or found.limits.cores <= 0:
+        problems.append("limits: cpu_share and cores must be above 0")
     if found.platform.history_s <= 0:
         problems.append("platform.history_s: must be above 0")
     if problems:
@@ -117,6 +126,7 @@
             calls=calls,
             store_history_s=found.platform.history_s,
             grace_s=found.bounds.grace_s,
+            cores=found.limits.cpu_share * found.limits.cores,
         )
     )
 
--- a/bilberrystack/pooling/directory.py
+++ b/bilberrystack/pooling/directory.py
@@ -1,11 +1,11 @@
 """Which groups and members there are, from the copies of the store."""
 
-import asyncio
 import collections.abc
 
 import loguru
 
 from bilberrystack.pooling import interfaces
+from bilberrystack.pooling import tasks
 from bilberrystack.pooling import views
 from bilberrystack.routing import model
 
@@ -79,15 +79,31 @@
         if self._configuration is not None and version > self.version:
             self.configurations.check_soon()
 
-    async def follow(self) -> None:
-        """Follows the store until cancelled."""
-        await asyncio.gather(
-            self.configurations.follow(),
-            self.configurations.check(views.CHECK_CONFIGURATIONS_S),
-            self.members.follow(),
-            self.members.check(views.CHECK_MEMBERS_S),
-            self.instances.reread(),
-        )
+    def watch_closely(self, wanted: bool) -> None:
+        """Takes whether this instance owns a group or watches over primaries.
+
+        Each change costs a call for each instance that watches, so that only those do that need to
+        know of members at once. The others hear of new configurations from the duty's holder.
+        """
+        self.configurations.watch_closely(wanted)
+        self.members.watch_closely(wanted)
+
+    def works(self) -> list[tasks.Work]:
+        """Returns what follows the store, each part until cancelled."""
+        return [
+            self.configurations.follow,
+            self._check_configurations,
+            self.members.follow,
+            self._check_members,
+            self.instances.reread,
+        ]
+
+    async def _check_configurations(self) -> None:
+        pause_s = views.CHECK_CONFIGURATIONS_S
+        await self.configurations.check(pause_s, pause_s)
+
+    async def _check_members(self) -> None:
+        await self.members.check(views.CHECK_MEMBERS_S, views.CHECK_UNWATCHED_S)
 
     @property
     def missing(self) -> frozenset[str]:
--- a/bilberrystack/pooling/duty.py
+++ b/bilberrystack/pooling/duty.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import enum
 import random
 
 import loguru
@@ -29,8 +30,10 @@
 RENEW_S = 2.0
 RETRY_S = 0.3
 
-# Without grants for so long, an instance looks after the duty itself.
-SEEK_AFTER_S = 1.0
+# A machine with less power leaves the duty to others at its start; the holder of 200 instances took
+# a quarter of a core.
+SMALL_CORES = 1.0
+SMALL_WAIT_S = 1.0
 
 # Spreads the instances that look after the duty at the same time.
 SEEK_SPREAD_S = 0.25
@@ -59,6 +62,7 @@
         "_renewed_at_s",
         "_seen",
         "_seen_at_s",
+        "seek_after_s",
         "served_at_s",
         "settled_at_s",
     )
@@ -80,6 +84,8 @@
         self._seen_at_s = 0.0
         self._released = False
         self._barred_until_s = float("-inf")
+        # Without grants for so long, the instance looks after the duty itself.
+        self.seek_after_s = 0.0
         self.served_at_s = float("-inf")
         self.settled_at_s = 0.0
 
@@ -104,8 +110,12 @@
 
     async def keep(self) -> None:
         """Keeps or seeks the duty until cancelled."""
-        await asyncio.sleep(random.uniform(0, SEEK_SPREAD_S))
-        while not self._released:
+        wait_s = SMALL_WAIT_S if self._own.cores < SMALL_CORES else 0.0
+        await asyncio.sleep(wait_s + random.uniform(0, SEEK_SPREAD_S))
+        while True:
+            if self._released:
+                # The process is about to end; another instance takes the duty.
+                await asyncio.Event().wait()
             try:
                 await (self._seek() if self._held is None else self._renew())
             except interfaces.StoreFailure as failure:
@@ -158,8 +168,8 @@
             await asyncio.sleep(barred_s)
             return
         silent_s = self._clock() - self.served_at_s
-        if self._seen is not None and silent_s < SEEK_AFTER_S:
-            await asyncio.sleep(SEEK_AFTER_S - silent_s + random.uniform(0, SEEK_SPREAD_S))
+        if self._seen is not None and silent_s < self.seek_after_s:
+            await asyncio.sleep(self.seek_after_s - silent_s + random.uniform(0, SEEK_SPREAD_S))
             return
         found = await self._platform.read_duty()
         seen = self._seen
@@ -181,8 +191,12 @@
             return "held by a former process of this instance"
         if self._clock() - self._seen_at_s >= LEASE_S + MARGIN_S:
             return "not renewed"
-        if await is_gone(found.holder):
-            return "the holder's process is gone"
+        match await look(found.holder):
+            case Life.GONE:
+                return "the holder's process is gone"
+            case Life.ALIVE:
+                # It has just said that it lives, so that the next look can wait.
+                self.served_at_s = self._clock()
         return ""
 
     async def _take(self, found: interfaces.Duty | None, reason: str) -> None:
@@ -241,20 +255,30 @@
             _LOG.warning("duty's release not stored", failure=type(failure).__name__)
 
 
-async def is_gone(holder: model.Instance) -> bool:
-    """Tells whether a process is certain to have ended: nobody listens, or a successor does."""
+class Life(enum.Enum):
+    """What a look at another instance's process has shown."""
+
+    ALIVE = "alive"
+    GONE = "gone"
+    SILENT = "silent"
+
+
+async def look(holder: model.Instance) -> Life:
+    """Looks whether a process lives; it is certain to have ended if its port refuses or another
+    lifetime answers.
+    """
     try:
         reader, writer = await member_link.connect(holder.endpoint, 256, PROBE_S)
     except member_link.Refused:
-        return True
+        return Life.GONE
     except member_link.LinkFailure:
-        return False
+        return Life.SILENT
     try:
         member_link.write(writer, b"lifetime\n")
         async with asyncio.timeout(PROBE_S):
             answer = await member_link.read_line(reader)
     except (OSError, EOFError, TimeoutError, asyncio.LimitOverrunError):
-        return False
+        return Life.SILENT
     finally:
         writer.close()
-    return answer.decode(errors="replace") != holder.lifetime
+    return Life.ALIVE if answer.decode(errors="replace") == holder.lifetime else Life.GONE
--- a/bilberrystack/pooling/fleet.py
+++ b/bilberrystack/pooling/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import typing
 
 import loguru
@@ -25,6 +26,13 @@
 # Grants last 1.5 s, so that two lost datagrams in a row do no harm.
 HEARTBEAT_S = 0.4
 
+# The same for an instance that owns no group and needs no grants: it says that it lives, which the
+# holder doubts after 20 s, and which configuration it has.
+IDLE_HEARTBEAT_S = 2.0
+
+# Without grants for so many heartbeats, an instance looks after the duty itself.
+SEEK_AFTER_PERIODS = 2.5
+
 # Pause between a sight that the holder should know at once and its heartbeat.
 URGENT_S = 0.01
 
@@ -45,6 +53,7 @@
         "_groups",
         "_lease",
         "_own",
+        "_shared_out",
         "_supervisor",
         "_tasks",
         "_transport",
@@ -74,6 +83,7 @@
         self._urgent: asyncio.TimerHandle | None = None
         self._withdrawn_at_s: dict[str, float] = {}
         self._granted_at_s = float("-inf")
+        self._shared_out = asyncio.Event()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Takes the open socket."""
@@ -96,7 +106,13 @@
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             _LOG.warning("malformed datagram", sender=addr[0], error=str(error))
             return
-        sender = model.Endpoint(addr[0], addr[1])
+        try:
+            self._take(message, model.Endpoint(addr[0], addr[1]))
+        except (ArithmeticError, LookupError, TypeError, ValueError) as error:
+            # An exception here would close the socket, and with it all grants to this instance.
+            _LOG.opt(exception=error).error("datagram not taken", sender=addr[0])
+
+    def _take(self, message: messages.Message, sender: model.Endpoint) -> None:
         match message:
             case messages.Grants():
                 self._take_grants(message)
@@ -116,7 +132,19 @@
         while True:
             self._beat()
             self._end_lapsed()
-            await asyncio.sleep(HEARTBEAT_S)
+            period_s = HEARTBEAT_S if self._owned() else IDLE_HEARTBEAT_S
+            self._lease.seek_after_s = period_s * SEEK_AFTER_PERIODS
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(period_s):
+                    await self._shared_out.wait()
+            self._shared_out.clear()
+
+    def shared_out(self) -> None:
+        """Sends a heartbeat at once, because this instance owns other groups than before."""
+        self._shared_out.set()
+
+    def _owned(self) -> list[str]:
+        return [service for service, served in self._groups.items() if served.owned]
 
     def _beat(self) -> None:
         holder = self._lease.holder
@@ -130,7 +158,9 @@
             if now_s - one.sight.contact_at_s < REPORT_S or one.sight.refused_at_s is not None
         ]
         version = self._directory.version
-        beat = messages.Heartbeat(self._own.name, self._own.lifetime, now_s, reports, version)
+        beat = messages.Heartbeat(
+            self._own.name, self._own.lifetime, now_s, reports, version, self._owned()
+        )
         self.send(beat, holder.endpoint)
 
     def beat_soon(self) -> None:
--- a/bilberrystack/pooling/forwarding.py
+++ b/bilberrystack/pooling/forwarding.py
@@ -4,6 +4,7 @@
 import collections.abc
 import contextlib
 import itertools
+from typing import Protocol
 
 import loguru
 import msgspec
@@ -31,6 +32,17 @@
 MAX_TRANSACTIONS = 4_096
 
 
+class Known(Protocol):
+    """What an instance knows of configurations."""
+
+    @property
+    def configuration(self) -> model.Configuration | None: ...
+    @property
+    def version(self) -> int: ...
+
+    def learn_version(self, version: int) -> None: ...
+
+
 class Refused(Exception):
     """The owner could not be reached, or it declined; the statement did not run."""
 
@@ -103,7 +115,7 @@
         finally:
             self._running.pop(work.number, None)
         if ended.declined:
-            self._avoid("it doesn't know the group")
+            self._avoid("it can't serve the group")
             raise Refused(str(self._endpoint))
         return ended
 
@@ -155,12 +167,13 @@
 class Forwarder:
     """Runs a group's statements at its owners. Implements execution.Runner."""
 
-    __slots__ = ("_clock", "_links", "_own", "_owners")
+    __slots__ = ("_clock", "_known", "_links", "_own", "_owners")
 
     def __init__(
         self,
         own: model.Instance,
         links: collections.abc.Callable[[model.Instance], OwnerLink],
+        known: Known,
         clock: interfaces.Clock,
     ) -> None:
         """Creates a forwarder without owners.
@@ -168,10 +181,12 @@
         Args:
           own: This instance, for the nearness of owners.
           links: Returns the link to an owner.
+          known: The configuration, whose version goes with each statement.
           clock: Seconds.
         """
         self._own = own
         self._links = links
+        self._known = known
         self._clock = clock
         self._owners: tuple[model.Instance, ...] = ()
 
@@ -217,14 +232,29 @@
         self, link: OwnerLink, kind: str, work: execution.Work, trace: execution.Trace
     ) -> execution.Outcome:
         now_s = self._clock()
-        sent = frames.encode_statement(work, link.next_number(), kind, now_s)
-        ended = await link.call(sent, work.ends_at_s - now_s + ANSWER_MARGIN_S)
+        version = self._known.version
+        sent = frames.encode_statement(work, link.next_number(), kind, now_s, version=version)
+        ended = await self.call(link, sent, work.ends_at_s - now_s + ANSWER_MARGIN_S)
         if ended is not None:
             return frames.decode_outcome(ended, trace, self._clock())
         trace.cause = "no answer of the owner"
         code = statements.Code.FAILED if kind == "read" else statements.Code.UNSURE
         return execution.failed(code, "the owner did not answer")
 
+    async def call(
+        self, link: OwnerLink, sent: frames.Work, timeout_s: float
+    ) -> frames.Ended | None:
+        """Sends a statement as `OwnerLink.call` does; learns which configuration the owner has."""
+        ended = await link.call(sent, timeout_s)
+        if ended is not None:
+            self._known.learn_version(ended.version)
+        return ended
+
+    @property
+    def version(self) -> int:
+        """The version of the configuration in force here."""
+        return self._known.version
+
     def begin(self, opening: transaction.Opening, route: model.Route) -> "ForwardedTransaction":
         """Begins a transaction, which is pinned to an owner from its first statement on."""
         return ForwardedTransaction(opening, route, self, self._clock)
@@ -299,10 +329,15 @@
             number = link.next_number()
             pinned = self._number or number
             sent = frames.encode_statement(
-                work, number, kind, now_s, pinned=pinned, opening=opening
+                *(work, number, kind, now_s),
+                pinned=pinned,
+                opening=opening,
+                version=self._forwarder.version,
             )
             try:
-                ended = await link.call(sent, work.ends_at_s - now_s + ANSWER_MARGIN_S)
+                ended = await self._forwarder.call(
+                    link, sent, work.ends_at_s - now_s + ANSWER_MARGIN_S
+                )
             except Refused as error:
                 trace.cause = f"owner not reached: {error}"
                 continue
@@ -330,11 +365,21 @@
 class OwnerServer:
     """Runs the statements that other instances forward."""
 
-    __slots__ = ("_clock", "_dialect", "_runners", "_tasks")
+    __slots__ = (
+        "_clock",
+        "_dialect",
+        "_known",
+        "_links",
+        "_runners",
+        "_running",
+        "_tasks",
+        "stopping",
+    )
 
     def __init__(
         self,
         runners: Runners,
+        known: Known,
         dialect: interfaces.Dialect,
         clock: interfaces.Clock,
         running: tasks.Tasks,
@@ -343,18 +388,35 @@
 
         Args:
           runners: Returns what runs a group's statements here; None for an unknown group.
+          known: The configuration.
           dialect: The members' protocol.
           clock: Seconds.
           running: Keeps the statements' tasks.
         """
         self._runners = runners
+        self._known = known
+        self._running = 0
+        self._links: list[dict[int, transaction.Transaction]] = []
+        # Whether new work is declined, so that its instance turns to another owner.
+        self.stopping = False
         self._dialect = dialect
         self._clock = clock
         self._tasks = running
 
+    @property
+    def running(self) -> int:
+        """Statements that have not been answered."""
+        return self._running
+
+    @property
+    def transactions(self) -> int:
+        """Transactions that are open."""
+        return sum(map(len, self._links))
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serves one link; its end rolls back the transactions that are open on it."""
         open_transactions: dict[int, transaction.Transaction] = {}
+        self._links.append(open_transactions)
         try:
             while True:
                 work = frames.decode_work(await frames.read(reader))
@@ -367,6 +429,7 @@
         except msgspec.MsgspecError as error:
             _LOG.warning("malformed frame of an instance", error=str(error))
         finally:
+            self._links = [one for one in self._links if one is not open_transactions]
             for left in open_transactions.values():
                 left.leave()
 
@@ -376,12 +439,28 @@
         writer: asyncio.StreamWriter,
         open_transactions: dict[int, transaction.Transaction],
     ) -> None:
+        self._running += 1
+        try:
+            ended = await self._ended(work, open_transactions)
+        finally:
+            self._running -= 1
+        # The instance may have gone: its client then has no way to hear the answer here.
+        with contextlib.suppress(member_link.Lost):
+            member_link.write(writer, frames.pack(ended))
+
+    async def _ended(
+        self, work: frames.Work, open_transactions: dict[int, transaction.Transaction]
+    ) -> frames.Ended:
         trace = execution.Trace()
         decoded = frames.decode_statement(work, self._clock())
-        runner = self._runners(work.service)
+        begun = work.transaction in open_transactions
+        runner = None if self.stopping and not begun else self._runners(work.service)
         current: transaction.Transaction | None = None
+        self._known.learn_version(work.version)
         if runner is None:
-            outcome = execution.failed(statements.Code.BUSY, "the owner doesn't know the group")
+            outcome = execution.failed(statements.Code.BUSY, "the owner can't serve the group")
+        elif self._superseded(work):
+            outcome = execution.failed(statements.Code.NO_DATABASE, "no such database any more")
         elif work.transaction:
             current = self._transaction(work, decoded, runner, open_transactions)
             outcome = await self._run_inside(work, decoded, trace, current, open_transactions)
@@ -389,12 +468,23 @@
             outcome = await runner.run_write(decoded, trace)
         else:
             outcome = await runner.run_read(decoded, trace)
-        ended = frames.encode_outcome(work.number, outcome, trace, self._clock(), current)
-        if runner is None:
-            ended = msgspec.structs.replace(ended, declined=True)
-        # The instance has gone: its client has no way to hear the answer here.
-        with contextlib.suppress(member_link.Lost):
-            member_link.write(writer, frames.pack(ended))
+        return msgspec.structs.replace(
+            frames.encode_outcome(work.number, outcome, trace, self._clock(), current),
+            declined=runner is None,
+            version=self._known.version,
+        )
+
+    def _superseded(self, work: frames.Work) -> bool:
+        """Tells whether a newer configuration than the sender's has taken the statement's route.
+
+        An open transaction keeps the route that it began with.
+        """
+        configuration = self._known.configuration
+        inside = work.transaction and work.opening is None
+        if inside or configuration is None or configuration.version <= work.version:
+            return False
+        route = configuration.routes.get(work.database)
+        return route is None or route.service != work.service
 
     def _transaction(
         self,
--- a/bilberrystack/pooling/forwarding_test.py
+++ b/bilberrystack/pooling/forwarding_test.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bilberrystack.pooling import views
 from bilberrystack_standins import line_group
 from bilberrystack_standins import line_site
 
@@ -114,3 +115,67 @@
         writer.write(b"forward\n\xff\xff\xff\xff")
         assert await reader.read() == b""
         assert (await (await site.connect("own")).ask("READ x"))[0] == "ROW -"
+
+
+async def test_an_owner_lets_no_older_configuration_rule():
+    """An entry that learns of a dropped route late would take its owner back to it."""
+    async with line_site.Site(INSTANCES, SCARCE) as site:
+        session = await _started(site)
+        entry = next(
+            one for one in site.instances if not one.executor(line_site.SERVICE).group.owned
+        )
+        stale = entry.configuration
+        await site.platform.declare(2, [one for one in line_site.ROUTES if one["host"] != "own"])
+        await site.until(lambda: all(one.configuration.version == 2 for one in site.instances))
+        for one in site.instances:
+            if not one.executor(line_site.SERVICE).group.owned:
+                one._directory._configuration = stale
+        assert (await session.ask("WRITE x 1", "late"))[0].startswith("ERR NODB")
+        assert site.group.commits["late"] == 0
+
+
+async def _write_until(session, ended, name):
+    """Writes again and again; returns the answers' first lines by id."""
+    answers = {}
+    while not ended.is_set():
+        request_id = f"{name}-{len(answers)}"
+        answers[request_id] = (await session.ask("WRITE x 1", request_id))[0]
+    return answers
+
+
+async def test_a_planned_stop_of_an_owner_cuts_off_no_forwarded_statement(monkeypatch):
+    """A stopping owner ended with the statements of others running: writes became unsure."""
+    # The other instances go on taking it for an owner, as they do for up to 5 s.
+    monkeypatch.setattr(views, "FIRST_READINGS_S", (0.3, 0.3, 60.0))
+    options = line_group.GroupOptions(max_connections=7, lag_s=0.2, work_s=0.3)
+    async with line_site.Site(INSTANCES, options) as site:
+        sessions = [await _started(site) for _ in range(3)]
+        ended = asyncio.Event()
+        writing = [
+            asyncio.create_task(_write_until(one, ended, f"w{number}"))
+            for number, one in enumerate(sessions)
+        ]
+        await asyncio.sleep(1.0)
+        stopping = _owned(site).index(True)
+        site.instances[stopping].request_stop()
+        async with asyncio.timeout(8):
+            await site.ended(stopping)
+        await asyncio.sleep(0.2)
+        ended.set()
+        for answers in await asyncio.gather(*writing):
+            for request_id, answer in answers.items():
+                assert answer.startswith(("DONE proof", "ERR BUSY"))
+                assert site.group.commits[request_id] == answer.startswith("DONE")
+
+
+async def test_a_transaction_at_a_stopping_owner_may_end():
+    """It has half of the grace time, as a client's own has."""
+    async with line_site.Site(INSTANCES, SCARCE) as site:
+        one = await _started(site)
+        await one.ask("BEGIN")
+        assert (await one.ask("WRITE x 1"))[0].startswith("DONE proof")
+        for number, owned in enumerate(_owned(site)):
+            if owned:
+                site.instances[number].request_stop()
+        await asyncio.sleep(0.1)
+        assert (await one.ask("COMMIT"))[0].startswith("DONE proof")
--- a/bilberrystack/pooling/frames.py
+++ b/bilberrystack/pooling/frames.py
@@ -30,7 +30,10 @@
 
 
 class Work(msgspec.Struct, frozen=True, array_like=True):
-    """A statement to run; `transaction` is 0 outside one, `opening` comes with its first one."""
+    """A statement to run; `transaction` is 0 outside one, `opening` comes with its first one.
+
+    `version` is that of the configuration in force at the sender.
+    """
 
     number: int
     kind: str
@@ -50,10 +53,11 @@
     mark: tuple[int, int, int, float] | None
     transaction: int
     opening: Opening | None
+    version: int = 0
 
 
 class Ended(msgspec.Struct, frozen=True, array_like=True):
-    """What a client is told, and how it was decided."""
+    """What a client is told, and how it was decided; `version` as in `Work`."""
 
     number: int
     rows: list[bytes]
@@ -70,6 +74,7 @@
     pinned: bool
     # Whether the owner can't serve the group at all: it has just started, for example.
     declined: bool = False
+    version: int = 0
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -117,6 +122,7 @@
     *,
     pinned: int = 0,
     opening: Opening | None = None,
+    version: int = 0,
 ) -> Work:
     """Returns a statement as it crosses the link.
 
@@ -127,6 +133,7 @@
       now_s: The present.
       pinned: The number of its transaction, 0 outside one.
       opening: How the transaction was begun, with its first statement.
+      version: The configuration in force.
     """
     mark = work.mark
     return Work(
@@ -155,6 +162,7 @@
         ),
         transaction=pinned,
         opening=opening,
+        version=version,
     )
 
 
--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -50,6 +50,9 @@
 # The platform takes an instance out of rotation after two misses of a probe each second.
 ROTATION_S = 2.5
 
+# An instance is listed this soon after its start, while the store answers.
+LISTED_WITHIN_S = 2.0
+
 # Pause before an announcement that failed is written again.
 ANNOUNCE_AGAIN_S = 1.0
 
@@ -80,6 +83,7 @@
         "_known",
         "_lease",
         "_own",
+        "_owner",
         "_owner_links",
         "_platform",
         "_servers",
@@ -109,7 +113,11 @@
         self._settings = loaded
         self._platform = platform
         self._own = model.Instance(
-            loaded.name, os.urandom(8).hex(), loaded.peers, loaded.failure_domain
+            loaded.name,
+            os.urandom(8).hex(),
+            loaded.peers,
+            loaded.failure_domain,
+            loaded.cores,
         )
         self._tasks = tasks.Tasks()
         self._groups: dict[str, group.Group] = {}
@@ -147,6 +155,9 @@
             running=self._tasks,
         )
         self._supervisor.send = self._fleet.send
+        self._owner = forwarding.OwnerServer(
+            self.executor, self._directory, self.dialect, self.clock, self._tasks
+        )
 
     @property
     def configuration(self) -> model.Configuration | None:
@@ -204,12 +215,15 @@
         """Serves until a signal asks for the end, then stops gracefully."""
         await self._listen()
         _LOG.info("started", name=self._own.name, lifetime=self._own.lifetime)
-        self._tasks.start(self._directory.follow())
-        self._tasks.start(self._announce())
-        self._tasks.start(self._keep_house())
-        self._tasks.start(self._lease.keep())
-        self._tasks.start(self._supervisor.run())
-        self._tasks.start(self._fleet.beat())
+        for work in (
+            *self._directory.works(),
+            self._announce,
+            self._keep_house,
+            self._lease.keep,
+            self._supervisor.run,
+            self._fleet.beat,
+        ):
+            self._tasks.keep(work)
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.request_stop)
         loop.add_signal_handler(signal.SIGINT, self.request_stop)
@@ -241,8 +255,7 @@
 
     async def _listen(self) -> None:
         limit = self.dialect.MAX_LINE_BYTES + 2
-        owner = forwarding.OwnerServer(self.executor, self.dialect, self.clock, self._tasks)
-        joined = relay.Relay(self._own.lifetime, self._is_member, owner)
+        joined = relay.Relay(self._own.lifetime, self._is_member, self._owner)
         for endpoint, serve in (
             (self._settings.sessions, self._serve_session),
             (self._settings.ready, self._serve_ready),
@@ -304,6 +317,11 @@
     def _metrics_page(self, target: str) -> tuple[int, bytes]:
         return (200, self.counters.page()) if target == "/metrics" else (404, b"")
 
+    @property
+    def _listed(self) -> bool:
+        """Whether the store's list of instances shows this one."""
+        return self._own.name in self._directory.instances.items
+
     def _is_member(self, endpoint: model.Endpoint) -> bool:
         return any(
             one.member.endpoint == endpoint
@@ -317,7 +335,7 @@
         listed = False
         while True:
             await asyncio.sleep(views.READING_S)
-            missing = self._own.name not in self._directory.instances.items
+            missing = not self._listed
             if listed and missing:
                 _LOG.info("own entry is missing, written again")
                 await self._write_entry()
@@ -366,14 +384,14 @@
 
     def _share_out(self, served: group.Group) -> None:
         """Takes who owns a group."""
-        chosen = owners.choose(served.service, self._directory.all_instances())
-        # An instance that the store doesn't list yet serves by itself.
-        listed = self._own.name in self._directory.instances.items
-        owned = not listed or any(one.name == self._own.name for one in chosen)
+        others = [one for one in self._directory.all_instances() if one.name != self._own.name]
+        chosen = owners.choose(served.service, [*others, self._own])
+        owned = any(one.name == self._own.name for one in chosen)
         if owned != served.owned:
             _LOG.info(
                 "owned" if owned else "not owned", service=served.service.name, owners=len(chosen)
             )
+            self._fleet.shared_out()
         served.set_owners(max(1, len(chosen)), owned)
         self._forwarders[served.service.name].set_owners(chosen)
 
@@ -388,8 +406,9 @@
         )
         served.on_lost = lambda _: self._fleet.beat_soon()
         self._groups[service.name] = served
+        self._fleet.shared_out()
         self._forwarders[service.name] = forwarding.Forwarder(
-            self._own, self._owner_link, self.clock
+            self._own, self._owner_link, self._directory, self.clock
         )
         self._executors[service.name] = execution.Executor(
             served, self.dialect, self.clock, self.counters
@@ -398,12 +417,19 @@
 
     async def _keep_house(self) -> None:
         sought_s = float("-inf")
+        listed_by_s = self.clock() + LISTED_WITHIN_S
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             if self._directory.missing:
                 self._refresh()
+            owned = any(served.owned for served in self._groups.values())
+            # Before it is listed, an instance may take itself for an owner for a moment.
+            owner = owned and (self._listed or self.clock() >= listed_by_s)
+            self._directory.watch_closely(owner or self._lease.token is not None)
             for served in self._groups.values():
-                served.warm(WARM_LINKS)
+                # Until it is listed, an instance may not know how many share the members'
+                # connections: a fleet that starts would open far too many.
+                served.warm(WARM_LINKS if self._listed else 0)
                 if (
                     served.confirmation.unled(self.clock())
                     and self.clock() >= sought_s + SEEK_PRIMARY_S
@@ -414,22 +440,36 @@
     async def _stop(self) -> None:
         """Stops gracefully: resting sessions end first, transactions get half the grace time."""
         began_at_s = self.clock()
-        self.stopping = True
-        _LOG.info("stopping", sessions=len(self._sessions), grace_s=self._settings.grace_s)
+        self.stopping = self._owner.stopping = True
+        _LOG.info(
+            "stopping",
+            sessions=len(self._sessions),
+            forwarded=self._owner.running,
+            transactions=self._owner.transactions,
+            grace_s=self._settings.grace_s,
+        )
         self._supervisor.leave()
         self._tasks.start(self._leave_store())
         ends_at_s = began_at_s + self._settings.grace_s - END_MARGIN_S
         while self.clock() < ends_at_s:
             stopped_s = self.clock() - began_at_s
             self._close_sessions(stopped_s)
-            if not self._sessions and stopped_s >= ROTATION_S:
+            if not self._serves(stopped_s) and stopped_s >= ROTATION_S:
                 break
             await asyncio.sleep(0.02)
-        _LOG.info("stopped", sessions_cut=len(self._sessions))
+        _LOG.info("stopped", sessions_cut=len(self._sessions), forwarded_cut=self._owner.running)
         await self.abandon()
 
+    def _serves(self, stopped_s: float) -> bool:
+        """Tells whether anything is left to serve, for own clients or for other instances."""
+        waited_for = 0 if self._transactions_end(stopped_s) else self._owner.transactions
+        return bool(self._sessions or self._owner.running or waited_for)
+
+    def _transactions_end(self, stopped_s: float) -> bool:
+        return stopped_s >= self._settings.grace_s * TRANSACTION_PART
+
     def _close_sessions(self, stopped_s: float) -> None:
-        transactions_end = stopped_s >= self._settings.grace_s * TRANSACTION_PART
+        transactions_end = self._transactions_end(stopped_s)
         for served in list(self._sessions):
             if (served.resting and not served.preparing) or (transactions_end and served.idle):
                 served.close()
--- a/bilberrystack/pooling/messages.py
+++ b/bilberrystack/pooling/messages.py
@@ -29,7 +29,7 @@
     """An instance tells the holder what it sees and asks for grants.
 
     `sent_at_s` is on the sender's clock and comes back with the grants. `configuration` is the
-    version in force at the sender, 0 for none.
+    version in force at the sender, 0 for none. `services` are the groups that it owns.
     """
 
     sender: str
@@ -37,6 +37,7 @@
     sent_at_s: float
     reports: list[Report]
     configuration: int = 0
+    services: list[str] = []
 
 
 class Grant(msgspec.Struct, frozen=True, array_like=True):
--- a/bilberrystack/pooling/settings.py
+++ b/bilberrystack/pooling/settings.py
@@ -20,6 +20,7 @@
       calls: The platform's own calls.
       store_history_s: How long the store keeps its history, which limits a watch.
       grace_s: Time between the request to stop and the end.
+      cores: Processor power that the machine gives the process, in cores.
     """
 
     name: str
@@ -32,6 +33,7 @@
     calls: model.Endpoint
     store_history_s: float
     grace_s: float
+    cores: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bilberrystack/pooling/supervisor.py
+++ b/bilberrystack/pooling/supervisor.py
@@ -77,6 +77,7 @@
     heard_at_s: float
     reports: dict[str, messages.Report]
     configuration: int
+    owner: bool
 
 
 @dataclasses.dataclass(slots=True)
@@ -176,9 +177,16 @@
             del self._watched[gone]
 
     def _is_alone(self) -> bool:
-        """Tells whether less than half of the instances of late are heard now."""
+        """Tells whether less than half of the owners of late are heard now.
+
+        Instances without connections to members see nothing of them, and send seldom.
+        """
         now_s = self._clock()
-        known = [one for one in self._reporters.values() if now_s - one.heard_at_s < MEMORY_S]
+        known = [
+            one
+            for one in self._reporters.values()
+            if one.owner and now_s - one.heard_at_s < MEMORY_S
+        ]
         heard = [one for one in known if now_s - one.heard_at_s < VOICE_S]
         return 2 * (len(heard) + 1) < len(known) + 1
 
@@ -265,7 +273,7 @@
         """Lets this and some other instances look at a member that has gone silent."""
         self._asked_at_s[member] = now_s
         self._tasks.start(served.look(member))
-        reporters = list(self._reporters.values())
+        reporters = [one for one in self._reporters.values() if one.owner]
         for reporter in random.sample(reporters, min(WITNESSES, len(reporters))):
             self.send(messages.Check(service, member), reporter.endpoint)
 
@@ -390,7 +398,12 @@
                 reports = {one.member: one for one in message.reports}
                 now_s = self._clock()
                 self._reporters[message.lifetime] = _Reporter(
-                    message.sender, sender, now_s, reports, message.configuration
+                    name=message.sender,
+                    endpoint=sender,
+                    heard_at_s=now_s,
+                    reports=reports,
+                    configuration=message.configuration,
+                    owner=bool(message.services),
                 )
                 self._grant(message, sender, self._token, now_s)
             case messages.Acknowledgement(lifetime, token, service, number):
@@ -403,10 +416,10 @@
     ) -> None:
         valid_s = min(permission.GRANT_S, self._lease.ends_at_s - now_s)
         grants = []
-        for service, watched in self._watched.items():
-            served = self._groups.get(service)
-            leader = watched.change.grantable(now_s)
-            if served is None or leader is None:
+        for service in beat.services:
+            watched, served = self._watched.get(service), self._groups.get(service)
+            leader = None if watched is None else watched.change.grantable(now_s)
+            if watched is None or served is None or leader is None:
                 continue
             watched.granted[beat.lifetime] = now_s + valid_s
             grants.append(self._grant_of(served, leader, watched.number, beat, now_s))
--- a/bilberrystack/pooling/tasks.py
+++ b/bilberrystack/pooling/tasks.py
@@ -11,6 +11,12 @@
 
 Result = TypeVar("Result")
 
+Work = collections.abc.Callable[[], collections.abc.Coroutine[Any, Any, None]]
+
+# Pause before work that failed unexpectedly starts again, so that a lasting fault does not fill the
+# processor and the log.
+RESTART_PAUSE_S = 0.5
+
 
 class Tasks:
     """Keeps tasks alive until they end, and cancels them at its own end."""
@@ -27,6 +33,26 @@
         task.add_done_callback(self._ended)
         return task
 
+    def keep(self, work: Work) -> None:
+        """Starts work that lasts as long as its owner, and again whenever it fails.
+
+        An instance whose heartbeats, lease or watch had ended would stay up and look ready.
+        """
+        self.start(self._keep(work))
+
+    async def _keep(self, work: Work) -> None:
+        while True:
+            task = asyncio.ensure_future(work())
+            try:
+                await asyncio.wait({task})
+            finally:
+                task.cancel()
+            error = None if task.cancelled() else task.exception()
+            _LOG.opt(exception=error).error(
+                "lasting work ended, starts again", work=work.__qualname__, pause_s=RESTART_PAUSE_S
+            )
+            await asyncio.sleep(RESTART_PAUSE_S)
+
     def _ended(self, task: asyncio.Task[Any]) -> None:
         self._running.discard(task)
         if task.cancelled():
--- a/bilberrystack/pooling/views.py
+++ b/bilberrystack/pooling/views.py
@@ -25,6 +25,9 @@
 CHECK_CONFIGURATIONS_S = 2.0
 CHECK_MEMBERS_S = 4.0
 
+# The same for members where they are not watched: only owners of a group turn to its members.
+CHECK_UNWATCHED_S = 8.0
+
 # Pauses between readings of a kind that is not watched: short while a fleet starts, then long.
 FIRST_READINGS_S = (0.5, 1.0, 1.5, 2.0)
 READING_S = 5.0
@@ -38,6 +41,7 @@
 
     __slots__ = (
         "_changed",
+        "_close",
         "_gather_s",
         "_items",
         "_kind",
@@ -71,6 +75,8 @@
         self._watch_s = min(MAX_WATCH_S, history_s * HISTORY_PART)
         self._gather_s = gather_s
         self._items: dict[str, object] = {}
+        self._close = asyncio.Event()
+        self._close.set()
         self._soon = asyncio.Event()
         self._watch: asyncio.Task[interfaces.Changes] | None = None
         self._revision: int | None = None
@@ -107,6 +113,20 @@
             else:
                 await asyncio.sleep(next(pauses) * random.uniform(0.9, 1.1))
 
+    @property
+    def watched(self) -> bool:
+        """Whether changes are watched for, and not only looked for at intervals."""
+        return self._close.is_set()
+
+    def watch_closely(self, wanted: bool) -> None:
+        """Takes whether changes have to be known at once, which costs a call for each."""
+        if wanted:
+            self._close.set()
+            return
+        self._close.clear()
+        if self._watch is not None:
+            self._watch.cancel()
+
     async def follow(self) -> None:
         """Follows the store until cancelled."""
         while True:
@@ -123,6 +143,7 @@
         if self._revision is None:
             await self._list()
             return
+        await self._close.wait()
         changes = await self._changes(self._revision)
         if changes is None:
             return
@@ -154,18 +175,20 @@
         """Lets `check` read at once, because another instance knows of a newer object."""
         self._soon.set()
 
-    async def check(self, pause_s: float) -> None:
+    async def check(self, watched_s: float, unwatched_s: float) -> None:
         """Looks until cancelled whether the watch has missed anything.
 
         Args:
-          pause_s: Between two readings, which may be seconds old and cost a tenth of a call.
+          watched_s: Between two readings, which may be seconds old and cost a tenth of a call.
+          unwatched_s: The same while no watch waits.
         """
         while True:
-            may_be_old = True
+            told = False
+            pause_s = watched_s if self.watched else unwatched_s
             try:
                 async with asyncio.timeout(pause_s * random.uniform(0.8, 1.2)):
                     await self._soon.wait()
-                may_be_old = False
+                told = True
             except TimeoutError:
                 # The usual reading is due.
                 pass
@@ -173,15 +196,19 @@
             if self._revision is None:
                 continue
             try:
-                self._take_missed(await self._kind.list(may_be_old))
+                missed = self._take_missed(await self._kind.list(may_be_old=True))
+                if told and not missed:
+                    # The cheap answer was too old to have what another instance knows of.
+                    self._take_missed(await self._kind.list())
             except interfaces.StoreFailure as failure:
                 # The watch notices an outage too, and logs it once.
                 _LOG.debug("copy not checked", kind=self._kind.name, failure=str(failure))
 
-    def _take_missed(self, snapshot: interfaces.Snapshot) -> None:
+    def _take_missed(self, snapshot: interfaces.Snapshot) -> bool:
+        """Takes a newer copy; returns whether it was one."""
         assert self._revision is not None
         if snapshot.revision <= self._revision or snapshot.items == self._items:
-            return
+            return False
         if self._watch is not None:
             _LOG.info(
                 "watch has missed changes",
@@ -193,6 +220,7 @@
         self._revision = snapshot.revision
         self._items = dict(snapshot.items)
         self._changed()
+        return True
 
     async def _list_again(self) -> None:
         try:
--- a/bilberrystack/routing/model.py
+++ b/bilberrystack/routing/model.py
@@ -130,9 +130,11 @@
       lifetime: Distinguishes the processes that run under one name, one after the other.
       endpoint: Where other instances reach it.
       failure_domain: Where it runs.
+      cores: Processor power of its machine, in cores.
     """
 
     name: str
     lifetime: str
     endpoint: Endpoint
     failure_domain: str
+    cores: float = 1.0
--- a/bilberrystack/routing/owners.py
+++ b/bilberrystack/routing/owners.py
@@ -2,7 +2,7 @@
 
 A member accepts a limited number of connections from all instances together. While that gives each
 instance a useful share, all of them own every group. With more instances as many own a group as get
-a useful share, spread over the failure domains by rendezvous hashing.
+a useful share: in turn from each failure domain, the largest machines first, by rendezvous hashing.
 """
 
 import collections
@@ -49,7 +49,9 @@
 def choose(
     service: model.Service, instances: collections.abc.Collection[model.Instance]
 ) -> tuple[model.Instance, ...]:
-    """Returns a group's owners, in turn from each failure domain.
+    """Returns a group's owners, in turn from each failure domain and the largest machines first.
+
+    Owners do most of the work, and each of few sees more of a member's load than each of many.
 
     Args:
       service: The group.
@@ -60,7 +62,8 @@
         return tuple(instances)
     domains: dict[str, list[model.Instance]] = collections.defaultdict(list)
     for one in sorted(
-        instances, key=lambda one: (ownership.score(service.name, one.name), one.name)
+        instances,
+        key=lambda one: (-one.cores, ownership.score(service.name, one.name), one.name),
     ):
         domains[one.failure_domain].append(one)
     ordered = [domains[name] for name in sorted(domains)]
--- a/bilberrystack/routing/owners_test.py
+++ b/bilberrystack/routing/owners_test.py
@@ -1,6 +1,7 @@
 """Guards against more connections than a member accepts, and against owners in one place."""
 
 import collections
+import dataclasses
 
 import pytest
 
@@ -45,3 +46,14 @@
     before = set(owners.choose(service, _instances(83)))
     after = set(owners.choose(service, _instances(82)))
     assert len(before - after) <= 1
+
+
+def test_large_machines_own_groups_before_small_ones():
+    """Small machines would be busy with statements that large ones run on the side."""
+    service = model.Service("store", 58, 0)
+    fleet = [
+        dataclasses.replace(one, cores=2.15 if number < 15 else 0.516)
+        for number, one in enumerate(_instances(195))
+    ]
+    chosen = owners.choose(service, fleet)
+    assert {one.name for one in fleet[:15]} <= {one.name for one in chosen}
--- a/bilberrystack/routing/succession.py
+++ b/bilberrystack/routing/succession.py
@@ -16,6 +16,11 @@
 # the promotion's own 0.3 to 1 s; the links' round trips are below 10 ms.
 SILENCE_S = 0.8
 
+# The same for a primary that has not answered anybody yet. Where a whole fleet starts, members are
+# slow to accept its connections: an opening packet that finds the queue of new connections full is
+# sent again after 1 s, then after 2 s more.
+SILENCE_UNHEARD_S = 3.5
+
 # The same for a holder that hears too few other instances: by then an instance that hears more has
 # taken the duty, if it reaches the store.
 SILENCE_ALONE_S = 3.0
@@ -257,8 +262,8 @@
     def _awaits_words(self, views: collections.abc.Sequence[View], now_s: float) -> bool:
         """Tells whether a member may still say that it leads, because it has said nothing yet."""
         assert self._watched_since_s is not None
-        unheard = any(view.term == 0 for view in views)
-        return unheard and now_s - self._watched_since_s < SILENCE_S
+        unheard = any(view.term == 0 and view.refused_at_s is None for view in views)
+        return unheard and now_s - self._watched_since_s < SILENCE_UNHEARD_S
 
     def _why_change(self, leader: View | None, now_s: float, alone: bool) -> str:
         if leader is None:
@@ -280,7 +285,9 @@
             return ""
         if leader.refused_at_s is not None and silent_s >= REFUSED_S:
             return "primary refuses connections"
-        return "primary is silent" if silent_s >= SILENCE_S else ""
+        heard = leader.contact_at_s > permission.NEVER_S
+        limit_s = SILENCE_S if heard else SILENCE_UNHEARD_S
+        return "primary is silent" if silent_s >= limit_s else ""
 
     def _best(self, views: collections.abc.Sequence[View], now_s: float) -> View | None:
         """Returns the replica with the highest position that can take over."""
