Turn work away while its client can still be served elsewhere

Change: routing/admission.py has the decisions. A window of statements at each member, halved when the member is full and grown with what it runs, leaves room for the other instances (pooling/pool.py). A statement that would wait longer than it may is refused at once, by the number ahead, the connections and how long one holds them (pooling/group.py). The objective's first try decides; what is left is the lack of slots.

--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -14,6 +14,7 @@
 from bilberrystack.pooling import member_link
 from bilberrystack.pooling import pool
 from bilberrystack.pooling import tasks
+from bilberrystack.routing import admission
 from bilberrystack.routing import freshness
 from bilberrystack.routing import model
 from bilberrystack.routing import owners
@@ -85,6 +86,10 @@
     asked_at_s: float = 0.0
 
 
+# A request that waits: its priority, its number in the order of arrival, what it needs, its turn.
+Waiting = tuple[int, int, Need, "asyncio.Future[member_link.MemberLink]"]
+
+
 class Group:
     """The members of one group, the connections to them and the requests that wait."""
 
@@ -131,7 +136,7 @@
         self._clock = clock
         self._tasks = running
         self._pools: dict[str, pool.MemberPool] = {}
-        self._waiting: list[tuple[int, int, Need, asyncio.Future[member_link.MemberLink]]] = []
+        self._waiting: list[Waiting] = []
         self._order = itertools.count()
         self._owners = 1
         self.owned = True
@@ -228,6 +233,7 @@
         if future.done():
             return future.result()
         try:
+            self._admit(entry)
             return await self._wait(need, future)
         except TimeoutError:
             if future.done() and not future.cancelled() and future.exception() is None:
@@ -243,6 +249,21 @@
             if not future.done():
                 future.cancel()
 
+    def _admit(self, entry: Waiting) -> None:
+        """Lets a statement wait, or raises TimeoutError if its turn would come too late.
+
+        A refusal at once lets the client try elsewhere while its objective can still be met.
+        """
+        need = entry[2]
+        if not self._is_busy(need):
+            return
+        able = self._candidates(need)
+        ahead = sum(one[:2] < entry[:2] and one[2].only is None for one in self._waiting)
+        links = sum(one.size for one in able)
+        hold_s = max(one.service_s for one in able)
+        if admission.expected_wait_s(ahead, links, hold_s) > need.patience_s:
+            raise TimeoutError
+
     async def _wait(
         self, need: Need, future: asyncio.Future[member_link.MemberLink]
     ) -> member_link.MemberLink:
@@ -323,7 +344,8 @@
     def _assign(self, need: Need, now_s: float) -> member_link.MemberLink | None:
         candidates = self._candidates(need)
         leading = self._leading()
-        free = {one.member.id: links for one in candidates if (links := one.idle())}
+        control = need.only is not None
+        free = {one.member.id: links for one in candidates if (links := one.idle(control))}
         loads = [
             one.load(self._domain, one is leading) for one in candidates if one.member.id in free
         ]
--- a/bilberrystack/pooling/pool.py
+++ b/bilberrystack/pooling/pool.py
@@ -7,6 +7,7 @@
 from bilberrystack.core import positions
 from bilberrystack.pooling import interfaces
 from bilberrystack.pooling import member_link
+from bilberrystack.routing import admission
 from bilberrystack.routing import model
 from bilberrystack.routing import placement
 from bilberrystack.routing import replica_lag
@@ -81,6 +82,7 @@
         "running",
         "service_s",
         "sight",
+        "window",
     )
 
     def __init__(self, member: model.Member, clock: interfaces.Clock) -> None:
@@ -91,6 +93,7 @@
         self.full_until_s = float("-inf")
         self.relayed_until_s = float("-inf")
         self.sight = Sight()
+        self.window = admission.Window()
         self._clock = clock
         self._links: list[member_link.MemberLink] = []
         self._scarce_until_s = clock() + SCARCE_S
@@ -106,10 +109,16 @@
         """Whether there are connections, free or not."""
         return bool(self._links)
 
-    def idle(self) -> list[member_link.MemberLink]:
-        """Returns the connections that are free to use; closed ones are dropped."""
+    def idle(self, control: bool = False) -> list[member_link.MemberLink]:
+        """Returns the connections that are free to use; closed ones are dropped.
+
+        Args:
+          control: Whether the window for statements of clients doesn't count.
+        """
         for link in [one for one in self._links if not one.in_use and not one.usable]:
             self.discard(link)
+        if not control and not self.window.has_room(self.running):
+            return []
         return [link for link in self._links if not link.in_use]
 
     def unreachable(self, now_s: float) -> bool:
@@ -126,6 +135,8 @@
         """
         if now_s < self._retry_at_s or now_s < self.full_until_s:
             return False
+        if not self.window.has_room(self.running + self.opening):
+            return False
         if now_s < self._scarce_until_s:
             share = 1 if waited_s < SCARCE_PATIENCE_S else 2
         return self.size < share
@@ -152,7 +163,7 @@
 
     def trim(self, keep: int, now_s: float) -> None:
         """Closes connections beyond a number that have rested for long."""
-        resting = sorted(self.idle(), key=lambda link: link.rested_since_s)
+        resting = sorted(self.idle(control=True), key=lambda link: link.rested_since_s)
         for link in resting[: max(0, len(self._links) - keep)]:
             if now_s - link.rested_since_s >= EXTRA_REST_S:
                 self.discard(link)
@@ -189,6 +200,11 @@
     def answered(self, reply: statements.Reply) -> None:
         """Takes an answer of the member."""
         self.contacted()
+        full = reply.failure is not None and reply.failure.code is statements.Code.BUSY
+        if full:
+            self.window.turned_away(self.running)
+        else:
+            self.window.ran()
         if reply.position is not None and (
             self.sight.position is None or reply.position > self.sight.position
         ):
