Let another instance run what shut out members would not

Cause: after all machines lose power, connections of before linger at the members for 3 s. Ruled out: the wait for connections (waited_ms is 0 for those that reached their limit). Change: an instance that a member has turned away, and that has no connection to it, forwards the statements that need it to another owner; one that is shut out itself declines. What waits is refused when the member refuses the connection. A question to such a member fails at once.

--- a/bilberrystack/pooling/execution.py
+++ b/bilberrystack/pooling/execution.py
@@ -96,6 +96,12 @@
     values: dict[str, str]
     mark: freshness.Mark | None
 
+    @property
+    def primary(self) -> bool:
+        """Whether only the primary may run it."""
+        reads = self.access is statements.Access.READ
+        return not reads or self.route.consistency is model.Consistency.PRIMARY
+
     @property
     def ends_at_s(self) -> float:
         """When its time limit is over."""
--- a/bilberrystack/pooling/forwarding.py
+++ b/bilberrystack/pooling/forwarding.py
@@ -197,7 +197,7 @@
     def choices(self) -> list[OwnerLink]:
         """Returns the links to owners, the nearest with the least to do first."""
         now_s = self._clock()
-        found = [(self._links(one), one) for one in self._owners]
+        found = [(self._links(one), one) for one in self._owners if one.name != self._own.name]
         found.sort(
             key=lambda pair: (
                 pair[0].avoid_until_s > now_s,
@@ -359,7 +359,7 @@
             self._link.leave(self._number)
 
 
-Runners = collections.abc.Callable[[str], "execution.Runner | None"]
+Runners = collections.abc.Callable[[str], "execution.Executor | None"]
 
 
 class OwnerServer:
@@ -455,6 +455,9 @@
         decoded = frames.decode_statement(work, self._clock())
         begun = work.transaction in open_transactions
         runner = None if self.stopping and not begun else self._runners(work.service)
+        writes = work.opening is not None and not work.opening.read_only
+        if runner is not None and not begun and runner.group.shut_out(decoded.primary or writes):
+            runner = None
         current: transaction.Transaction | None = None
         self._known.learn_version(work.version)
         if runner is None:
@@ -490,7 +493,7 @@
         self,
         work: frames.Work,
         decoded: execution.Work,
-        runner: execution.Runner,
+        runner: execution.Executor,
         open_transactions: dict[int, transaction.Transaction],
     ) -> transaction.Transaction | None:
         known = open_transactions.get(work.transaction)
@@ -498,7 +501,6 @@
             return known
         if len(open_transactions) >= MAX_TRANSACTIONS:
             return None
-        assert isinstance(runner, execution.Executor)
         opening = transaction.Opening(work.opening.id, work.opening.text, work.opening.read_only)
         begun = transaction.Transaction(opening, decoded.route, runner, self._dialect)
         open_transactions[work.transaction] = begun
--- a/bilberrystack/pooling/forwarding_test.py
+++ b/bilberrystack/pooling/forwarding_test.py
@@ -179,3 +179,30 @@
                 site.instances[number].request_stop()
         await asyncio.sleep(0.1)
         assert (await one.ask("COMMIT"))[0].startswith("DONE proof")
+
+
+async def test_an_instance_that_members_shut_out_is_served_by_another():
+    """After a loss of power old connections linger for 3 s, and half of the instances got none."""
+    options = line_group.GroupOptions(max_connections=7)
+    async with line_site.Site(3, options) as site:
+        groups = [one.executor(line_site.SERVICE).group for one in site.instances]
+        await site.until(lambda: all(one.pools["a"].connected for one in groups))
+        session = await site.connect("strict")
+        member = site.group.members["a"]
+        host, port = member.address.split(":")
+        groups[0].pools["a"].close()
+        await asyncio.sleep(0)
+        lingering = []
+        while True:
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"START store-1 linger a\r\n")
+            lingering.append(writer)
+            if not (await reader.readline()).startswith(b"READY"):
+                break
+        answer = ["ERR BUSY"]
+        async with asyncio.timeout(2.0):
+            while answer[0].startswith("ERR BUSY"):
+                answer = await session.ask("WRITE x 1")
+        assert answer[0].startswith("DONE proof")
+        for writer in lingering:
+            writer.close()
--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -294,6 +294,34 @@
         leader = self.permission.leader
         return None if leader is None else self._pools.get(leader.member)
 
+    def shut_out(self, primary: bool) -> bool:
+        """Tells whether the members accept no connection of this instance, for they have too many.
+
+        After a loss of power the connections of before linger at the members for 3 s, and only some
+        instances get a new one. Without a grant an answer is confirmed by all members.
+
+        Args:
+          primary: Whether only the primary will do.
+        """
+        now_s = self._clock()
+        leading, leader = self._leading(), self.permission.leader
+        granted = leader is not None and self.permission.valid_at(leader, now_s)
+        if not granted:
+            return any(one.shut_out(now_s) for one in self._pools.values())
+        if primary:
+            return leading is not None and leading.shut_out(now_s)
+        return all(one.shut_out(now_s) for one in self._pools.values())
+
+    def _turn_away_shut_out(self) -> None:
+        """Turns away what waits for members that accept no connection; others may have one."""
+        now_s = self._clock()
+        for _, _, need, future in self._waiting:
+            able = self._candidates(need)
+            if future.done() or need.only is not None or not able:
+                continue
+            if all(one.shut_out(now_s) for one in able):
+                future.set_exception(Unavailable("the members have too many connections"))
+
     def has_way(self, need: Need) -> bool:
         """Tells whether any member could run a statement now, busy or not."""
         return bool(self._candidates(need))
@@ -401,6 +429,7 @@
             )
         except member_link.LinkFailure as failure:
             one.failed_to_open(failure)
+            self._turn_away_shut_out()
             if isinstance(failure, member_link.Unreachable):
                 one.relayed_until_s = (
                     self._clock() + pool.RELAY_S if through is None else float("-inf")
@@ -568,7 +597,8 @@
         """
         until_s = self._clock() + timeout_s
         known = self._pools.get(member)
-        if known is None or known.unreachable(self._clock()):
+        now_s = self._clock()
+        if known is None or known.unreachable(now_s) or known.shut_out(now_s):
             return None
         need = Need(primary=False, give_up_at_s=until_s, only=member, priority=CONTROL_PRIORITY)
         try:
--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -178,19 +178,31 @@
         """Returns what runs a group's statements at its members; None if there is no such group."""
         return self._executors.get(service)
 
-    def runner(self, service: str) -> execution.Runner | None:
-        """Returns what runs a group's statements, here or at an owner; None for no such group."""
+    def runner(self, service: str, primary: bool) -> execution.Runner | None:
+        """Returns what runs a group's statements, here or at an owner; None for no such group.
+
+        Args:
+          service: The group.
+          primary: Whether only its primary will do.
+        """
         served = self._groups.get(service)
-        if served is None or served.owned:
+        if served is None or not self._forwards(served, primary):
             return self._executors.get(service)
         return self._forwarders[service]
 
+    def _forwards(self, served: group.Group, primary: bool) -> bool:
+        """Tells whether another instance has to run a group's statements."""
+        return not served.owned or (
+            served.shut_out(primary) and bool(self._forwarders[served.service.name].choices())
+        )
+
     def begin(self, opening: transaction.Opening, route: model.Route) -> transaction.Pinned | None:
         """Begins a transaction, here or at an owner; None if there is no such group."""
         served = self._groups.get(route.service)
         if served is None:
             return None
-        if not served.owned:
+        primary = not opening.read_only or route.consistency is model.Consistency.PRIMARY
+        if self._forwards(served, primary):
             return self._forwarders[route.service].begin(opening, route)
         executor = self._executors[route.service]
         return transaction.Transaction(opening, route, executor, self.dialect)
--- a/bilberrystack/pooling/pool.py
+++ b/bilberrystack/pooling/pool.py
@@ -125,6 +125,10 @@
         """Tells whether there is no connection and the last try to open one has just failed."""
         return not self._links and now_s < self._retry_at_s
 
+    def shut_out(self, now_s: float) -> bool:
+        """Tells whether there is no connection and the member has lately accepted none."""
+        return not self._links and now_s < self.full_until_s + RETRY_OPEN_S
+
     def may_open(self, share: int, waited_s: float, now_s: float) -> bool:
         """Tells whether another connection may be opened now.
 
--- a/bilberrystack/pooling/session.py
+++ b/bilberrystack/pooling/session.py
@@ -51,7 +51,7 @@
     def stopping(self) -> bool: ...
 
     def clock(self) -> float: ...
-    def runner(self, service: str) -> execution.Runner | None: ...
+    def runner(self, service: str, primary: bool) -> execution.Runner | None: ...
     def begin(
         self, opening: transaction.Opening, route: model.Route
     ) -> transaction.Pinned | None: ...
@@ -301,7 +301,7 @@
 
     async def _run(self, work: execution.Work | None, statement: statements.Statement) -> None:
         """Runs a statement at a member and answers with its outcome."""
-        runner = None if work is None else self._host.runner(work.route.service)
+        runner = None if work is None else self._host.runner(work.route.service, work.primary)
         if work is None or runner is None:
             self._refuse(statements.Code.NO_DATABASE, "no such database")
             return
