Take withdrawals and partings only of the duty's holder

Cause: a withdrawal was taken from any process. One malformed or forged datagram with a high token made all later grants of its group void for the lifetime of the instance, whose answers then all needed confirmation rounds. Found by a test that sends each kind of datagram with strange fields. Ruled out: grants (they were taken of the known holder only), the decoder (it refuses wrong types). Change: a withdrawal or a parting counts if its lifetime is that of the holder that the store names, as for grants (pooling/fleet.py). Nothing is acknowledged otherwise; the holder then waits for the end of the grants, as for any instance that doesn't answer. Tests: pooling/malformed_test.py; the first failed before.

--- a/bilberrystack/pooling/fleet.py
+++ b/bilberrystack/pooling/fleet.py
@@ -120,8 +120,9 @@
                 self._withdraw(message, sender)
             case messages.Check(service, member):
                 self._check(service, member)
-            case messages.Leaving():
-                self._lease.served_at_s = float("-inf")
+            case messages.Leaving(lifetime):
+                if self._is_holder(lifetime):
+                    self._lease.served_at_s = float("-inf")
             case messages.Heartbeat() | messages.Acknowledgement():
                 if isinstance(message, messages.Heartbeat):
                     self._directory.learn_version(message.configuration)
@@ -173,9 +174,8 @@
         self._beat()
 
     def _take_grants(self, message: messages.Grants) -> None:
-        holder = self._lease.holder
         now_s = self._clock()
-        if holder is None or holder.lifetime != message.lifetime:
+        if not self._is_holder(message.lifetime):
             return
         self._lease.served_at_s = now_s
         self._directory.learn_version(message.configuration)
@@ -202,7 +202,16 @@
                 served.history.record(grant.term, freshness.Sample(asked_at_s, position))
             served.dispatch()
 
+    def _is_holder(self, lifetime: str) -> bool:
+        """Tells whether a process holds the duty, as this instance has last seen in the store."""
+        holder = self._lease.holder
+        return holder is not None and holder.lifetime == lifetime
+
     def _withdraw(self, message: messages.Withdrawal, sender: model.Endpoint) -> None:
+        if not self._is_holder(message.lifetime):
+            # An instance has grants only of the holder that it knows, so that none is in use here.
+            _LOG.warning("withdrawal of another process", sender=str(sender), token=message.token)
+            return
         served = self._groups.get(message.service)
         if served is not None:
             served.permission.withdraw((message.token, message.change))
--- /dev/null
+++ b/bilberrystack/pooling/malformed_test.py
@@ -0,0 +1,86 @@
+"""Guards against a message of another process that takes an instance down or deaf."""
+
+import asyncio
+import math
+import random
+
+import msgspec
+import pytest
+
+from bilberrystack.pooling import messages
+from bilberrystack_standins import line_site
+
+pytestmark = pytest.mark.asyncio
+
+SENDER = ("127.0.0.9", 7002)
+STRANGE = ["", "store-1", "a", "x:99999", "\0", -1, 0, 1, 2**63 - 1, -0.5, math.nan, math.inf, None]
+POSITION = messages.Position(1, 1)
+
+
+def _sound():
+    """Returns a sound message of each kind."""
+    report = messages.Report("a", 0.1, False, 0.1, True, 1, POSITION)
+    grant = messages.Grant("store-1", "a", 1, 0, POSITION, 0.1, "")
+    return [
+        messages.Heartbeat("proxy-9", "life", 1.0, [report], 1, ["store-1"]),
+        messages.Grants("proxy-9", "life", 1, 1.0, 1.5, [grant], 1),
+        messages.Withdrawal("proxy-9", "life", 1, "store-1", 1),
+        messages.Acknowledgement("life", 1, "store-1", 1),
+        messages.Check("store-1", "a"),
+        messages.Leaving("life", 1),
+    ]
+
+
+def _strange(message, rng):
+    """Returns a message with a field or two replaced, as its bytes."""
+    fields = list(msgspec.to_builtins(message))
+    for _ in range(rng.randint(1, 2)):
+        fields[rng.randrange(len(fields))] = rng.choice(STRANGE)
+    data = bytearray(msgspec.msgpack.encode(fields))
+    if rng.random() < 0.3:
+        data[rng.randrange(len(data))] = rng.randrange(256)
+    return bytes(data[: rng.randint(0, len(data))] if rng.random() < 0.2 else data)
+
+
+async def test_strange_datagrams_leave_an_instance_serving():
+    """An exception in the datagram's callback closes the socket, and all grants end."""
+    rng = random.Random(17)
+    async with line_site.Site(2) as site:
+        session = await site.connect("strict")
+        assert (await session.ask("WRITE x 1"))[0].startswith("DONE proof")
+        for instance in site.instances:
+            for _ in range(400):
+                for message in _sound():
+                    instance._fleet.datagram_received(_strange(message, rng), SENDER)
+        await asyncio.sleep(1.0)
+        assert (await session.ask("READ x"))[0] == "ROW 1"
+        assert all(one.ready for one in site.instances)
+
+
+async def test_forged_grants_name_no_primary():
+    """Only the duty's holder, by the lifetime that the store names, grants the use of a primary."""
+    async with line_site.Site(2) as site:
+        session = await site.connect("strict")
+        await session.ask("WRITE x 1")
+        forged = messages.Grants(
+            *("proxy-9", "forged", 99, 0.0, 1e9),
+            [messages.Grant("store-1", "b", 9, 0, POSITION, 0.0, "")],
+            1,
+        )
+        for instance in site.instances:
+            instance._fleet.datagram_received(messages.encode(forged), SENDER)
+            leader = instance.executor(line_site.SERVICE).group.permission.leader
+            assert leader is None or leader.member == "a"
+        assert (await session.ask("READ x"))[0] == "ROW 1"
+
+
+async def test_a_fault_in_one_datagram_does_not_close_the_socket(monkeypatch):
+    """One unexpected error must not end an instance's grants."""
+    async with line_site.Site(1) as site:
+        fleet = site.instances[0]._fleet
+
+        def fail(*_):
+            raise KeyError("unexpected")
+
+        monkeypatch.setattr(type(fleet), "_take", fail)
+        fleet.datagram_received(messages.encode(messages.Leaving("life", 1)), SENDER)
--- a/bilberrystack/routing/placement_test.py
+++ b/bilberrystack/routing/placement_test.py
@@ -45,6 +45,6 @@
 
 
 def test_waits_a_little_for_a_near_member():
-    """Bytes between failure domains were the largest price of a calm day, to save 10 ms of waiting."""
+    """Bytes between failure domains were the largest price of a calm day, to save 10 ms."""
     loads = [_load("near", in_flight=2), _load("far", near=False)]
     assert placement.choose(loads, True) == "near"
