Split what an owner runs from the forwarding to it

Ruled out: nothing. Change: moves only: OwnerServer to pooling/owner_server.py, the protocol Known to interfaces.py.

--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -20,6 +20,7 @@
 from bilberrystack.pooling import http
 from bilberrystack.pooling import interfaces
 from bilberrystack.pooling import member_link
+from bilberrystack.pooling import owner_server
 from bilberrystack.pooling import relay
 from bilberrystack.pooling import session
 from bilberrystack.pooling import settings
@@ -155,7 +156,7 @@
             running=self._tasks,
         )
         self._supervisor.send = self._fleet.send
-        self._owner = forwarding.OwnerServer(
+        self._owner = owner_server.OwnerServer(
             self.executor, self._directory, self.dialect, self.clock, self._tasks
         )
 
--- a/bilberrystack/pooling/interfaces.py
+++ b/bilberrystack/pooling/interfaces.py
@@ -105,6 +105,17 @@
     async def watch(self, revision: int, wait_s: float) -> Changes: ...
 
 
+class Known(Protocol):
+    """What an instance knows of configurations; see directory.Directory."""
+
+    @property
+    def configuration(self) -> model.Configuration | None: ...
+    @property
+    def version(self) -> int: ...
+
+    def learn_version(self, version: int) -> None: ...
+
+
 class Platform(Protocol):
     """The store and the platform's calls; see platform/client.py."""
 
--- a/bilberrystack/pooling/relay.py
+++ b/bilberrystack/pooling/relay.py
@@ -6,8 +6,8 @@
 
 import loguru
 
-from bilberrystack.pooling import forwarding
 from bilberrystack.pooling import member_link
+from bilberrystack.pooling import owner_server
 from bilberrystack.routing import model
 
 _LOG = loguru.logger.bind(component="relay")
@@ -25,7 +25,7 @@
 
     __slots__ = ("_is_member", "_lifetime", "_owner")
 
-    def __init__(self, lifetime: str, is_member: IsMember, owner: forwarding.OwnerServer) -> None:
+    def __init__(self, lifetime: str, is_member: IsMember, owner: owner_server.OwnerServer) -> None:
         self._lifetime = lifetime
         self._owner = owner
         self._is_member = is_member
