Log and export the store's era, and log lists that a cache ignores

Cause: the logs could not tell a list that is older by time from one of another copy of the store, and an ignored list left no line. Change: http.Response carries the header fields; the store client logs a risen Store-Era and exports it as a gauge; a cache logs an up-to-date list that it ignores; the lease logs the token that it replaces. No logic has changed.

--- a/bilberrystack/platform/client.py
+++ b/bilberrystack/platform/client.py
@@ -24,6 +24,10 @@
 # The platform answers a promotion request within 20 ms; after this time the connection is reset.
 PROMOTE_TIMEOUT_S = 0.6
 
+# Header of each response of the store. Its number rises by one each time that the store returns
+# from an older copy, in which revisions are lower than before.
+ERA_HEADER = "store-era"
+
 # HTTP status codes which mean that the call was not executed.
 _NOT_EXECUTED_STATUSES = (429, 503)
 
@@ -39,12 +43,18 @@
     Watches use connections of their own.
     """
 
-    __slots__ = ("_http", "_metrics", "_watch_http")
+    __slots__ = ("_era", "_http", "_metrics", "_watch_http")
 
     def __init__(self, endpoint: model.Endpoint, metrics: counters.Counters) -> None:
         self._http = http.Client(endpoint)
         self._watch_http = http.Client(endpoint)
         self._metrics = metrics
+        self._era: int | None = None
+
+    @property
+    def era(self) -> int:
+        """The newest era of the store that a response has shown; 0 before the first response."""
+        return 0 if self._era is None else self._era
 
     async def get(self, target: str, timeout_s: float = STORE_CALL_TIMEOUT_S) -> http.Response:
         """Read an object, a list of objects or the result of a watch.
@@ -94,6 +104,7 @@
             self._metrics.store_calls.inc({"result": "no_response"})
             raise interfaces.NoAnswer(str(error)) from error
         self._metrics.store_calls.inc({"result": str(response.status)})
+        self._observe_era(response)
         if response.status in _NOT_EXECUTED_STATUSES:
             raise interfaces.NotDone(f"status {response.status}")
         if response.status == 410:
@@ -102,6 +113,14 @@
             raise interfaces.NotDone(f"status {response.status}")
         return response
 
+    def _observe_era(self, response: http.Response) -> None:
+        era = _era_of(response)
+        if self._era is not None and era > self._era:
+            _LOG.warning("store has returned from an older copy", era=era, former=self._era)
+        if self._era is None or era > self._era:
+            self._era = era
+            self._metrics.store_era.set({}, era)
+
     def close(self) -> None:
         """Close the idle connections."""
         self._http.close()
@@ -400,6 +419,12 @@
     return {"meta": meta, "spec": spec}
 
 
+def _era_of(response: http.Response) -> int:
+    """Return the era of the store that a response comes from; 0 if it names none."""
+    text = response.headers.get(ERA_HEADER, "")
+    return int(text) if text.isascii() and text.isdecimal() else 0
+
+
 def _decode_body(response: http.Response, body_type: type[Decoded]) -> Decoded:
     """Decode the body of a store response.
 
--- a/bilberrystack/pooling/coordinator_lease.py
+++ b/bilberrystack/pooling/coordinator_lease.py
@@ -233,6 +233,7 @@
             "coordinator lease acquired",
             reason=reason,
             token=acquired.token,
+            former_token=0 if record is None else record.token,
             former="" if record is None or record.coordinator is None else record.coordinator.name,
         )
 
--- a/bilberrystack/pooling/counters.py
+++ b/bilberrystack/pooling/counters.py
@@ -28,6 +28,7 @@
         "retries",
         "sessions",
         "store_calls",
+        "store_era",
         "wait_seconds",
     )
 
@@ -40,6 +41,9 @@
             "confirmations_total", "Answers of a primary by how they were confirmed."
         )
         self.store_calls = self._counter("store_calls_total", "Calls to the store, by result.")
+        self.store_era = self._gauge(
+            "store_era", "Era of the store; it rises when the store returns from an older copy."
+        )
         self.promotion_calls = self._counter("duty_calls_total", "Calls for promotions, by result.")
         self.lease_changes = self._counter("duty_leases_total", "Changes of the promotion duty.")
         self.log_lines_dropped = self._counter(
--- a/bilberrystack/pooling/http.py
+++ b/bilberrystack/pooling/http.py
@@ -42,10 +42,12 @@
     Attributes:
       status: The HTTP status code.
       body: The body.
+      headers: The header fields by name in lower case.
     """
 
     status: int
     body: bytes
+    headers: collections.abc.Mapping[str, str]
 
 
 # Returns whether a call may still be sent.
@@ -60,13 +62,18 @@
 class _ResponseParser:
     """The receiver of the httptools callbacks for one response."""
 
-    __slots__ = ("_parts", "complete", "parser")
+    __slots__ = ("_headers", "_parts", "complete", "parser")
 
     def __init__(self) -> None:
+        self._headers: dict[str, str] = {}
         self._parts: list[bytes] = []
         self.complete = False
         self.parser = httptools.HttpResponseParser(self)
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Store a header field."""
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
     def on_body(self, part: bytes) -> None:
         """Store a part of the body."""
         self._parts.append(part)
@@ -77,7 +84,7 @@
 
     def response(self) -> Response:
         """Return the complete response."""
-        return Response(self.parser.get_status_code(), b"".join(self._parts))
+        return Response(self.parser.get_status_code(), b"".join(self._parts), self._headers)
 
 
 class Client:
--- a/bilberrystack/pooling/views.py
+++ b/bilberrystack/pooling/views.py
@@ -255,6 +255,13 @@
         self._note_store_regained()
         if self._revision is not None and snapshot.revision < self._revision:
             # An older snapshot must not undo newer changes.
+            if not allow_stale:
+                _LOG.warning(
+                    "list ignored: its revision is lower than that of the cache",
+                    kind=self._kind.name,
+                    revision=self._revision,
+                    found=snapshot.revision,
+                )
             return
         self._revision = snapshot.revision
         if self._items != snapshot.items or not self._listed:
