--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -181,6 +181,11 @@
         """The address at which other instances reach this one."""
         return self._own_instance.endpoint
 
+    @property
+    def known_instances(self) -> frozenset[str]:
+        """The names of the instances that own groups together, as far as this instance knows."""
+        return frozenset(known.name for known in self._directory.registered_instances())
+
     @property
     def ready(self) -> bool:
         """Whether the readiness probe tells the platform to send new sessions."""
--- a/bilberrystack_standins/platform_server.py
+++ b/bilberrystack_standins/platform_server.py
@@ -1,10 +1,12 @@
 """The platform of the session mode: a store of objects with revisions and watches, and promotions.
 
-Tests can make it refuse calls, delay updates, lose answers and drop its event history.
+Tests can make it refuse calls, delay updates, lose answers, drop its event history and return from
+an older copy.
 """
 
 import asyncio
 import collections
+import copy
 import dataclasses
 import json
 from typing import Any
@@ -16,8 +18,8 @@
 # Maximum number of objects in the answer to a list call.
 PAGE_SIZE = 50
 
-# Not used: the event history has no limit.
-HISTORY_SIZE = 200
+# Kinds whose objects the operator and the members write again after the store has lost changes.
+REWRITTEN_KINDS = ("config", "servers")
 
 
 @dataclasses.dataclass(slots=True)
@@ -45,12 +47,26 @@
     fencing_token: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """A copy of the store's contents.
+
+    Attributes:
+      revision: The revision of the last change in it.
+      objects: The objects by kind and name.
+    """
+
+    revision: int
+    objects: dict[str, dict[str, dict[str, Any]]]
+
+
 class PlatformServer:
     """The store and the platform's promotion calls on one port.
 
     Attributes:
       groups: The database groups by name.
       revision: The revision of the last change.
+      era: Number of times that the store has returned from an older copy, plus one.
       calls: All calls to the store.
       promotion_requests: All promotion requests.
       calls_to_refuse: Number of the next store calls that are refused with status 503.
@@ -65,6 +81,7 @@
     def __init__(self, groups: dict[str, line_group.LineGroup]) -> None:
         self.groups = groups
         self.revision = 10
+        self.era = 1
         self.calls: list[StoreCall] = []
         self.promotion_requests: list[PromotionRequest] = []
         self.calls_to_refuse = 0
@@ -88,6 +105,7 @@
     async def start(self) -> None:
         """Starts listening; after a stop, on the same port as before."""
         app = web.Application()
+        app.on_response_prepare.append(self._add_era)
         app.router.add_post("/promote", self._handle_promotion)
         app.router.add_route("*", "/objects/{kind}", self._handle_kind)
         app.router.add_route("*", "/objects/{kind}/{name}", self._handle_object)
@@ -115,6 +133,10 @@
         self._events[kind].append((self.revision, stored_object, True))
         await self._notify_watches()
 
+    def remove_silently(self, kind: str, name: str) -> None:
+        """Removes an object without an event, as if its writer ended during an outage."""
+        del self._objects[kind][name]
+
     def drop_history(self) -> None:
         """Drops the event history, so that watching clients have to list the objects again."""
         for kind in list(self._objects):
@@ -122,10 +144,38 @@
             self._oldest_watchable_revision[kind] = self.revision + 1
         self.revision += 1
 
+    def copy(self) -> StoreCopy:
+        """Returns a copy of the present contents."""
+        return StoreCopy(self.revision, copy.deepcopy(dict(self._objects)))
+
+    async def restore(self, older: StoreCopy) -> None:
+        """Returns to an older copy; then the operator and the members write their objects again.
+
+        Revisions go back to that of the copy, and waiting watches end with status 410.
+        """
+        written = {kind: dict(self._objects[kind]) for kind in REWRITTEN_KINDS}
+        self.era += 1
+        self.revision = older.revision
+        self._objects.clear()
+        self._objects.update(copy.deepcopy(older.objects))
+        self._events.clear()
+        self._oldest_watchable_revision.clear()
+        for kind, objects in written.items():
+            for name, stored_object in objects.items():
+                self._store(kind, name, stored_object["spec"])
+        await self._notify_watches()
+
+    async def _add_era(self, _request: web.Request, response: web.StreamResponse) -> None:
+        response.headers["Store-Era"] = str(self.era)
+
     def get(self, kind: str, name: str) -> Any:
         """Returns an object's spec."""
         return self._objects[kind][name]["spec"]
 
+    def get_revision(self, kind: str, name: str) -> int:
+        """Returns the revision of an object's last change."""
+        return int(self._objects[kind][name]["meta"]["rev"])
+
     def object_names(self, kind: str) -> list[str]:
         """Returns the names of the objects of a kind, sorted."""
         return sorted(self._objects[kind])
@@ -189,16 +239,19 @@
     async def _watch(self, kind: str, request: web.Request) -> web.Response:
         after_revision = int(request.query["watch"])
         wait_s = int(request.query.get("wait_ms", "0")) / 1000
-        if after_revision < self._oldest_watchable_revision[kind]:
+        era = self.era
+        if not self._is_watchable(kind, after_revision):
             return web.Response(status=410)
         try:
             async with asyncio.timeout(wait_s):
                 async with self._changed:
-                    await self._changed.wait_for(lambda: self._events_after(kind, after_revision))
+                    await self._changed.wait_for(
+                        lambda: self.era != era or self._events_after(kind, after_revision)
+                    )
         except TimeoutError:
             # No change within the requested time: the answer is empty.
             pass
-        if after_revision < self._oldest_watchable_revision[kind]:
+        if self.era != era or not self._is_watchable(kind, after_revision):
             return web.Response(status=410)
         events = [
             {"object": stored_object, "deleted": deleted}
@@ -206,6 +259,9 @@
         ]
         return web.json_response({"events": events, "current_rev": self.revision})
 
+    def _is_watchable(self, kind: str, revision: int) -> bool:
+        return self._oldest_watchable_revision[kind] <= revision <= self.revision
+
     def _events_after(
         self, kind: str, after_revision: int
     ) -> list[tuple[int, dict[str, Any], bool]]:
@@ -297,7 +353,7 @@
         state = state or (
             existing_record["spec"]["state"] if existing_record is not None else "ready"
         )
-        spec = {
+        spec: dict[str, Any] = {
             "service": member.group.name,
             "address": address or member.address,
             "zone": "a",
@@ -309,6 +365,10 @@
             "seq": 1,
             "born": 1_700_000_000_000,
         }
+        if existing_record is not None:
+            spec["seq"] = existing_record["spec"]["seq"]
+            if spec != existing_record["spec"]:
+                spec["seq"] += 1
         await self.put("servers", member.id, spec)
 
 
