Compare revisions of the store by era, and trust an up-to-date list

Cause: a cache took a list with a lower revision for an older one. After the store had returned from an older copy, each list was ignored, the next watch got 410, and both were repeated unpaused; once the store reached the cache's revision again, the changes before it were skipped without a 410. The class: a number compared outside the history that gives it its meaning. Conclusion: the caches follow a restored store.

--- a/bilberrystack/platform/client.py
+++ b/bilberrystack/platform/client.py
@@ -51,10 +51,13 @@
         self._metrics = metrics
         self._era: int | None = None
 
-    @property
-    def era(self) -> int:
-        """The newest era of the store that a response has shown; 0 before the first response."""
-        return 0 if self._era is None else self._era
+    def era_of(self, response: http.Response) -> int:
+        """Return the era of the store that a response comes from.
+
+        A response without a valid era counts as one of the newest known era.
+        """
+        text = response.headers.get(ERA_HEADER, "")
+        return int(text) if text.isascii() and text.isdecimal() else self._era or 0
 
     async def get(self, target: str, timeout_s: float = STORE_CALL_TIMEOUT_S) -> http.Response:
         """Read an object, a list of objects or the result of a watch.
@@ -114,7 +117,7 @@
         return response
 
     def _observe_era(self, response: http.Response) -> None:
-        era = _era_of(response)
+        era = self.era_of(response)
         if self._era is not None and era > self._era:
             _LOG.warning("store has returned from an older copy", era=era, former=self._era)
         if self._era is None or era > self._era:
@@ -154,14 +157,17 @@
         """
         stale_parameter = "stale_ok=1" if allow_stale else ""
         items: dict[str, object] = {}
-        revision: int | None = None
+        revision: interfaces.Revision | None = None
         target = f"/objects/{self.name}" + (f"?{stale_parameter}" if stale_parameter else "")
         while True:
             response = await self._store.get(target)
             page = _decode_body(response, objects.ListPage)
+            page_revision = interfaces.Revision(self._store.era_of(response), page.current_rev)
             # A watch continues from the revision of the first page, so that it returns changes that
             # are made while the pages are read.
-            revision = page.current_rev if revision is None else revision
+            revision = revision or page_revision
+            if page_revision.era != revision.era:
+                raise interfaces.NotDone("the pages of the list are from two eras of the store")
             last_name = ""
             for raw in page.items:
                 name, item = self._decode_object(raw)
@@ -175,7 +181,7 @@
                 f"&{stale_parameter}" if stale_parameter else ""
             )
 
-    async def watch(self, revision: int, wait_s: float) -> interfaces.Changes:
+    async def watch(self, revision: interfaces.Revision, wait_s: float) -> interfaces.Changes:
         """Return the changes since a revision, as soon as there are any.
 
         An object that can no longer be decoded is returned as deleted.
@@ -184,18 +190,22 @@
           revision: The store's revision to start from.
           wait_s: Maximum wait for a change, in seconds.
         Raises:
-          interfaces.HistoryGone: The revision is no longer in the store's history.
+          interfaces.HistoryGone: The revision is not in the store's history.
           interfaces.StoreFailure: The store did not answer with a valid response.
         """
-        target = f"/objects/{self.name}?watch={revision}&wait_ms={round(wait_s * 1000)}"
+        target = f"/objects/{self.name}?watch={revision.number}&wait_ms={round(wait_s * 1000)}"
         response = await self._store.get(target, wait_s + WATCH_TIMEOUT_MARGIN_S)
+        era = self._store.era_of(response)
+        if era != revision.era:
+            # The number belongs to another change in this era, so that changes may be missing.
+            raise interfaces.HistoryGone(target)
         watched = _decode_body(response, objects.WatchResult)
         items: dict[str, object | None] = {}
         for event in watched.events:
             name, item = self._decode_object(event.object)
             if name:
                 items[name] = None if event.deleted else item
-        return interfaces.Changes(items, watched.current_rev)
+        return interfaces.Changes(items, interfaces.Revision(era, watched.current_rev))
 
     def _decode_object(self, raw: msgspec.Raw) -> tuple[str, object | None]:
         """Decode an object.
@@ -419,12 +429,6 @@
     return {"meta": meta, "spec": spec}
 
 
-def _era_of(response: http.Response) -> int:
-    """Return the era of the store that a response comes from; 0 if it names none."""
-    text = response.headers.get(ERA_HEADER, "")
-    return int(text) if text.isascii() and text.isdecimal() else 0
-
-
 def _decode_body(response: http.Response, body_type: type[Decoded]) -> Decoded:
     """Decode the body of a store response.
 
--- a/bilberrystack/pooling/interfaces.py
+++ b/bilberrystack/pooling/interfaces.py
@@ -44,6 +44,25 @@
     def encode_prepare(self, name: str, access: statements.Access, text: str) -> bytes: ...
 
 
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Revision:
+    """A revision of the store.
+
+    When the store returns from an older copy, its revision numbers go back and are given out again,
+    and its era rises. Revisions therefore compare by era first.
+
+    Attributes:
+      era: Number of the store's history.
+      number: Number of the change within that history.
+    """
+
+    era: int
+    number: int
+
+    def __str__(self) -> str:
+        return f"{self.era}.{self.number}"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaseRecord:
     """The coordinator lease as stored.
@@ -76,7 +95,7 @@
 
 
 class HistoryGone(StoreFailure):
-    """The revision to watch from is no longer in the store's history; a new list is needed."""
+    """The revision to watch from is not in the store's history; a new list is needed."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,7 +108,7 @@
     """
 
     items: dict[str, object]
-    revision: int
+    revision: Revision
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,7 +121,7 @@
     """
 
     items: dict[str, object | None]
-    revision: int
+    revision: Revision
 
 
 class ObjectKind(Protocol):
@@ -115,7 +134,7 @@
     def name(self) -> str: ...
 
     async def list(self, allow_stale: bool = False) -> Snapshot: ...
-    async def watch(self, revision: int, wait_s: float) -> Changes: ...
+    async def watch(self, revision: Revision, wait_s: float) -> Changes: ...
 
 
 class ConfigurationSource(Protocol):
--- a/bilberrystack/pooling/views.py
+++ b/bilberrystack/pooling/views.py
@@ -52,6 +52,7 @@
         "_kind",
         "_listed",
         "_on_change",
+        "_relisted",
         "_revision",
         "_store_lost",
         "_watch_enabled",
@@ -85,9 +86,11 @@
         self._watch_enabled.set()
         self._check_requested = asyncio.Event()
         self._watch_task: asyncio.Task[interfaces.Changes] | None = None
-        self._revision: int | None = None
+        self._revision: interfaces.Revision | None = None
         self._store_lost = False
         self._listed = False
+        # Whether the last list was needed because of the history; cleared by the next changes.
+        self._relisted = False
 
     @property
     def items(self) -> collections.abc.Mapping[str, object]:
@@ -99,6 +102,11 @@
         """Whether the store has been read at least once."""
         return self._revision is not None
 
+    @property
+    def era(self) -> int:
+        """The era of the store that the objects come from; 0 before the first list."""
+        return 0 if self._revision is None else self._revision.era
+
     @property
     def store_lost(self) -> bool:
         """Whether the store is unavailable: the last list or watch failed."""
@@ -118,6 +126,7 @@
                 self._note_store_lost(failure)
                 await asyncio.sleep(RETRY_DELAY_S * random.uniform(0.5, 1.5))
             else:
+                self._note_store_regained()
                 await asyncio.sleep(next(intervals_s) * random.uniform(0.9, 1.1))
 
     @property
@@ -140,27 +149,35 @@
 
     async def follow(self) -> None:
         """Keep the cache up to date with a list and watches until cancelled."""
+        list_needed = True
         while True:
             try:
-                await self._list_or_watch()
+                if list_needed:
+                    await self._list()
+                    self._note_store_regained()
+                    list_needed = False
+                await self._watch_once()
             except interfaces.HistoryGone:
                 _LOG.info(
-                    "watched revision is no longer in the store's history; listing again",
+                    "watched revision is not in the store's history; listing again",
                     kind=self._kind.name,
+                    revision=str(self._revision),
                 )
-                await self._relist()
+                if self._relisted:
+                    # The last list did not help, so that the next one waits.
+                    await asyncio.sleep(RETRY_DELAY_S * random.uniform(0.5, 1.5))
+                self._relisted = list_needed = True
             except interfaces.StoreFailure as failure:
                 self._note_store_lost(failure)
                 await asyncio.sleep(RETRY_DELAY_S * random.uniform(0.5, 1.5))
 
-    async def _list_or_watch(self) -> None:
-        if self._revision is None:
-            await self._list()
-            return
+    async def _watch_once(self) -> None:
+        assert self._revision is not None
         await self._watch_enabled.wait()
         changes = await self._watch_changes(self._revision)
         if changes is None:
             return
+        self._relisted = False
         self._note_store_regained()
         if changes.revision < self._revision:
             # `check` has read a newer snapshot while these changes were on their way.
@@ -175,7 +192,7 @@
             self._on_change()
             await asyncio.sleep(self._batch_delay_s)
 
-    async def _watch_changes(self, revision: int) -> interfaces.Changes | None:
+    async def _watch_changes(self, revision: interfaces.Revision) -> interfaces.Changes | None:
         """Watch for changes; return None if the watch was cancelled."""
         self._watch_task = asyncio.ensure_future(self._kind.watch(revision, self._watch_timeout_s))
         try:
@@ -211,63 +228,58 @@
             if self._revision is None:
                 continue
             try:
-                missed = self._apply_newer_snapshot(await self._kind.list(allow_stale=True))
-                if requested and not missed:
+                replaced = await self._list(allow_stale=True)
+                if requested and not replaced:
                     # The cheap list was too old to contain what the other instance knows of.
-                    self._apply_newer_snapshot(await self._kind.list())
+                    await self._list()
             except interfaces.StoreFailure as failure:
                 # The watch notices an outage too, and logs it once.
                 _LOG.debug(
                     "check for missed changes failed", kind=self._kind.name, failure=str(failure)
                 )
 
-    def _apply_newer_snapshot(self, snapshot: interfaces.Snapshot) -> bool:
-        """Replace the cached objects if a snapshot is newer and differs.
+    async def _list(self, allow_stale: bool = False) -> bool:
+        """List the objects, and replace the cached ones unless the list is older.
 
         Returns:
           Whether the cached objects were replaced.
         """
-        assert self._revision is not None
-        if snapshot.revision <= self._revision or snapshot.items == self._items:
+        known = self._revision
+        snapshot = await self._kind.list(allow_stale)
+        if allow_stale and known is not None and snapshot.revision.era > known.era:
+            # A list that may be stale can hold contents from before the store's return.
+            allow_stale = False
+            snapshot = await self._kind.list()
+        previous = self._revision
+        # An up-to-date list is newer than what was known before it, whatever its revision.
+        certainly_newer = not allow_stale and previous == known
+        if previous is not None and snapshot.revision <= previous and not certainly_newer:
             return False
-        if self._watch_task is not None:
-            _LOG.info(
-                "watch has missed changes; cache replaced by a newer snapshot",
+        replaced = not self._listed or snapshot.items != self._items
+        restored = previous is not None and (
+            snapshot.revision.era != previous.era or snapshot.revision < previous
+        )
+        if restored or (replaced and self._watch_task is not None):
+            _LOG.warning(
+                (
+                    "store's history has changed; cache continues from a new list"
+                    if restored
+                    else "watch has missed changes; cache replaced by a newer snapshot"
+                ),
                 kind=self._kind.name,
-                revision=self._revision,
-                found=snapshot.revision,
+                revision=str(previous),
+                found=str(snapshot.revision),
+                replaced=replaced,
             )
-            self._watch_task.cancel()
-        self._revision = snapshot.revision
-        self._items = dict(snapshot.items)
-        self._on_change()
-        return True
-
-    async def _relist(self) -> None:
-        try:
-            await self._list()
-        except interfaces.StoreFailure as failure:
-            self._note_store_lost(failure)
-            await asyncio.sleep(RETRY_DELAY_S * random.uniform(0.5, 1.5))
-
-    async def _list(self, allow_stale: bool = False) -> None:
-        snapshot = await self._kind.list(allow_stale)
-        self._note_store_regained()
-        if self._revision is not None and snapshot.revision < self._revision:
-            # An older snapshot must not undo newer changes.
-            if not allow_stale:
-                _LOG.warning(
-                    "list ignored: its revision is lower than that of the cache",
-                    kind=self._kind.name,
-                    revision=self._revision,
-                    found=snapshot.revision,
-                )
-            return
-        self._revision = snapshot.revision
-        if self._items != snapshot.items or not self._listed:
+        if restored or replaced or (self._watch_task is None and not allow_stale):
+            self._revision = snapshot.revision
+            if self._watch_task is not None:
+                self._watch_task.cancel()
+        if replaced:
             self._listed = True
             self._items = dict(snapshot.items)
             self._on_change()
+        return replaced
 
     def _note_store_lost(self, failure: interfaces.StoreFailure) -> None:
         if not self._store_lost:
@@ -275,7 +287,7 @@
             _LOG.warning(
                 "store unavailable; cache may be out of date",
                 kind=self._kind.name,
-                revision=self._revision,
+                revision=str(self._revision),
                 failure=type(failure).__name__,
                 detail=str(failure),
             )
@@ -283,4 +295,4 @@
     def _note_store_regained(self) -> None:
         if self._store_lost:
             self._store_lost = False
-            _LOG.info("store available again", kind=self._kind.name, revision=self._revision)
+            _LOG.info("store available again", kind=self._kind.name, revision=str(self._revision))
