Ignore records from a store's older copy that are older than known ones

Callers would see: a leaving member, or one that had left, is offered work again after the store has returned from an older copy (DRAIN). Cause: the directory applied each record that the store held. Within one history the newest revision is the newest record; a copy holds records from before what is already known. Change: a record carries the member's start and the number of the report that wrote it (the store's field is required now, as the format says). For 30 s after a new era of the store, a record that is older than the last known one of its member is ignored: a present member keeps its newest record, a removed one stays removed. Ruled out: the order alone, in any era: a member whose time of day steps back restarts with an earlier start time and would be ignored for good.

--- a/bilberrystack/platform/objects.py
+++ b/bilberrystack/platform/objects.py
@@ -126,6 +126,8 @@
     # Number of statements that the member runs concurrently.
     slots: int
     state: typing.Literal["ready", "draining"]
+    # Number of the liveness report that last changed the record.
+    seq: int
     # Start time in Unix milliseconds.
     born: int
     # Role that the member reports for itself.
@@ -235,6 +237,7 @@
         leaving=spec.state == "draining",
         role=_ROLES[spec.db_role],
         started_ms=spec.born,
+        report_number=spec.seq,
     )
 
 
--- a/bilberrystack/pooling/directory.py
+++ b/bilberrystack/pooling/directory.py
@@ -16,6 +16,11 @@
 # limit is the 7 s after which a member that has left may get no more requests.
 MISSING_MEMBER_RETENTION_S = 4.0
 
+# A store that returns from an older copy holds older records until the members have written theirs
+# again, which takes a few heartbeats. Within this time after its return, a record is ignored if it
+# is older than a known one. The records of removed members are remembered for as long.
+COPY_GUARD_S = 30.0
+
 # Members register one by one when a site starts. Collecting their records may delay a change by
 # this much: a leaving member serves for another 7 s, and a failed primary is detected because it
 # becomes unresponsive.
@@ -37,7 +42,11 @@
     __slots__ = (
         "_clock",
         "_configuration",
+        "_copy_guard_until_s",
+        "_ignored_records",
+        "_member_era",
         "_missing_since_s",
+        "_removed_members",
         "_retained_members",
         "configurations",
         "instances",
@@ -73,6 +82,11 @@
         self._configuration: model.Configuration | None = None
         self._retained_members: dict[str, model.Member] = {}
         self._missing_since_s: dict[str, float] = {}
+        # The last record of each member that was removed recently, and when.
+        self._removed_members: dict[str, tuple[model.Member, float]] = {}
+        self._member_era = 0
+        self._copy_guard_until_s = float("-inf")
+        self._ignored_records: dict[str, model.Member] = {}
 
     @property
     def loaded(self) -> bool:
@@ -140,13 +154,18 @@
                 _LOG.info("configuration in force", version=item.version, routes=len(item.routes))
         self._refresh_members()
 
+    @property
+    def refresh_due(self) -> bool:
+        """Whether records that are missing or ignored have to be looked at again."""
+        return bool(self._missing_since_s or self._ignored_records)
+
     def _refresh_members(self) -> None:
         now_s = self._clock()
-        present = {
-            name: item
-            for name, item in self.members.items.items()
-            if isinstance(item, model.Member)
-        }
+        if self.members.era != self._member_era:
+            if self._member_era:
+                self._copy_guard_until_s = now_s + COPY_GUARD_S
+            self._member_era = self.members.era
+        present = self._present_members(now_s)
         for name, member in present.items():
             previous = self._retained_members.get(name)
             if previous != member:
@@ -163,18 +182,55 @@
         for name in self._retained_members.keys() - present.keys() - self._missing_since_s.keys():
             self._missing_since_s[name] = now_s
             _LOG.info("member record has left the store; member retained for now", member=name)
+        self._remove_missing_members(now_s)
+        self._retained_members = {
+            name: member
+            for name, member in self._retained_members.items()
+            if name in self._missing_since_s
+        } | present
+
+    def _present_members(self, now_s: float) -> dict[str, model.Member]:
+        """Return the members whose records are in the store, each as in its newest known record."""
+        guarded = now_s < self._copy_guard_until_s
+        present: dict[str, model.Member] = {}
+        ignored: dict[str, model.Member] = {}
+        for name, item in self.members.items.items():
+            if not isinstance(item, model.Member):
+                continue
+            retained = self._retained_members.get(name)
+            removed, _ = self._removed_members.get(name, (None, 0.0))
+            newest = retained or removed
+            if newest is None or not guarded or not _is_outdated(item, newest, retained is None):
+                present[name] = item
+                continue
+            ignored[name] = item
+            if retained is not None:
+                present[name] = retained
+            if self._ignored_records.get(name) != item:
+                _LOG.info(
+                    "older record of a member ignored",
+                    member=name,
+                    report=item.report_number,
+                    known_report=newest.report_number,
+                    removed=retained is None,
+                )
+        self._ignored_records = ignored
+        return present
+
+    def _remove_missing_members(self, now_s: float) -> None:
+        """Remove the members whose records have been missing for too long."""
         for name, since_s in list(self._missing_since_s.items()):
             if self.members.store_lost:
                 self._missing_since_s[name] = now_s
             elif now_s - since_s >= MISSING_MEMBER_RETENTION_S:
                 del self._missing_since_s[name]
-                self._retained_members.pop(name, None)
+                member = self._retained_members.pop(name, None)
+                if member is not None:
+                    self._removed_members[name] = (member, now_s)
                 _LOG.info("member removed: its record has not come back", member=name)
-        self._retained_members = {
-            name: member
-            for name, member in self._retained_members.items()
-            if name in self._missing_since_s
-        } | present
+        for name, (_, removed_at_s) in list(self._removed_members.items()):
+            if now_s - removed_at_s >= COPY_GUARD_S:
+                del self._removed_members[name]
 
     def members_of(self, service: str) -> list[model.Member]:
         """Return a group's members, including those whose records have just left the store.
@@ -187,3 +243,16 @@
     def registered_instances(self) -> list[model.Instance]:
         """Return all instances that are registered in the store, this one included."""
         return [item for item in self.instances.items.values() if isinstance(item, model.Instance)]
+
+
+def _is_outdated(record: model.Member, newest: model.Member, removed: bool) -> bool:
+    """Return whether a record is from before the last one that is known of its member.
+
+    Args:
+      record: The record in the store.
+      newest: The last known record.
+      removed: Whether the member has been removed since, so that its last record is outdated too.
+    """
+    if removed:
+        return record.record_age_key <= newest.record_age_key
+    return record.record_age_key < newest.record_age_key
--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -490,7 +490,7 @@
         expected_listed_at_s = self.clock() + MAX_LISTING_DELAY_S
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
-            if self._directory.missing_members:
+            if self._directory.refresh_due:
                 self._apply_store_change()
             owned = any(served_group.owned for served_group in self._groups.values())
             # Until the store lists this instance and the others, it may wrongly compute that it is
--- a/bilberrystack/routing/model.py
+++ b/bilberrystack/routing/model.py
@@ -111,6 +111,8 @@
       role: Role that it reports for itself; None if the record has none.
       started_ms: Start time in Unix milliseconds. A changed value means that the member has
         restarted and kept no earlier connection or transaction.
+      report_number: Number of the report that the record comes from. It counts the reports since
+        the member's start.
     """
 
     id: str
@@ -121,6 +123,12 @@
     leaving: bool
     role: Role | None
     started_ms: int
+    report_number: int = 0
+
+    @property
+    def record_age_key(self) -> tuple[int, int]:
+        """Orders the records of one member by the time at which the member wrote them."""
+        return self.started_ms, self.report_number
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
