Keep fencing tokens rising and one lease holder when the store loses changes

Cause: a successor took the restored record for the last one. It computed its token from it (27 after 34), acquired a lease that only looked free, and a renewal or release could match a revision that was given out again. Ruled out: lost renewals alone (a Conflict was followed by a reading before). Change: the record names the era that its writer knew. A record of an earlier era, or none, is no sign that the lease is free: others wait for the full duration, unless the whole system starts for the first time (the platform's setting). The last holder, whose lease others respect meanwhile, writes its record again with its token. After a failed call, or in a new era, a holder reads before it renews. Tokens count eras first. The adapter has one conditional write instead of acquire, renew and release, and no longer decides on tokens. The stand-in's holder answers probes in the tests of this fault, since an ended process may be replaced at once; the renewal test has two cases. Conclusion: safe tokens cost up to 9 s without a coordinator if the store's return and the loss of the coordinator coincide.

--- a/bilberrystack/platform/client.py
+++ b/bilberrystack/platform/client.py
@@ -51,13 +51,18 @@
         self._metrics = metrics
         self._era: int | None = None
 
+    @property
+    def era(self) -> int:
+        """The newest era of the store that a response has shown; 0 before the first response."""
+        return self._era or 0
+
     def era_of(self, response: http.Response) -> int:
         """Return the era of the store that a response comes from.
 
         A response without a valid era counts as one of the newest known era.
         """
         text = response.headers.get(ERA_HEADER, "")
-        return int(text) if text.isascii() and text.isdecimal() else self._era or 0
+        return int(text) if text.isascii() and text.isdecimal() else self.era
 
     async def get(self, target: str, timeout_s: float = STORE_CALL_TIMEOUT_S) -> http.Response:
         """Read an object, a list of objects or the result of a watch.
@@ -298,81 +303,53 @@
         """
         await self._store.change("DELETE", f"/objects/{objects.INSTANCE_KIND}/{name}")
 
-    async def read_coordinator_lease(self) -> interfaces.LeaseRecord | None:
-        """Return the coordinator lease; None if no instance has ever held it.
+    @property
+    def store_era(self) -> int:
+        """The newest era of the store that a response has shown; 0 before the first response."""
+        return self._store.era
+
+    async def read_coordinator_lease(self) -> interfaces.LeaseRecord:
+        """Return the coordinator lease.
 
         Raises:
           interfaces.StoreFailure: The store did not answer with a valid response.
           msgspec.MsgspecError, ValueError: The content of the lease is malformed.
         """
         response = await self._store.get(f"/objects/{objects.LEASE_KIND}/{objects.LEASE_NAME}")
+        era = self._store.era_of(response)
         if response.status == 404:
-            return None
-        return objects.decode_lease(_decode_body(response, objects.StoredObject))
+            return interfaces.LeaseRecord(None, 0, interfaces.Revision(era, 0), era)
+        return objects.decode_lease(_decode_body(response, objects.StoredObject), era)
 
-    async def acquire_coordinator_lease(
-        self, coordinator: model.Instance, last_read: interfaces.LeaseRecord | None
+    async def write_coordinator_lease(
+        self, replaced: interfaces.LeaseRecord, coordinator: model.Instance | None, token: int
     ) -> interfaces.LeaseRecord:
-        """Acquire the coordinator lease if it has not changed since it was last read.
-
-        The new fencing token is at least the revision of the record that it replaces, and greater
-        than that record's token, so that it is greater than the tokens of all earlier coordinators.
+        """Replace the coordinator lease if it is still as it was last read or written.
 
         Args:
-          coordinator: The instance that acquires the lease.
-          last_read: The record as last read; None if there was none.
+          replaced: The record as last read or written.
+          coordinator: The instance that holds the lease from now on; None to release it.
+          token: Its fencing token.
         Returns:
           The record as written.
         Raises:
           interfaces.Conflict: The record has changed since.
-          interfaces.StoreFailure: The lease may not have been acquired.
+          interfaces.StoreFailure: The record may not have been written.
           msgspec.MsgspecError, ValueError: The content of the returned lease is malformed.
         """
-        if last_read is None:
-            body = _encode_object(objects.LEASE_NAME, objects.encode_lease(coordinator, 1, 0))
-            response = await self._store.change("POST", f"/objects/{objects.LEASE_KIND}", body)
-        else:
-            token = max(last_read.revision, last_read.token + 1)
-            response = await self._put_lease(coordinator, token, last_read.revision)
-        return objects.decode_lease(_decode_body(response, objects.StoredObject))
-
-    async def renew_coordinator_lease(self, held: interfaces.LeaseRecord) -> interfaces.LeaseRecord:
-        """Renew the coordinator lease.
-
-        Args:
-          held: The record as last written or read by the coordinator.
-        Returns:
-          The record as written.
-        Raises:
-          interfaces.Conflict: The record has changed since.
-          interfaces.StoreFailure: The lease may not have been renewed.
-          msgspec.MsgspecError, ValueError: The content of the returned lease is malformed.
-        """
-        response = await self._put_lease(held.coordinator, held.token, held.revision)
-        return objects.decode_lease(_decode_body(response, objects.StoredObject))
-
-    async def release_coordinator_lease(self, held: interfaces.LeaseRecord) -> None:
-        """Release the coordinator lease.
-
-        Args:
-          held: The record as last written or read by the coordinator.
-        Raises:
-          interfaces.Conflict: The record has changed since.
-          interfaces.StoreFailure: The lease may not have been released.
-        """
-        await self._put_lease(None, held.token, held.revision)
-
-    async def _put_lease(
-        self, coordinator: model.Instance | None, token: int, revision: int
-    ) -> http.Response:
         self._lease_write_count += 1
-        body = _encode_object(
-            objects.LEASE_NAME,
-            objects.encode_lease(coordinator, token, self._lease_write_count),
-            revision,
-        )
-        target = f"/objects/{objects.LEASE_KIND}/{objects.LEASE_NAME}"
-        return await self._store.change("PUT", target, body)
+        era = replaced.revision.era
+        spec = objects.encode_lease(coordinator, token, self._lease_write_count, era)
+        target = f"/objects/{objects.LEASE_KIND}"
+        if replaced.exists:
+            body = _encode_object(objects.LEASE_NAME, spec, replaced.revision.number)
+            response = await self._store.change("PUT", f"{target}/{objects.LEASE_NAME}", body)
+        else:
+            response = await self._store.change(
+                "POST", target, _encode_object(objects.LEASE_NAME, spec)
+            )
+        stored = _decode_body(response, objects.StoredObject)
+        return objects.decode_lease(stored, self._store.era_of(response))
 
     async def promote(
         self, service: str, member: str, coordinator: str, token: int, *, may_send: http.MaySend
--- a/bilberrystack/platform/objects.py
+++ b/bilberrystack/platform/objects.py
@@ -163,6 +163,8 @@
     token: int
     # Number of writes by the coordinator's process. It makes each renewal a change of the object.
     count: int
+    # Era of the store that the writer knew.
+    era: int = 0
 
 
 _CONSISTENCY = {
@@ -261,11 +263,12 @@
     )
 
 
-def decode_lease(stored: StoredObject) -> interfaces.LeaseRecord:
+def decode_lease(stored: StoredObject, era: int) -> interfaces.LeaseRecord:
     """Decode the coordinator lease.
 
     Args:
       stored: The object as the store returned it.
+      era: Era of the store that returned it.
     Raises:
       msgspec.MsgspecError, ValueError: The content is malformed.
     """
@@ -278,11 +281,12 @@
             parse_endpoint(spec.holder.address),
             spec.holder.zone,
         )
-    return interfaces.LeaseRecord(coordinator, spec.token, stored.meta.rev)
+    revision = interfaces.Revision(era, stored.meta.rev)
+    return interfaces.LeaseRecord(coordinator, spec.token, revision, spec.era)
 
 
 def encode_lease(
-    coordinator: model.Instance | None, token: int, write_count: int
+    coordinator: model.Instance | None, token: int, write_count: int, era: int
 ) -> msgspec.Struct:
     """Return the content of the coordinator lease.
 
@@ -290,13 +294,14 @@
       coordinator: The instance that holds the lease; None to release it.
       token: Fencing token of the coordinator.
       write_count: Number of writes by the coordinator's process, which makes each write a change.
+      era: Era of the store that the writer knows.
     """
     if coordinator is None:
-        return _LeaseSpec(None, token, write_count)
+        return _LeaseSpec(None, token, write_count, era)
     holder = _CoordinatorSpec(
         coordinator.name,
         coordinator.incarnation,
         str(coordinator.endpoint),
         coordinator.failure_domain,
     )
-    return _LeaseSpec(holder, token, write_count)
+    return _LeaseSpec(holder, token, write_count, era)
--- a/bilberrystack/platform/settings_file.py
+++ b/bilberrystack/platform/settings_file.py
@@ -59,6 +59,8 @@
     cloud: _PlatformApi
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    # Whether the whole system starts for the first time.
+    bootstrap: bool = False
 
 
 # Offsets from the first internal port.
@@ -136,6 +138,7 @@
     return result.Success(
         settings.Settings(
             name=file.node_name,
+            first_start=file.bootstrap,
             failure_domain=file.zone,
             sessions_endpoint=sessions_endpoint,
             readiness_endpoint=readiness_endpoint,
--- a/bilberrystack/pooling/coordinator_lease.py
+++ b/bilberrystack/pooling/coordinator_lease.py
@@ -4,6 +4,10 @@
 last successful renewal; other instances count from when they first read the record in its present
 revision. No clocks are compared between machines. An instance acquires a lease before it expires
 only if the coordinator's process has certainly ended.
+
+The store may return from an older copy, in which the record is an earlier one or missing. Its last
+holder then writes it again. To other instances a record from before the store's return shows only
+that there may be a holder, so that they wait for the full duration.
 """
 
 import asyncio
@@ -43,6 +47,11 @@
 # for this long, so that one of the others can.
 RESIGN_BACKOFF_S = 2.0
 
+# A fencing token is at least the era of the store times this number, plus the number of the
+# revision that it replaces. A store that returns from an older copy can hold a lower token and give
+# the revision out again, but its era has risen.
+TOKENS_PER_ERA = 2**32
+
 # Maximum wait for the coordinator's process to connect, and again to answer a probe.
 PROBE_TIMEOUT_S = 0.5
 
@@ -50,6 +59,10 @@
 SETTLE_DELAY_S = primary_change.PROMOTION_EFFECT_S
 
 
+# Reason to acquire the lease when the system starts for the first time.
+_NEVER_HELD = "never held before"
+
+
 class CoordinatorLease:
     """This instance's view of the coordinator lease.
 
@@ -64,11 +77,14 @@
     __slots__ = (
         "_backoff_until_s",
         "_clock",
+        "_first_era",
+        "_first_start",
         "_held_record",
         "_last_read",
         "_metrics",
         "_own_instance",
         "_platform",
+        "_read_before_renewal",
         "_released",
         "_renewed_at_s",
         "_unchanged_since_s",
@@ -83,13 +99,28 @@
         platform: interfaces.Platform,
         clock: interfaces.Clock,
         metrics: counters.Counters,
+        *,
+        first_start: bool = False,
     ) -> None:
+        """Create a view of the lease before the first reading.
+
+        Args:
+          own_instance: This instance.
+          platform: The store.
+          clock: Returns the current time in seconds.
+          metrics: Counts changes of the lease.
+          first_start: Whether the whole system starts for the first time, so that a missing record
+            means that there was never a coordinator.
+        """
         self._own_instance = own_instance
         self._platform = platform
         self._clock = clock
         self._metrics = metrics
         self._held_record: interfaces.LeaseRecord | None = None
         self._renewed_at_s = 0.0
+        self._read_before_renewal = False
+        self._first_start = first_start
+        self._first_era: int | None = None
         self._last_read: interfaces.LeaseRecord | None = None
         self._unchanged_since_s = 0.0
         self._released = False
@@ -128,6 +159,7 @@
             try:
                 await (self._try_acquire() if self._held_record is None else self._renew())
             except interfaces.StoreFailure as failure:
+                self._read_before_renewal = True
                 _LOG.info(
                     "coordinator lease could not be read or written; retrying",
                     failure=type(failure).__name__,
@@ -145,23 +177,53 @@
         if self._clock() >= self.ends_at_s + EXPIRY_MARGIN_S:
             self._lose("lease expired without a renewal")
             return
+        if self._read_before_renewal or self._platform.store_era != held.revision.era:
+            await self._reconcile(held)
+            return
         sent_at_s = self._clock()
         try:
-            renewed = await self._platform.renew_coordinator_lease(held)
+            renewed = await self._platform.write_coordinator_lease(
+                held, self._own_instance, held.token
+            )
         except interfaces.Conflict:
-            # An earlier renewal of this instance may have changed the record although its response
-            # was lost.
-            record = await self._platform.read_coordinator_lease()
-            if self._held_record is not held:
-                return
-            if record is None or record.token != held.token or not self._is_own(record):
-                self._lose("another instance holds the lease")
-            else:
-                self._held_record = record
+            self._read_before_renewal = True
             return
-        if self._held_record is held:
-            self._held_record = renewed
-            self._renewed_at_s = sent_at_s
+        if not renewed.current:
+            # The store has returned from an older copy, and the renewal matched a revision that was
+            # given out again.
+            self._read_before_renewal = True
+        elif self._held_record is held:
+            self._held_record, self._renewed_at_s = renewed, sent_at_s
+
+    async def _reconcile(self, held: interfaces.LeaseRecord) -> None:
+        """Compare the held lease with the stored one after a failure or a return of the store."""
+        sent_at_s = self._clock()
+        record = await self._platform.read_coordinator_lease()
+        self._read_before_renewal = False
+        if self._held_record is not held:
+            return
+        if record.current and self._is_own(record) and record.token == held.token:
+            # A renewal whose response was lost may have changed the record.
+            self._held_record = record
+        elif (
+            record.revision.era > held.revision.era
+            and not record.current
+            and self.token is not None
+        ):
+            # Nobody else acquires the lease in this era before the held one has ended.
+            written = await self._platform.write_coordinator_lease(
+                record, self._own_instance, held.token
+            )
+            if self._held_record is held and written.current:
+                self._held_record, self._renewed_at_s = written, sent_at_s
+                _LOG.info(
+                    "coordinator lease written again after the store's return",
+                    token=held.token,
+                    era=written.revision.era,
+                    found_token=record.token,
+                )
+        else:
+            self._lose("another instance holds the lease")
 
     def _lose(self, reason: str) -> None:
         assert self._held_record is not None
@@ -187,25 +249,29 @@
             return
         record = await self._platform.read_coordinator_lease()
         previous = self._last_read
-        if record is not None and (previous is None or record.revision != previous.revision):
+        if previous is None or record.revision != previous.revision:
             self._unchanged_since_s = self._clock()
         self._last_read = record
+        if self._first_era is None:
+            self._first_era = record.revision.era
         reason = await self._reason_to_acquire(record)
         if reason:
             await self._acquire(record, reason)
         else:
             await asyncio.sleep(random.uniform(CHECK_JITTER_S, 3 * CHECK_JITTER_S))
 
-    async def _reason_to_acquire(self, record: interfaces.LeaseRecord | None) -> str:
-        """Return why the lease is free, for the log; an empty string if it is held."""
-        if record is None:
-            return "never held before"
+    async def _reason_to_acquire(self, record: interfaces.LeaseRecord) -> str:
+        """Return why the lease is free, for the log; an empty string if it is or may be held."""
+        if self._clock() - self._unchanged_since_s >= LEASE_DURATION_S + EXPIRY_MARGIN_S:
+            return "expired"
+        if not record.exists and self._first_start and record.revision.era == self._first_era:
+            return _NEVER_HELD
+        if not record.current:
+            return ""
         if record.coordinator is None:
             return "released"
         if record.coordinator.name == self._own_instance.name:
             return "held by an earlier incarnation of this instance"
-        if self._clock() - self._unchanged_since_s >= LEASE_DURATION_S + EXPIRY_MARGIN_S:
-            return "expired"
         match await probe(record.coordinator):
             case ProcessState.ENDED:
                 return "coordinator process has ended"
@@ -214,27 +280,35 @@
                 self.coordinator_heard_at_s = self._clock()
         return ""
 
-    async def _acquire(self, record: interfaces.LeaseRecord | None, reason: str) -> None:
+    async def _acquire(self, record: interfaces.LeaseRecord, reason: str) -> None:
         sent_at_s = self._clock()
+        token = next_token(record)
         try:
-            acquired = await self._platform.acquire_coordinator_lease(self._own_instance, record)
+            acquired = await self._platform.write_coordinator_lease(
+                record, self._own_instance, token
+            )
         except interfaces.Conflict:
             # Another instance acquired it first; the next read shows which one.
             self._last_read = None
             return
+        if not acquired.current:
+            # The store has returned from an older copy since the record was read.
+            self._last_read = None
+            return
         if self._released:
-            await self._platform.release_coordinator_lease(acquired)
+            await self._platform.write_coordinator_lease(acquired, None, token)
             return
         self._held_record = acquired
         self._renewed_at_s = sent_at_s
-        self.settled_at_s = self._clock() + (0.0 if record is None else SETTLE_DELAY_S)
+        self.settled_at_s = self._clock() + (0.0 if reason == _NEVER_HELD else SETTLE_DELAY_S)
         self._metrics.lease_changes.inc({"change": "taken"})
         _LOG.info(
             "coordinator lease acquired",
             reason=reason,
             token=acquired.token,
-            former_token=0 if record is None else record.token,
-            former="" if record is None or record.coordinator is None else record.coordinator.name,
+            former_token=record.token,
+            former="" if record.coordinator is None else record.coordinator.name,
+            era=acquired.revision.era,
         )
 
     async def release(self) -> None:
@@ -253,7 +327,7 @@
         if held is None:
             return
         try:
-            await self._platform.release_coordinator_lease(held)
+            await self._platform.write_coordinator_lease(held, None, held.token)
         except interfaces.StoreFailure as failure:
             # No other instance can acquire a lease whose release is not stored, so it is kept.
             _LOG.info(
@@ -274,7 +348,7 @@
         self._metrics.lease_changes.inc({"change": "released"})
         _LOG.info("coordinator lease released", token=held.token, reason=reason)
         try:
-            await self._platform.release_coordinator_lease(held)
+            await self._platform.write_coordinator_lease(held, None, held.token)
         except interfaces.StoreFailure as failure:
             _LOG.warning(
                 "release of the coordinator lease not stored; the lease stays taken until it"
@@ -283,6 +357,16 @@
             )
 
 
+def next_token(replaced: interfaces.LeaseRecord) -> int:
+    """Return a fencing token greater than those of all earlier coordinators.
+
+    Args:
+      replaced: The record of the lease that the new coordinator replaces.
+    """
+    revision = replaced.revision
+    return max(revision.era * TOKENS_PER_ERA + revision.number, replaced.token + 1)
+
+
 class ProcessState(enum.Enum):
     """The state of another instance's process as a probe found it."""
 
--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -145,7 +145,7 @@
             platform, clock, self._apply_store_change, loaded_settings.store_history_s
         )
         self._lease = coordinator_lease.CoordinatorLease(
-            self._own_instance, platform, clock, metrics
+            self._own_instance, platform, clock, metrics, first_start=loaded_settings.first_start
         )
         self._coordinator = coordinator.Coordinator(
             own_instance=self._own_instance,
--- a/bilberrystack/pooling/interfaces.py
+++ b/bilberrystack/pooling/interfaces.py
@@ -68,14 +68,31 @@
     """The coordinator lease as stored.
 
     Attributes:
-      coordinator: The instance that holds the lease; None if the lease was released.
-      token: The fencing token, which increases with each new coordinator.
-      revision: The record's revision in the store, which also increases with each renewal.
+      coordinator: The instance that holds the lease; None if it was released or never written.
+      token: The fencing token, which increases with each new coordinator; 0 if never written.
+      revision: The record's revision in the store, which also increases with each renewal. Its
+        number is 0 if the record was never written.
+      written_era: The era of the store that its writer knew.
     """
 
     coordinator: model.Instance | None
     token: int
-    revision: int
+    revision: Revision
+    written_era: int
+
+    @property
+    def exists(self) -> bool:
+        """Whether the store has the record."""
+        return self.revision.number > 0
+
+    @property
+    def current(self) -> bool:
+        """Whether the record was written in the present era.
+
+        A record from before the store's return may be older than the last one that was written: the
+        lease may have had other holders since.
+        """
+        return self.exists and self.written_era == self.revision.era
 
 
 class StoreFailure(Exception):
@@ -160,12 +177,12 @@
 
     async def register_instance(self, instance: model.Instance) -> None: ...
     async def deregister_instance(self, name: str) -> None: ...
-    async def read_coordinator_lease(self) -> LeaseRecord | None: ...
-    async def acquire_coordinator_lease(
-        self, coordinator: model.Instance, last_read: LeaseRecord | None
+    @property
+    def store_era(self) -> int: ...
+    async def read_coordinator_lease(self) -> LeaseRecord: ...
+    async def write_coordinator_lease(
+        self, replaced: LeaseRecord, coordinator: model.Instance | None, token: int
     ) -> LeaseRecord: ...
-    async def renew_coordinator_lease(self, held: LeaseRecord) -> LeaseRecord: ...
-    async def release_coordinator_lease(self, held: LeaseRecord) -> None: ...
     async def promote(
         self,
         service: str,
--- a/bilberrystack/pooling/restored_store_test.py
+++ b/bilberrystack/pooling/restored_store_test.py
@@ -138,6 +138,19 @@
     return coordinator_lease.CoordinatorLease(own_instance, client, _now, counters.Counters())
 
 
+@contextlib.asynccontextmanager
+async def _process(endpoint, incarnation):
+    """Answer the probes of a process."""
+
+    async def serve(reader, writer):
+        await reader.readline()
+        writer.write(f"{incarnation}\n".encode())
+        writer.close()
+
+    async with await asyncio.start_server(serve, endpoint.host, endpoint.port):
+        yield
+
+
 async def _acquire(lease):
     """Acquire the lease and keep it until the block ends, without releasing it."""
     task = asyncio.create_task(lease.maintain())
@@ -203,7 +216,8 @@
             holder_task = await _acquire(holder)
             own_platform.cut_off = holder_cut_off
             await platform.restore(older)
-            async with _running(other.maintain()):
+            process = _process(holder.coordinator.endpoint, holder.coordinator.incarnation)
+            async with process, _running(other.maintain()):
                 ends_at_s = _now() + 4 * LEASE_DURATION_S
                 served = set()
                 while _now() < ends_at_s:
@@ -216,19 +230,26 @@
             holder_task.cancel()
 
 
-async def test_a_renewal_at_a_revision_that_was_given_out_again_keeps_no_lease(short_lease):
+@pytest.mark.parametrize("noticed_by", ["a failed renewal", "another call"])
+async def test_a_renewal_at_a_revision_that_was_given_out_again_keeps_no_lease(
+    short_lease, noticed_by
+):
     """A conditional update matched the successor's record, and both instances acted."""
     async with _platform() as platform:
-        with _client(platform) as client, _client(platform) as other_client:
+        with _client(platform) as client:
             older = platform.copy()
-            holder = _lease("holder", SeparablePlatform(client))
+            own_platform = SeparablePlatform(client)
+            holder = _lease("holder", own_platform)
             holder_task = await _acquire(holder)
-            holder._platform.cut_off = True
+            own_platform.cut_off = True
+            if noticed_by == "a failed renewal":
+                await asyncio.sleep(0.3)
             revision = platform.get_revision("bilberrystack-duties", "promotion")
             await platform.restore(older)
             # Another instance has acquired the lease at the revision that the holder knows.
+            other = model.Endpoint(line_site.unused_loopback_address(), 7002)
             record = {
-                "holder": {"name": "other", "lifetime": "o", "address": "127.0.0.1:1", "zone": "a"},
+                "holder": {"name": "other", "lifetime": "o", "address": str(other), "zone": "a"},
                 "token": 1 << 40,
                 "count": 1,
                 "era": platform.era,
@@ -237,11 +258,13 @@
                 await platform.put("other", str(platform.revision), {})
             await platform.put("bilberrystack-duties", "promotion", record)
             assert platform.get_revision("bilberrystack-duties", "promotion") == revision
-            holder._platform.cut_off = False
-            await other_client.configurations.list()
-            await asyncio.sleep(0.5)
-            assert holder.token is None
-            assert platform.get("bilberrystack-duties", "promotion")["holder"]["name"] == "other"
+            if noticed_by == "another call":
+                await client.configurations.list()
+            own_platform.cut_off = False
+            async with _process(other, "o"):
+                await asyncio.sleep(0.4)
+                assert holder.token is None
+                assert platform.get("bilberrystack-duties", "promotion") == record
             holder_task.cancel()
 
 
--- a/bilberrystack/pooling/settings.py
+++ b/bilberrystack/pooling/settings.py
@@ -21,6 +21,8 @@
       store_history_s: How long the store keeps its history, in seconds; a watch has to be shorter.
       grace_s: Seconds between the request to stop and the end of the process.
       cores: Processing power that the machine gives the process, in cores.
+      first_start: Whether the whole system starts for the first time, so that the store can't have
+        lost anything.
     """
 
     name: str
@@ -34,6 +36,7 @@
     store_history_s: float
     grace_s: float
     cores: float = 1.0
+    first_start: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bilberrystack_standins/line_site.py
+++ b/bilberrystack_standins/line_site.py
@@ -132,6 +132,7 @@
             platform_endpoint=platform_endpoint,
             store_history_s=20.0,
             grace_s=4.0,
+            first_start=True,
         )
         instance_counters = counters.Counters()
         client = platform_client.Client(platform_endpoint, platform_endpoint, instance_counters)
--- a/soak/site.py
+++ b/soak/site.py
@@ -90,6 +90,7 @@
             "bounds": {"grace_s": SHUTDOWN_GRACE_S},
             "platform": {"address": self.store.address, "history_s": 20},
             "cloud": {"address": self._platform_address},
+            "bootstrap": self._child is None,
         }
         self._exit_expected = False
         self._started_at_s = asyncio.get_running_loop().time()
