Keep instances known whose registrations the store has lost, and register again

Callers would see: on a large fleet, each instance takes itself for the only owner of every group after the store has returned from a copy that is older than the registrations, and opens connections beyond the members' limits. Registrations of ended processes come back from the copy as owners. Cause: the directory replaced its instances by what the store listed, and an instance looked for its own registration each 5 s only; one that was lost a second time before it was listed was never written again. A new era in any cache makes the instances be listed.

--- a/bilberrystack/pooling/directory.py
+++ b/bilberrystack/pooling/directory.py
@@ -21,6 +21,10 @@
 # is older than a known one. The records of removed members are remembered for as long.
 COPY_GUARD_S = 30.0
 
+# Instances whose registrations the store has lost register again within seconds. They stay known
+# for this long after its return.
+REGISTRATION_GUARD_S = 15.0
+
 # Members register one by one when a site starts. Collecting their records may delay a change by
 # this much: a leaving member serves for another 7 s, and a failed primary is detected because it
 # becomes unresponsive.
@@ -40,10 +44,15 @@
     """
 
     __slots__ = (
+        "_awaited_instances",
         "_clock",
         "_configuration",
         "_copy_guard_until_s",
+        "_ended_incarnations",
         "_ignored_records",
+        "_instance_era",
+        "_instance_guard_until_s",
+        "_known_instances",
         "_member_era",
         "_missing_since_s",
         "_removed_members",
@@ -87,6 +96,13 @@
         self._member_era = 0
         self._copy_guard_until_s = float("-inf")
         self._ignored_records: dict[str, model.Member] = {}
+        self._known_instances: dict[str, model.Instance] = {}
+        # Instances whose registrations may have been lost with the store's return.
+        self._awaited_instances: dict[str, model.Instance] = {}
+        self._instance_era = 0
+        self._instance_guard_until_s = float("-inf")
+        # When the registration of each recently ended process left the store.
+        self._ended_incarnations: dict[str, float] = {}
 
     @property
     def loaded(self) -> bool:
@@ -153,11 +169,14 @@
                 self._configuration = item
                 _LOG.info("configuration in force", version=item.version, routes=len(item.routes))
         self._refresh_members()
+        self._refresh_instances()
+        if self.instances.era < max(self.configurations.era, self.members.era):
+            self.instances.request_check()
 
     @property
     def refresh_due(self) -> bool:
-        """Whether records that are missing or ignored have to be looked at again."""
-        return bool(self._missing_since_s or self._ignored_records)
+        """Whether records that are missing, ignored or awaited have to be looked at again."""
+        return bool(self._missing_since_s or self._ignored_records or self._awaited_instances)
 
     def _refresh_members(self) -> None:
         now_s = self._clock()
@@ -240,9 +259,46 @@
         """
         return [member for member in self._retained_members.values() if member.service == service]
 
+    def _refresh_instances(self) -> None:
+        now_s = self._clock()
+        previous = self._known_instances
+        listed = {
+            name: item
+            for name, item in self.instances.items.items()
+            if isinstance(item, model.Instance)
+        }
+        if self.instances.era != self._instance_era:
+            if self._instance_era:
+                self._awaited_instances = dict(previous)
+                self._instance_guard_until_s = now_s + REGISTRATION_GUARD_S
+            self._instance_era = self.instances.era
+        elif now_s >= self._instance_guard_until_s:
+            self._awaited_instances.clear()
+        if now_s < self._instance_guard_until_s:
+            # The store's copy can hold registrations of processes that have ended since.
+            listed = {
+                name: item
+                for name, item in listed.items()
+                if item.incarnation not in self._ended_incarnations
+            }
+        for name in listed.keys() & self._awaited_instances.keys():
+            del self._awaited_instances[name]
+        self._known_instances = self._awaited_instances | listed
+        for name, instance in previous.items():
+            known = self._known_instances.get(name)
+            if known is None or known.incarnation != instance.incarnation:
+                self._ended_incarnations[instance.incarnation] = now_s
+        for incarnation, ended_at_s in list(self._ended_incarnations.items()):
+            if now_s - ended_at_s >= COPY_GUARD_S:
+                del self._ended_incarnations[incarnation]
+
     def registered_instances(self) -> list[model.Instance]:
-        """Return all instances that are registered in the store, this one included."""
-        return [item for item in self.instances.items.values() if isinstance(item, model.Instance)]
+        """Return the instances that are registered in the store, this one included.
+
+        After the store has returned from an older copy they include those whose registrations it
+        may have lost.
+        """
+        return list(self._known_instances.values())
 
 
 def _is_outdated(record: model.Member, newest: model.Member, removed: bool) -> bool:
--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -97,11 +97,13 @@
         "_owner_server",
         "_platform",
         "_readiness_logged",
+        "_registration_lost",
         "_servers",
         "_sessions",
         "_settings",
         "_stop_requested",
         "_tasks",
+        "_was_listed",
         "clock",
         "counters",
         "dialect",
@@ -140,6 +142,8 @@
         self._datagrams: asyncio.DatagramTransport | None = None
         self._stop_requested = asyncio.Event()
         self._configuration_loaded = asyncio.Event()
+        self._registration_lost = asyncio.Event()
+        self._was_listed = False
         self._readiness_logged = False
         self._directory = directory.Directory(
             platform, clock, self._apply_store_change, loaded_settings.store_history_s
@@ -390,19 +394,22 @@
     async def _maintain_registration(self) -> None:
         """Keep this instance registered, and remove the registrations of lost instances."""
         await self._register()
-        was_listed = False
+        registered_at_s = self.clock()
         while True:
-            await asyncio.sleep(views.LIST_INTERVAL_S)
-            missing = not self._is_listed
-            if was_listed and missing:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(views.LIST_INTERVAL_S):
+                    await self._registration_lost.wait()
+            overdue = self.clock() - registered_at_s >= MAX_LISTING_DELAY_S and not self._is_listed
+            if self._registration_lost.is_set() or overdue:
+                self._registration_lost.clear()
                 _LOG.info("own registration is missing from the store; registering again")
                 await self._register()
-            was_listed = not missing
+                registered_at_s = self.clock()
             for name in self._coordinator.expired_instances(self._directory.registered_instances()):
                 await self._remove_registration(name)
 
     async def _register(self) -> None:
-        while True:
+        while not self.stopping:
             try:
                 await self._platform.register_instance(self._own_instance)
                 return
@@ -425,6 +432,9 @@
     def _apply_store_change(self) -> None:
         """Apply a change in the store to the groups."""
         self._directory.refresh()
+        was_listed, self._was_listed = self._was_listed, self._is_listed
+        if was_listed and not self._was_listed:
+            self._registration_lost.set()
         configuration = self._directory.configuration
         if configuration is None:
             return
--- a/bilberrystack/pooling/views.py
+++ b/bilberrystack/pooling/views.py
@@ -127,7 +127,20 @@
                 await asyncio.sleep(RETRY_DELAY_S * random.uniform(0.5, 1.5))
             else:
                 self._note_store_regained()
-                await asyncio.sleep(next(intervals_s) * random.uniform(0.9, 1.1))
+                if await self._wait_for_request(next(intervals_s) * random.uniform(0.9, 1.1)):
+                    # Many instances may have been told at the same moment.
+                    await asyncio.sleep(random.uniform(0, RETRY_DELAY_S))
+
+    async def _wait_for_request(self, timeout_s: float) -> bool:
+        """Wait until a check is requested; return False if none is within the time."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._check_requested.wait()
+        except TimeoutError:
+            # The regular list is due.
+            return False
+        self._check_requested.clear()
+        return True
 
     @property
     def watch_enabled(self) -> bool:
@@ -203,7 +216,7 @@
             self._watch_task = None
 
     def request_check(self) -> None:
-        """Have `check` list at once, because another instance knows of a newer object."""
+        """Have `check` or `poll` list at once, because a newer object is known to exist."""
         self._check_requested.set()
 
     async def check(self, watched_interval_s: float, unwatched_interval_s: float) -> None:
@@ -215,16 +228,8 @@
           unwatched_interval_s: Interval while changes are not watched for.
         """
         while True:
-            requested = False
             interval_s = watched_interval_s if self.watch_enabled else unwatched_interval_s
-            try:
-                async with asyncio.timeout(interval_s * random.uniform(0.8, 1.2)):
-                    await self._check_requested.wait()
-                requested = True
-            except TimeoutError:
-                # The regular check is due.
-                pass
-            self._check_requested.clear()
+            requested = await self._wait_for_request(interval_s * random.uniform(0.8, 1.2))
             if self._revision is None:
                 continue
             try:
