Apply a configuration whose version number was given out again

Callers would see: routes of a version that the store lost before its confirmation stay in force although the same number was confirmed for other routes (CONFIG). Cause: only a higher version replaced the configuration in force. Change: a version that is not lower, with other contents, replaces it. The caches never apply an older list, so that this can't go back in time. Conclusion: a version that stays lost is still in force until the next.

--- a/bilberrystack/pooling/directory.py
+++ b/bilberrystack/pooling/directory.py
@@ -165,7 +165,8 @@
         for item in self.configurations.items.values():
             if not isinstance(item, model.Configuration):
                 continue
-            if self._configuration is None or item.version > self._configuration.version:
+            # A version that was lost before its confirmation may be given out again.
+            if item.version >= self.version and item != self._configuration:
                 self._configuration = item
                 _LOG.info("configuration in force", version=item.version, routes=len(item.routes))
         self._refresh_members()
--- a/bilberrystack/pooling/restored_store_test.py
+++ b/bilberrystack/pooling/restored_store_test.py
@@ -116,6 +116,30 @@
                 )
 
 
+async def test_a_version_that_is_given_out_again_is_in_force_with_its_new_routes():
+    """A version was lost before its confirmation, and its number confirmed for other routes."""
+    async with _platform() as platform:
+        await _declare(platform, 1, "first")
+        older = platform.copy()
+        with _client(platform) as client:
+            store_directory = directory.Directory(client, _now, lambda: None, 20.0)
+            async with _running(*(work() for work in store_directory.background_work())):
+
+                def routes():
+                    store_directory.refresh()
+                    known = store_directory.configuration
+                    return set() if known is None else set(known.routes)
+
+                await _declare(platform, 2, "lost")
+                await _wait_until(lambda: routes() == {"lost"}, 2.0)
+                platform.remove_silently("config", "main")
+                await platform.restore(older)
+                await asyncio.sleep(1.0)
+                assert routes() == {"lost"}
+                await _declare(platform, 2, "confirmed")
+                await _wait_until(lambda: routes() == {"confirmed"}, APPLY_LIMIT_S)
+
+
 @pytest.fixture
 def short_lease(monkeypatch):
     """Make leases short, so that tests on the running clock can wait for their end."""
