Add a store that returns from older copies to the soak

Cause: no fault of the soak made the store lose what it had acknowledged, so that this incident could not show there. Each run also checks that an instance makes at most 20 store calls a second.

--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,11 @@
 soak: setup
 	$(PY) -m soak --seeds $(SEEDS) --first-seed $(FIRST_SEED)
 
+# The same series, in which the store also returns from older copies.
+.PHONY: soak-restores
+soak-restores: setup
+	$(PY) -m soak --restores --seeds $(SEEDS) --first-seed $(FIRST_SEED)
+
 measure: setup
 	$(PY) -m faults.measure --processes $(PROCESSES)
 	$(PY) -m system.throughput
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,13 +13,13 @@
 app = cyclopts.App(name="soak", help="Runs series of faults against real serving processes.")
 
 
-def _run_seed(seed: int, logs: pathlib.Path | None) -> soaking.Report:
+def _run_seed(seed: int, logs: pathlib.Path | None, restores: bool) -> soaking.Report:
     loguru.logger.remove()
     log_folder = None
     if logs is not None:
         log_folder = logs / f"seed-{seed}"
         log_folder.mkdir(parents=True, exist_ok=True)
-    return asyncio.run(soaking.run_seed(seed, log_folder))
+    return asyncio.run(soaking.run_seed(seed, log_folder, restores=restores))
 
 
 @app.default
@@ -29,6 +29,7 @@
     seeds: int = 50,
     processes: int = 3,
     logs: pathlib.Path | None = None,
+    restores: bool = False,
 ) -> None:
     """Runs seeds and prints a line for each; the exit code is 1 if a guarantee was violated.
 
@@ -37,11 +38,12 @@
       seeds: Number of consecutive seeds to run.
       processes: Number of seeds that run concurrently, with four processes each.
       logs: Folder for the logs of the instances; without it the logs are discarded.
+      restores: Whether the store also returns from older copies.
     """
     failed_seeds = []
     with concurrent.futures.ProcessPoolExecutor(processes) as pool:
         seed_range = range(first_seed, first_seed + seeds)
-        for report in pool.map(_run_seed, seed_range, [logs] * seeds):
+        for report in pool.map(_run_seed, seed_range, [logs] * seeds, [restores] * seeds):
             print(
                 f"seed {report.seed}: {report.operation_count} operations,"
                 f" {report.succeeded_statements} statements"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,9 @@
 # Maximum duration of a fault.
 MAX_DURATION_S = 2.5
 
+# Maximum age of the copy that a restored store returns from.
+MAX_COPY_AGE_S = 10.0
+
 # Number of faults in one series.
 MIN_FAULTS, MAX_FAULTS = 4, 14
 
@@ -184,6 +187,22 @@
     draw.target.platform.drop_history()
 
 
+async def restore_store(draw: Draw) -> None:
+    """Takes the store away from all instances; it returns from an older copy.
+
+    Instances reach it again one after the other.
+    """
+    target = draw.target
+    for process in target.processes:
+        process.store.faults.refusing = True
+        process.store.reset()
+    await asyncio.sleep(draw.duration_s())
+    await target.restore_store(draw.rng.uniform(0.0, MAX_COPY_AGE_S))
+    for process in draw.rng.sample(target.processes, len(target.processes)):
+        process.store.faults.refusing = False
+        await asyncio.sleep(draw.rng.uniform(0.0, 0.5))
+
+
 PLANNED: tuple[Fault, ...] = (restart_gracefully, reload, configure, leave)
 UNPLANNED: tuple[Fault, ...] = (
     *(kill, kill_all, pause, crash, stop_replication, lose_answers, reject_statements),
@@ -226,6 +245,23 @@
     return sorted(series, key=lambda scheduled: scheduled.start_s)
 
 
+def add_restores(
+    series: collections.abc.Sequence[ScheduledFault], seed: int
+) -> list[ScheduledFault]:
+    """Returns a series with one or two restores of the store, in the order of the starts.
+
+    Args:
+      series: The other faults, which stay as they are.
+      seed: Determines the restores.
+    """
+    rng = random.Random(f"restores {seed}")
+    restores = [
+        ScheduledFault(rng.uniform(0.0, START_WINDOW_S), restore_store, rng.randrange(1 << 30))
+        for _ in range(rng.randint(1, 2))
+    ]
+    return sorted([*series, *restores], key=lambda scheduled: scheduled.start_s)
+
+
 async def run_series(
     series: collections.abc.Sequence[ScheduledFault], target: site.Site, planned_only: bool
 ) -> None:
--- a/soak/site.py
+++ b/soak/site.py
@@ -1,6 +1,7 @@
 """Site of the soak: serving processes, and the stand-ins and links that run in this process."""
 
 import asyncio
+import collections
 import collections.abc
 import contextlib
 import json
@@ -37,6 +38,10 @@
 # Before that line no signal handler is installed, so a SIGHUP ends the process.
 INTERPRETER_START_S = 0.15
 
+# Interval between two copies of the store's contents, and the age up to which they are kept.
+COPY_INTERVAL_S = 0.25
+COPY_RETENTION_S = 15.0
+
 SESSIONS_PORT, READY_PORT, PEERS_PORT = 7000, 7001, 7002
 
 
@@ -202,6 +207,9 @@
         self._folder = folder
         self._stack = contextlib.AsyncExitStack()
         self._tasks: list[asyncio.Task[None]] = []
+        self._copies: collections.deque[tuple[float, platform_server.StoreCopy]] = (
+            collections.deque(maxlen=round(COPY_RETENTION_S / COPY_INTERVAL_S))
+        )
 
     async def __aenter__(self) -> "Site":
         if self._folder is None:
@@ -221,6 +229,7 @@
             process.start()
             self._tasks.append(asyncio.create_task(self._check_readiness(process)))
         self._tasks.append(asyncio.create_task(self._report_roles()))
+        self._tasks.append(asyncio.create_task(self._copy_store()))
         return self
 
     async def __aexit__(self, *_: object) -> None:
@@ -268,6 +277,17 @@
                 if member.is_running:
                     await self.register(member)
 
+    async def _copy_store(self) -> None:
+        while True:
+            self._copies.append((asyncio.get_running_loop().time(), self.platform.copy()))
+            await asyncio.sleep(COPY_INTERVAL_S)
+
+    async def restore_store(self, age_s: float) -> None:
+        """Makes the store return from the oldest copy that is at most this old."""
+        oldest_s = asyncio.get_running_loop().time() - age_s
+        copies = [older for copied_at_s, older in self._copies if copied_at_s >= oldest_s]
+        await self.platform.restore(copies[0] if copies else self._copies[-1][1])
+
     async def _check_readiness(self, process: InstanceProcess) -> None:
         """Keeps an instance in rotation while it is ready, and restarts it after an exit."""
         url = f"http://{process.host}:{READY_PORT}/ready"
--- a/soak/soaking.py
+++ b/soak/soaking.py
@@ -28,6 +28,10 @@
 # Time within which every instance has to serve a new database.
 CONFIGURATION_TIMEOUT_S = 3.0
 
+# Maximum rate of an instance's store calls. It has three caches and the lease, and each repeats a
+# failed call at most every 0.2 s.
+MAX_CALLS_PER_S = 20.0
+
 
 @dataclasses.dataclass(slots=True)
 class Report:
@@ -50,19 +54,25 @@
     violations: list[account.Violation]
 
 
-async def run_seed(seed: int, folder: pathlib.Path | None = None) -> Report:
+async def run_seed(
+    seed: int, folder: pathlib.Path | None = None, *, restores: bool = False
+) -> Report:
     """Runs the series of faults of a seed under load and checks the guarantees.
 
     Args:
       seed: Determines the faults and the operations of the clients.
       folder: Folder for the logs of the instances; None for a temporary folder.
+      restores: Whether the store also returns from older copies.
 
     Raises:
       RuntimeError: Not all instances became ready within START_TIMEOUT_S.
     """
     planned_only = seed % PLANNED_ONLY_INTERVAL == 0
     series = faults.draw_series(seed, planned_only)
+    if restores:
+        series = faults.add_restores(series, seed)
     record: list[history.Operation] = []
+    started_at_s = asyncio.get_running_loop().time()
     async with site.Site(INSTANCE_COUNT, folder) as soak_site:
         if not await soak_site.wait_until(
             lambda: len(soak_site.in_rotation) == INSTANCE_COUNT, START_TIMEOUT_S
@@ -76,6 +86,9 @@
         ]
         await faults.run_series(series, soak_site, planned_only)
         violations = await _check_recovery(soak_site)
+        violations += _check_store_calls(
+            soak_site, asyncio.get_running_loop().time() - started_at_s
+        )
         for task in client_tasks:
             task.cancel()
         results = await asyncio.gather(*client_tasks, return_exceptions=True)
@@ -144,6 +157,13 @@
     return violations
 
 
+def _check_store_calls(soak_site: site.Site, duration_s: float) -> list[account.Violation]:
+    calls_per_s = len(soak_site.platform.calls) / duration_s / len(soak_site.processes)
+    if calls_per_s <= MAX_CALLS_PER_S:
+        return []
+    return [account.Violation("calls to the store are bounded", f"{calls_per_s:.0f} a second")]
+
+
 async def _commits_within(timeout_s: float, process: site.InstanceProcess, database: str) -> bool:
     """Retries a write at an instance and returns whether it was committed in time."""
     try:
--- a/soak/soaking_test.py
+++ b/soak/soaking_test.py
@@ -25,3 +25,11 @@
     report = await soaking.run_seed(seed)
     assert report.violations == []
     assert report.succeeded_statements > 100
+
+
+@pytest.mark.parametrize("seed", [2, 6])
+async def test_a_store_that_returns_from_an_older_copy_violates_no_guarantee(seed):
+    """Guards against older records, unbounded calls and a second coordinator after its return."""
+    report = await soaking.run_seed(seed, restores=True)
+    assert report.violations == []
+    assert report.succeeded_statements > 100
