Move members' records and registrations out of the directory

Cause: with the guards against older copies, the directory held three jobs. Change: pooling/member_records.py and pooling/registrations.py; the directory keeps the configuration and the caches. No logic has changed.

--- a/bilberrystack/pooling/restored_store_test.py
+++ b/bilberrystack/pooling/restored_store_test.py
@@ -10,6 +10,7 @@
 from bilberrystack.pooling import counters
 from bilberrystack.pooling import directory
 from bilberrystack.pooling import interfaces
+from bilberrystack.pooling import member_records
 from bilberrystack.pooling import views
 from bilberrystack.routing import model
 from bilberrystack_standins import line_site
@@ -340,7 +341,7 @@
 
 async def test_a_member_that_has_left_does_not_come_back_from_the_copy(monkeypatch):
     """A member that had left, or crashed for good, was offered work again."""
-    monkeypatch.setattr(directory, "MISSING_MEMBER_RETENTION_S", 0.1)
+    monkeypatch.setattr(member_records, "MISSING_MEMBER_RETENTION_S", 0.1)
     async with _platform() as platform:
         await _declare(platform, 1, "d")
         await platform.put("servers", "a", _member_record("ready", 1))
