Give the test of a busy member an objective that outlasts a busy machine

Cause: statements are retried at a full member for 0.3 of their latency objective, 60 ms of real time in this test. Change: the test declares an objective of 2 s. The number of rejections and all assertions are the same; a transaction that ends with the first rejection still fails the test.

--- a/bilberrystack/pooling/instance_test.py
+++ b/bilberrystack/pooling/instance_test.py
@@ -77,6 +77,12 @@
 async def test_a_busy_member_does_not_end_a_transaction():
     """A full primary rejected 313 of 437 statements in transactions, which all had to restart."""
     async with line_site.Site() as site:
+        # Statements are retried for a part of the objective, which has to outlast a busy machine.
+        route = platform_server.route(
+            "strict", line_site.SERVICE, "primary", latency_objective_ms=2000
+        )
+        await site.platform.declare_configuration(2, [route])
+        await site.wait_until(lambda: site.instances[0].configuration.version == 2)
         client, primary = await site.connect("strict"), site.group.members["a"]
         primary.statements_to_reject = 2
         await client.query("BEGIN")
