Write members' records of tests in the stand-in, and split a function of the soak

Change: platform_server.member_record; the lease of another instance is written by the client; _check_exits. Conclusion: the platform's names stay in the adapter and the stand-ins.

--- a/bilberrystack/pooling/restored_store_test.py
+++ b/bilberrystack/pooling/restored_store_test.py
@@ -271,25 +271,23 @@
                 await asyncio.sleep(0.3)
             revision = platform.get_revision("bilberrystack-duties", "promotion")
             await platform.restore(older)
-            # Another instance has acquired the lease at the revision that the holder knows.
-            other = model.Endpoint(line_site.unused_loopback_address(), 7002)
-            record = {
-                "holder": {"name": "other", "lifetime": "o", "address": str(other), "zone": "a"},
-                "token": 1 << 40,
-                "count": 1,
-                "era": platform.era,
-            }
+            # Another instance acquires the lease at the revision that the holder knows.
             while platform.revision < revision - 1:
                 await platform.put("other", str(platform.revision), {})
-            await platform.put("bilberrystack-duties", "promotion", record)
-            assert platform.get_revision("bilberrystack-duties", "promotion") == revision
+            endpoint = model.Endpoint(line_site.unused_loopback_address(), 7002)
+            other = model.Instance("other", "process-of-other", endpoint, "a")
+            never_written = interfaces.Revision(platform.era, 0)
+            missing = interfaces.LeaseRecord(None, 0, never_written, platform.era)
+            with _client(platform) as other_client:
+                written = await other_client.write_coordinator_lease(missing, other, 1 << 40)
+            assert written.revision.number == revision
             if noticed_by == "another call":
                 await client.configurations.list()
             own_platform.cut_off = False
-            async with _process(other, "o"):
+            async with _process(endpoint, other.incarnation):
                 await asyncio.sleep(0.4)
                 assert holder.token is None
-                assert platform.get("bilberrystack-duties", "promotion") == record
+                assert await client.read_coordinator_lease() == written
             holder_task.cancel()
 
 
@@ -313,19 +311,8 @@
             holder_task.cancel()
 
 
-def _member_record(state, seq, **fields):
-    return {
-        "service": "s",
-        "address": "127.0.0.1:7",
-        "zone": "a",
-        "version": "v1",
-        "slots": 2,
-        "state": state,
-        "cold_remaining_ms": 0,
-        "db_role": "replica",
-        "seq": seq,
-        "born": 1_700_000_000_000,
-    } | fields
+def _record(report_number, **options):
+    return platform_server.member_record("s", "127.0.0.1:7", report_number=report_number, **options)
 
 
 @contextlib.asynccontextmanager
@@ -346,10 +333,10 @@
     """The copy held the member's record from before it began to leave."""
     async with _platform() as platform:
         await _declare(platform, 1, "d")
-        await platform.put("servers", "a", _member_record("ready", 1))
+        await platform.put("servers", "a", _record(1))
         older = platform.copy()
         async with _directory(platform) as store_directory:
-            await platform.put("servers", "a", _member_record("draining", 9))
+            await platform.put("servers", "a", _record(9, state="draining"))
             await _wait_until(lambda: store_directory.members_of("s")[0].leaving, 2.0)
             platform.remove_silently("servers", "a")
             await platform.restore(older)
@@ -364,11 +351,11 @@
     monkeypatch.setattr(member_records, "MISSING_MEMBER_RETENTION_S", 0.1)
     async with _platform() as platform:
         await _declare(platform, 1, "d")
-        await platform.put("servers", "a", _member_record("ready", 1))
-        await platform.put("servers", "b", _member_record("ready", 4))
+        await platform.put("servers", "a", _record(1))
+        await platform.put("servers", "b", _record(4))
         older = platform.copy()
         async with _directory(platform) as store_directory:
-            await platform.put("servers", "b", _member_record("draining", 9))
+            await platform.put("servers", "b", _record(9, state="draining"))
             await platform.remove("servers", "b")
 
             def present():
@@ -377,7 +364,7 @@
 
             await _wait_until(lambda: present() == {"a"}, 5.0)
             await platform.restore(older)
-            await platform.put("servers", "a", _member_record("ready", 30, db_role="primary"))
+            await platform.put("servers", "a", _record(30, primary=True))
             await _wait_until(
                 lambda: any(
                     member.role is model.Role.PRIMARY for member in store_directory.members_of("s")
@@ -386,8 +373,7 @@
             )
             assert present() == {"a"}
             # The member starts again under its id.
-            born = {"born": 1_700_000_009_000}
-            await platform.put("servers", "b", _member_record("ready", 1, **born))
+            await platform.put("servers", "b", _record(1, started_ms=1_700_000_009_000))
             await _wait_until(lambda: present() == {"a", "b"}, APPLY_LIMIT_S)
 
 
--- a/bilberrystack_standins/platform_server.py
+++ b/bilberrystack_standins/platform_server.py
@@ -353,18 +353,13 @@
         state = state or (
             existing_record["spec"]["state"] if existing_record is not None else "ready"
         )
-        spec: dict[str, Any] = {
-            "service": member.group.name,
-            "address": address or member.address,
-            "zone": "a",
-            "version": "v1",
-            "slots": member.group.options.slots,
-            "state": state,
-            "cold_remaining_ms": 0,
-            "db_role": "primary" if member.is_primary else "replica",
-            "seq": 1,
-            "born": 1_700_000_000_000,
-        }
+        spec = member_record(
+            member.group.name,
+            address or member.address,
+            slots=member.group.options.slots,
+            state=state,
+            primary=member.is_primary,
+        )
         if existing_record is not None:
             spec["seq"] = existing_record["spec"]["seq"]
             if spec != existing_record["spec"]:
@@ -372,6 +367,31 @@
         await self.put("servers", member.id, spec)
 
 
+def member_record(
+    service: str,
+    address: str,
+    *,
+    slots: int = 2,
+    state: str = "ready",
+    primary: bool = False,
+    report_number: int = 1,
+    started_ms: int = 1_700_000_000_000,
+) -> dict[str, Any]:
+    """Returns the record of a member, as the member writes it."""
+    return {
+        "service": service,
+        "address": address,
+        "zone": "a",
+        "version": "v1",
+        "slots": slots,
+        "state": state,
+        "cold_remaining_ms": 0,
+        "db_role": "primary" if primary else "replica",
+        "seq": report_number,
+        "born": started_ms,
+    }
+
+
 def route(
     database: str,
     service: str,
--- a/soak/soaking.py
+++ b/soak/soaking.py
@@ -97,13 +97,7 @@
             for result in results
             if not isinstance(result, asyncio.CancelledError)
         ]
-        violations += [
-            account.Violation(
-                "no process exits by itself", f"{process.name} {process.unexpected_exits} times"
-            )
-            for process in soak_site.processes
-            if process.unexpected_exits
-        ]
+        violations += _check_exits(soak_site)
         violations += account.check(_trace(soak_site, record, planned_only))
         succeeded = sum(
             statement.succeeded for operation in record for statement in operation.statements
@@ -157,6 +151,16 @@
     return violations
 
 
+def _check_exits(soak_site: site.Site) -> list[account.Violation]:
+    return [
+        account.Violation(
+            "no process exits by itself", f"{process.name} {process.unexpected_exits} times"
+        )
+        for process in soak_site.processes
+        if process.unexpected_exits
+    ]
+
+
 def _check_store_calls(soak_site: site.Site, duration_s: float) -> list[account.Violation]:
     calls_per_s = len(soak_site.platform.calls) / duration_s / len(soak_site.processes)
     if calls_per_s <= MAX_CALLS_PER_S:
