Log why the coordinator lease is not acquired, and statements that go to a leaving member

Cause: the log could not tell whether a late statement was sent because nobody could replace the primary or because the sending instance did not know that the member leaves. Change: an instance that reads the lease and may not acquire it logs the holder, the revision and for how long it has not heard the holder. Each request line has leaving_ms, and a counter counts the statements that are given a connection to a leaving member.

--- a/bilberrystack/pooling/coordinator_lease.py
+++ b/bilberrystack/pooling/coordinator_lease.py
@@ -261,6 +261,8 @@
         if reason:
             await self._acquire(record, reason)
         else:
+            if previous is None or record.revision != previous.revision:
+                self._log_wait(record)
             await asyncio.sleep(random.uniform(CHECK_JITTER_S, 3 * CHECK_JITTER_S))
 
     async def _reason_to_acquire(self, record: interfaces.LeaseRecord) -> str:
@@ -283,6 +285,17 @@
                 self.coordinator_heard_at_s = self._clock()
         return ""
 
+    def _log_wait(self, record: interfaces.LeaseRecord) -> None:
+        """Log a lease whose coordinator this instance does not hear and may not replace yet."""
+        coordinator_unheard_s = self._clock() - self.coordinator_heard_at_s
+        _LOG.info(
+            "coordinator lease not acquired: it is or may be held",
+            coordinator="" if record.coordinator is None else record.coordinator.name,
+            token=record.token,
+            revision=str(record.revision),
+            unheard_ms=round(min(coordinator_unheard_s, 99.0) * 1000),
+        )
+
     async def _acquire(self, record: interfaces.LeaseRecord, reason: str) -> None:
         sent_at_s = self._clock()
         token = next_token(record)
--- a/bilberrystack/pooling/counters.py
+++ b/bilberrystack/pooling/counters.py
@@ -27,6 +27,7 @@
         "requests",
         "retries",
         "sessions",
+        "statements_to_leaving",
         "store_calls",
         "store_era",
         "wait_seconds",
@@ -40,6 +41,10 @@
         self.confirmations = self._counter(
             "confirmations_total", "Answers of a primary by how they were confirmed."
         )
+        self.statements_to_leaving = self._counter(
+            "statements_to_leaving_members_total",
+            "Connections to leaving members that statements were given.",
+        )
         self.store_calls = self._counter("store_calls_total", "Calls to the store, by result.")
         self.store_era = self._gauge(
             "store_era", "Era of the store; it rises when the store returns from an older copy."
--- a/bilberrystack/pooling/execution.py
+++ b/bilberrystack/pooling/execution.py
@@ -136,6 +136,7 @@
       waited_ms: Total time that the request waited for connections.
       sent: How often the statement was sent to a member.
       confirmed: How an answer of the primary was confirmed: grant, round or none.
+      leaving_ms: How long that member is known to be leaving, -1 if it isn't.
       cause: The last reason why the request was rejected or sent again, empty for none.
     """
 
@@ -146,6 +147,7 @@
     waited_ms: int = 0
     sent: int = 0
     confirmed: str = ""
+    leaving_ms: int = -1
     cause: str = ""
 
     def fields(self) -> dict[str, str | int]:
@@ -401,8 +403,18 @@
             kind = "primary" if requirements.primary_only else "any"
             self._metrics.wait_seconds.observe({"kind": kind}, waited_s)
         trace.member = link.member.id
+        self._trace_leaving(link.member.id, trace)
         return link
 
+    def _trace_leaving(self, member_id: str, trace: Trace) -> None:
+        """Record for how long a member that is about to run a statement has been leaving."""
+        member_pool = self.group.pools.get(member_id)
+        if member_pool is None or member_pool.leaving_since_s is None:
+            trace.leaving_ms = -1
+            return
+        trace.leaving_ms = round((self._clock() - member_pool.leaving_since_s) * 1000)
+        self._metrics.statements_to_leaving.inc({})
+
     async def _acquire_confirmable(
         self, requirements: group.Requirements
     ) -> member_link.MemberLink:
--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -216,7 +216,7 @@
             if known is None:
                 self._pools[member.id] = pool.MemberPool(member, self._clock)
             else:
-                known.member = member
+                known.update(member)
         self._adopt_recorded_primary()
         self.dispatch()
 
--- a/bilberrystack/pooling/pool.py
+++ b/bilberrystack/pooling/pool.py
@@ -77,6 +77,7 @@
 
     Attributes:
       member: The member, as its record in the store says.
+      leaving_since_s: When this instance learned that the member leaves; None if it doesn't leave.
       opening_links: Number of connections that are being opened.
       in_flight: Number of statements that the member has not answered.
       service_time_s: Moving average of the time that the member takes for a statement.
@@ -92,6 +93,7 @@
         "_reduced_share_until_s",
         "_retry_open_at_s",
         "in_flight",
+        "leaving_since_s",
         "limit_backoff_until_s",
         "member",
         "observations",
@@ -103,6 +105,7 @@
 
     def __init__(self, member: model.Member, clock: interfaces.Clock) -> None:
         self.member = member
+        self.leaving_since_s = clock() if member.leaving else None
         self.opening_links = 0
         self.in_flight = 0
         self.service_time_s = INITIAL_SERVICE_TIME_S
@@ -115,6 +118,14 @@
         self._reduced_share_until_s = clock() + REDUCED_SHARE_S
         self._retry_open_at_s = float("-inf")
 
+    def update(self, member: model.Member) -> None:
+        """Apply a changed record of the member."""
+        self.member = member
+        if not member.leaving:
+            self.leaving_since_s = None
+        elif self.leaving_since_s is None:
+            self.leaving_since_s = self._clock()
+
     @property
     def link_count(self) -> int:
         """Number of connections that are open or being opened."""
