--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,11 @@
 soak-restores: setup
 	$(PY) -m soak --restores --seeds $(SEEDS) --first-seed $(FIRST_SEED)
 
+# The primary leaves while the coordinator is suspended, cut off from the store or killed.
+.PHONY: soak-departures
+soak-departures: setup
+	$(PY) -m soak --departures --seeds $(SEEDS) --first-seed $(FIRST_SEED)
+
 measure: setup
 	$(PY) -m faults.measure --processes $(PROCESSES)
 	$(PY) -m system.throughput
--- a/bilberrystack/pooling/coordinator_test.py
+++ b/bilberrystack/pooling/coordinator_test.py
@@ -1,12 +1,15 @@
-"""Tests which registrations the coordinator finds expired."""
+"""Tests which registrations the coordinator finds expired, and what its lease rests on."""
 
+from bilberrystack.platform import wire
 from bilberrystack.pooling import coordinator
 from bilberrystack.pooling import counters
+from bilberrystack.pooling import group
 from bilberrystack.pooling import messages
 from bilberrystack.pooling import tasks
 from bilberrystack.routing import lease_terms
 from bilberrystack.routing import model
 
+SERVICE = model.Service("store", max_connections=16, sync_replicas=0)
 ENDPOINT = model.Endpoint("127.0.0.1", 1)
 INSTANCES = [model.Instance(f"proxy-{number}", f"{number}", ENDPOINT, "a") for number in range(6)]
 
@@ -27,14 +30,25 @@
 class ClockedCoordinator:
     """A coordinator without groups, on a clock that the tests advance."""
 
-    def __init__(self):
+    def __init__(self, with_group=False):
         self.now_s = 100.0
+        self.lease = FakeLease()
+        self.groups = {}
+        if with_group:
+            self.groups["store"] = group.Group(
+                service=SERVICE,
+                failure_domain="a",
+                instance_name="proxy-0",
+                dialect=wire,
+                clock=lambda: self.now_s,
+                background_tasks=tasks.Tasks(),
+            )
         self.coordinator = coordinator.Coordinator(
             own_instance=INSTANCES[0],
-            lease=FakeLease(),
+            lease=self.lease,
             platform=None,
-            groups={},
-            dialect=None,
+            groups=self.groups,
+            dialect=wire,
             clock=lambda: self.now_s,
             background_tasks=tasks.Tasks(),
             metrics=counters.Counters(),
@@ -51,6 +65,15 @@
                 )
                 self.coordinator.receive(heartbeat, ENDPOINT)
 
+    def withdraw(self):
+        """Withdraw the grants of the group, as at the begin of a primary change."""
+        state = self.coordinator._group_states["store"]
+        self.coordinator._withdraw_grants("store", self.groups["store"], state, 7, self.now_s)
+
+    def change_number(self):
+        """Return the number of the group's last primary change."""
+        return self.coordinator._group_states["store"].change_number
+
     def expired(self):
         return self.coordinator.expired_instances(INSTANCES)
 
@@ -94,3 +117,53 @@
     clocked.coordinator.receive(heartbeat, ENDPOINT)
     clocked.advance(19.0, heard=(1, 2, 3, 4))
     assert clocked.expired() == []
+
+
+def _heartbeat(clocked, number, incarnation, **fields):
+    return messages.Heartbeat(
+        f"proxy-{number}", incarnation, clocked.now_s, [], 0, ["store"], **fields
+    )
+
+
+def test_only_acknowledgements_of_the_present_token_support_the_coordinator():
+    """An acknowledgement of an earlier lease does not keep a standby from acquiring this one."""
+    clocked = ClockedCoordinator()
+    standbys = ["1"]
+    old = _heartbeat(clocked, 1, "1", acknowledged_token=6, acknowledged_at_s=99.0)
+    clocked.coordinator.receive(old, ENDPOINT)
+    assert clocked.lease.supporters.supported_until_s(standbys) < 0.0
+    current = _heartbeat(clocked, 1, "1", acknowledged_token=7, acknowledged_at_s=99.0)
+    clocked.coordinator.receive(current, ENDPOINT)
+    until_s = 99.0 + lease_terms.CONTACT_DURATION_S
+    assert clocked.lease.supporters.supported_until_s(standbys) == until_s
+
+
+def test_an_acknowledgement_from_the_future_counts_from_its_arrival():
+    """A malformed heartbeat kept a cut-off coordinator's lease for good."""
+    clocked = ClockedCoordinator()
+    heartbeat = _heartbeat(clocked, 1, "1", acknowledged_token=7, acknowledged_at_s=1e9)
+    clocked.coordinator.receive(heartbeat, ENDPOINT)
+    until_s = clocked.now_s + lease_terms.CONTACT_DURATION_S
+    assert clocked.lease.supporters.supported_until_s(["1"]) == until_s
+
+
+def test_a_restarted_instance_ends_the_need_for_the_support_of_its_earlier_process():
+    """The lease ended in an outage of the store because a killed standby could not acknowledge."""
+    clocked = ClockedCoordinator()
+    first = _heartbeat(clocked, 1, "1", acknowledged_token=7, acknowledged_at_s=99.0)
+    clocked.coordinator.receive(first, ENDPOINT)
+    clocked.coordinator.receive(_heartbeat(clocked, 1, "another"), ENDPOINT)
+    assert clocked.lease.supporters.supported_until_s(["1"]) == float("inf")
+
+
+def test_change_numbers_go_on_after_an_interruption_of_the_lease():
+    """Instances ignored the grants of a coordinator that had lost its lease for a moment."""
+    clocked = ClockedCoordinator(with_group=True)
+    clocked.withdraw()
+    clocked.withdraw()
+    assert clocked.change_number() == 2
+    clocked.lease.token = None
+    clocked.coordinator.step()
+    clocked.lease.token = 7
+    clocked.coordinator.step()
+    assert clocked.change_number() == 2
--- a/bilberrystack/routing/primary_change_test.py
+++ b/bilberrystack/routing/primary_change_test.py
@@ -250,3 +250,53 @@
         unresponsive="a",
     )
     assert isinstance(action, primary_change.Withdraw)
+
+
+def _takeover_group():
+    """Returns a group whose coordinator has just acquired the lease, with the primary leaving."""
+    group = _Group()
+    group.change = primary_change.PrimaryChange(2.0, leaving_replaceable_at_s=0.5)
+    group.set("a", leaving=True)
+    return group
+
+
+def test_a_new_coordinator_replaces_a_leaving_primary_before_it_grants():
+    """Waiting until all requests of the previous coordinator had ended left too little of 7 s."""
+    group = _takeover_group()
+    assert group.step(0.4) is None
+    assert isinstance(group.step(0.5), primary_change.Withdraw)
+    assert group.step(0.54) == primary_change.Fence("a", 2)
+    group.change.record_fenced()
+    group.set("a", primary=False, term=2)
+    assert group.step(0.6) == primary_change.Promote("c")
+    group.change.record_reply("c", primary_change.PromotionReply.ACCEPTED, 0.6)
+    group.set("c", primary=True, term=2)
+    assert group.step(0.9) is None
+    assert group.change.phase is primary_change.Phase.STEADY
+    assert group.change.grantable_primary(1.9) is None
+    assert group.change.grantable_primary(2.0) == permission.Leader("c", 2)
+
+
+def test_a_late_promotion_of_the_previous_coordinator_is_granted_by_its_own_term_only():
+    """A promotion that takes effect after the new one leaves no grant for the replaced primary."""
+    group = _takeover_group()
+    group.step(0.5)
+    group.change.record_fenced()
+    group.set("a", primary=False, term=2)
+    assert group.step(0.6) == primary_change.Promote("c")
+    group.change.record_reply("c", primary_change.PromotionReply.ACCEPTED, 0.6)
+    group.set("c", primary=True, term=2)
+    group.step(0.9)
+    group.set("b", primary=True, term=3)
+    group.step(1.2)
+    assert group.change.grantable_primary(1.2) is None
+    group.step(2.0)
+    assert group.change.grantable_primary(2.0) == permission.Leader("b", 3)
+
+
+def test_a_new_coordinator_waits_before_it_replaces_an_unresponsive_primary():
+    """The previous coordinator may have replaced it already, and its promotion be under way."""
+    group = _Group()
+    group.change = primary_change.PrimaryChange(2.0, leaving_replaceable_at_s=0.0)
+    assert all(group.step(step * 0.1, unresponsive="a") is None for step in range(20))
+    assert isinstance(group.step(2.0, unresponsive="a"), primary_change.Withdraw)
