--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,6 @@
-"""The primary of a group with a synchronous replica goes dark while the other one lags."""
+"""A replica receives nothing for a while, and the primary of a synchronous group goes dark."""
 
 import asyncio
-import os
 import pathlib
 import random
 import sys
@@ -10,178 +9,134 @@
 
 import fleet
 import members
-import platform_api
-import record as records
+import scenario
 import sessions
+from record import Record
 
-ZONES = ("addis-bole", "addis-kirkos", "addis-yeka")
-SERVICE, DATABASE = "diary-store-1", "diaries"
-TIMEOUT_S = 2.0
+ZONES = ["addis-bole", "addis-kirkos", "addis-yeka"]
+MEMBERS = {"i-a": "addis-bole", "i-b": "addis-kirkos", "i-c": "addis-yeka"}
+OPTIONS = members.Options(slots=2, max_connections=16, work_s=0.0045, sync_replicas=1)
 
-OPTIONS = members.Options(work_s=0.0045, sync_replicas=1)
+SERVICE, WRITES, READS = "diary-store-1", "submissions", "reports"
+WRITE_TIMEOUT_S, READ_TIMEOUT_S = 2.0, 6.0
 CLIENTS = 6
-ROUNDS = 8
-DARK_S = 5.0
-DEAF_S = 5.0
+WRITE_INTERVAL_S, READ_INTERVAL_S = 0.02, 0.05
+
+ROUNDS = 6
+PAUSE_S = (4.0, 7.0)
 DEAF_BEFORE_DARK_S = 0.4
-PAUSE_S = 7.0
-
-CONFIGURATION = {
-    "version": 7,
-    "routes": [
-        {
-            "name": "r-1",
-            "host": DATABASE,
-            "path_prefix": "/",
-            "kind": "primary",
-            "timeout_ms": TIMEOUT_S * 1000,
-            "target_latency_ms": 120,
-            "priority": 1,
-            "service": SERVICE,
-            "max_attempts": 2,
-        },
-        {
-            "name": "r-2",
-            "host": "reports",
-            "path_prefix": "/",
-            "kind": "bounded_staleness",
-            "timeout_ms": 6000,
-            "target_latency_ms": 400,
-            "priority": 2,
-            "service": SERVICE,
-            "max_attempts": 2,
-            "max_staleness_ms": 1500,
-        },
-    ],
-    "services": [
-        {
-            "name": SERVICE,
-            "health_path": "/health",
-            "max_connections": OPTIONS.max_connections,
-            "sync_replicas": OPTIONS.sync_replicas,
-        }
-    ],
-    "limits": {"tx_idle_ms": 3000},
-}
-
-
-class Writers:
-    """Clients that write, and the writes that were acknowledged to them."""
-
-    def __init__(self, record: records.Record) -> None:
-        self.acknowledged: dict[str, float] = {}
-        self.stopped = False
-        self._record = record
+DARK_S = 5.0
+REJOIN_S = members.STEP_DOWN_S + 0.5
 
-    async def run(self, host: str, number: int) -> None:
-        while not self.stopped:
-            try:
-                async with sessions.Session(self._record, host, fleet.FRONT_PORT, DATABASE) as s:
-                    while not self.stopped:
-                        request_id = sessions.new_id("w")
-                        answer = await s.query(
-                            request_id, f"WRITE item{number} {request_id}", TIMEOUT_S + 1
-                        )
-                        if not answer.error:
-                            self.acknowledged[request_id] = self._record.now_s
-                        if answer.state != "I":
-                            break
-                        await asyncio.sleep(0.02)
-            except sessions.Ended:
-                await asyncio.sleep(0.1)
 
+class Clients:
+    """Clients of one database that send single statements.
+
+    Attributes:
+      acknowledged: Ids of the writes that were answered with success.
+    """
+
+    def __init__(self, record: Record, database: str, timeout_s: float, interval_s: float) -> None:
+        self.acknowledged: set[str] = set()
+        self._record = record
+        self._database = database
+        self._timeout_s = timeout_s
+        self._interval_s = interval_s
 
-class Readers(Writers):
     async def run(self, host: str, number: int) -> None:
-        while not self.stopped:
+        """Send statements to one machine until cancelled."""
+        while True:
             try:
-                async with sessions.Session(self._record, host, fleet.FRONT_PORT, "reports") as s:
-                    while not self.stopped:
-                        answer = await s.query(sessions.new_id("r"), f"READ item{number}", 7)
-                        if answer.state != "I":
-                            break
-                        await asyncio.sleep(0.05)
+                async with sessions.Session(
+                    self._record, host, fleet.FRONT_PORT, self._database
+                ) as session:
+                    while await self._send(session, number):
+                        await asyncio.sleep(self._interval_s)
             except sessions.Ended:
                 await asyncio.sleep(0.1)
 
-
-async def run(record: records.Record, trouble: bool) -> None:
-    group = members.Group(
-        SERVICE, {"i-a": "addis-bole", "i-b": "addis-kirkos", "i-c": "addis-yeka"}, OPTIONS, record
-    )
-    platform = platform_api.Platform(record, lambda _, member: group.promote(member))
-    writers = Writers(record)
-
-    def on_promoted(member: members.Member) -> None:
-        kept = {entry.request_id for entry in member.log}
-        lost = sorted(set(writers.acknowledged) - kept)
-        if lost:
-            record.violation(
-                f"LOST: {member.id} was promoted without {len(lost)} acknowledged commits,"
-                f" the first is {lost[0]}"
-            )
+    async def _send(self, session: sessions.Session, number: int) -> bool:
+        """Send one statement; return whether the session can go on."""
+        request_id = sessions.new_id("s")
+        write = self._database == WRITES
+        text = f"WRITE item{number} {request_id}" if write else f"READ item{number}"
+        answer = await session.query(request_id, text, self._timeout_s + 1)
+        if write and not answer.error:
+            self.acknowledged.add(request_id)
+        return answer.state == "I"
+
+
+def check(promoted: members.Member, clients: Clients, record: Record) -> None:
+    """Record the acknowledged commits that a promoted member lacks."""
+    lost = clients.acknowledged - {entry.request_id for entry in promoted.log}
+    if lost:
+        record.violation(
+            f"LOST: {promoted.id} was promoted without {len(lost)} acknowledged commits,"
+            f" the first is {min(lost)}"
+        )
+
+
+async def disrupt(site: scenario.Site) -> None:
+    """Let a replica receive nothing, then the primary go dark; end both."""
+    group, primary = site.group, site.group.primary
+    replicas = [member for member in group.members.values() if member is not primary]
+    deaf = max(replicas, key=lambda member: member.id)
+    site.record.write(f"{deaf.id} receives nothing")
+    deaf.receives = False
+    await asyncio.sleep(DEAF_BEFORE_DARK_S)
+    site.record.write(f"{primary.id} goes dark")
+    await primary.go_dark()
+    await asyncio.sleep(DARK_S)
+    site.record.write(f"{deaf.id} receives again, {primary.id} is back")
+    deaf.receives = True
+    group.replicate(group.primary)
+    await primary.wake()
+    await asyncio.sleep(REJOIN_S)
+    await group.register(site.platform)
+
+
+async def run(record: Record, trouble: bool) -> None:
+    """Run clients, disrupt the group in rounds, and check each promotion."""
+    group = members.Group(SERVICE, MEMBERS, OPTIONS, record)
+    routes = [
+        scenario.route(WRITES, SERVICE, "primary", timeout_ms=2000, target_latency_ms=120),
+        scenario.route(
+            READS,
+            SERVICE,
+            "bounded_staleness",
+            timeout_ms=6000,
+            target_latency_ms=400,
+            max_staleness_ms=1500,
+        ),
+    ]
+    writers = Clients(record, WRITES, WRITE_TIMEOUT_S, WRITE_INTERVAL_S)
+    readers = Clients(record, READS, READ_TIMEOUT_S, READ_INTERVAL_S)
+    promotions: list[members.Member] = []
+
+    def on_promoted(promoted: members.Member) -> None:
+        promotions.append(promoted)
+        check(promoted, writers, record)
 
     group.on_promoted = on_promoted
-    await platform.start()
-    await platform.put("config", "main", CONFIGURATION)
-    await group.start(platform)
-    with fleet.Fleet(record, platform.address, ZONES) as site:
-        site.start()
-        await site.wait_until_ready()
-        await asyncio.sleep(5)
+    async with scenario.Site(record, group, routes, ZONES) as site:
+        nodes = site.fleet.nodes
         tasks = [
-            asyncio.create_task(writers.run(site.nodes[number % len(site.nodes)].host, number))
-            for number in range(CLIENTS)
-        ]
-        readers = Readers(record)
-        tasks += [
-            asyncio.create_task(readers.run(site.nodes[number % len(site.nodes)].host, number))
+            asyncio.create_task(clients.run(nodes[number % len(nodes)].host, number))
+            for clients in (writers, readers)
             for number in range(CLIENTS)
         ]
         for _ in range(ROUNDS):
-            await asyncio.sleep(PAUSE_S * random.uniform(0.6, 1.0))
-            for request_id in list(writers.acknowledged):
-                if request_id not in {e.request_id for e in group.primary.log}:
-                    del writers.acknowledged[request_id]
+            await asyncio.sleep(random.uniform(*PAUSE_S))
             if trouble:
-                await disrupt(group, record, platform)
+                await disrupt(site)
             if record.violations:
                 break
-        writers.stopped = readers.stopped = True
-        await asyncio.wait(tasks, timeout=5)
         for task in tasks:
             task.cancel()
-        if os.environ.get("KEEP_LOGS"):
-            for node in site.nodes:
-                pathlib.Path(os.environ["KEEP_LOGS"], node.name + ".log").write_text(node.log())
-    print("acked", len(writers.acknowledged))
-    for v in record.violations[:10]:
-        print(v)
-
-
-async def disrupt(group, record, platform) -> None:
-    primary = group.primary
-    deaf = max((m for m in group.members.values() if m is not primary), key=lambda m: m.id)
-    record.write(f"{deaf.id} receives nothing")
-    deaf.receives = False
-    await asyncio.sleep(DEAF_BEFORE_DARK_S)
-    record.write(f"{primary.id} goes dark")
-    await primary.go_dark()
-    await asyncio.sleep(DARK_S)
-    deaf.receives = True
-    group.replicate(group.primary)
-    record.write(f"{primary.id} is back")
-    await primary.wake()
-    await asyncio.sleep(members.STEP_DOWN_S + 0.5)
-    await group.register(platform)
-
-
-def main() -> int:
-    record = records.Record(pathlib.Path(__file__).with_name("record.txt"))
-    asyncio.run(run(record, os.environ.get("TROUBLE", "1") != "0"))
-    record.close()
-    return 1 if record.violations else 0
+        await asyncio.wait(tasks)
+    if not writers.acknowledged or (trouble and not promotions):
+        raise scenario.Unusable("no write was acknowledged, or nobody was promoted")
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    scenario.main(__file__, run)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,7 @@
-"""Two of a zone's three machines get SIGTERM one after the other while clients go on connecting."""
+"""Two of a zone's three machines are stopped in turn while clients go on connecting."""
 
 import asyncio
 import dataclasses
-import os
 import pathlib
 import random
 import signal
@@ -12,167 +11,185 @@
 
 import fleet
 import members
-import platform_api
-import record as records
+import scenario
 import sessions
+from record import Record
 
-ZONES = ("quito-norte",) * 3
-SERVICE, DATABASE = "trials-1", "reports"
+ZONES = ["quito-norte"] * 3
+MEMBERS = {"i-a": "quito-norte", "i-b": "quito-sur", "i-c": "cumbaya"}
+OPTIONS = members.Options(slots=5, queue=40, max_connections=55, work_s=0.055)
+
+SERVICE, DATABASE = "trials-db-1", "reports"
 TIMEOUT_S = 3.0
+ITEMS = 50
 
-OPTIONS = members.Options(slots=5, queue=40, max_connections=55, work_s=0.055)
-# Sessions of one operation that begin in a second; the members could run 273.
+# Sessions of one read that begin in a second. The three members can run 272 reads in a second.
 SESSIONS_PER_S = 240
+DURATION_S = 26.0
+SIGTERM_AT_S = 6.0
 SIGTERM_INTERVAL_S = 1.3
 
-CONFIGURATION = {
-    "version": 7,
-    "routes": [
-        {
-            "name": "r-1",
-            "host": DATABASE,
-            "path_prefix": "/",
-            "kind": "bounded_staleness",
-            "timeout_ms": TIMEOUT_S * 1000,
-            "target_latency_ms": 800,
-            "priority": 2,
-            "service": SERVICE,
-            "max_attempts": 2,
-            "max_staleness_ms": 1500,
-        }
-    ],
-    "services": [
-        {
-            "name": SERVICE,
-            "health_path": "/health",
-            "max_connections": OPTIONS.max_connections,
-            "sync_replicas": 0,
-        }
-    ],
-    "limits": {"tx_idle_ms": 3000},
-}
+# A client tries an operation at most this often.
+MAX_ATTEMPTS = 3
+
+# Requests that were sent no later than this after the SIGTERM may be excused.
+EXCUSED_UNTIL_S = 3.0
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """A request of a client.
+
+    Attributes:
+      node: The machine that took it.
+      sent_at_s: When it was sent.
+      ended_at_s: When the answer was complete or the connection ended.
+      answered: Whether a complete answer arrived.
+    """
+
+    node: fleet.Node
+    sent_at_s: float
+    ended_at_s: float = 0.0
+    answered: bool = False
 
 
 class Ingress:
-    """The platform's choice of a machine for each new connection."""
+    """Chooses the machine of each new connection, as the platform does."""
 
-    def __init__(self, site: fleet.Fleet) -> None:
-        self._site = site
-        self._misses = dict.fromkeys(site.nodes, 0)
+    def __init__(self, nodes: list[fleet.Node]) -> None:
+        self._nodes = nodes
+        self._misses = dict.fromkeys(nodes, 0)
 
     async def probe(self) -> None:
+        """Ask all machines each second whether they are ready, until cancelled."""
         while True:
-            for node in self._site.nodes:
-                ready = await asyncio.to_thread(node.is_ready)
+            answers = await asyncio.gather(
+                *(asyncio.to_thread(node.is_ready) for node in self._nodes)
+            )
+            for node, ready in zip(self._nodes, answers, strict=True):
                 self._misses[node] = 0 if ready else self._misses[node] + 1
             await asyncio.sleep(1)
 
     def choose(self) -> fleet.Node:
-        nodes = self._site.nodes
-        rotation = [node for node in nodes if self._misses[node] < 2]
-        return random.choice(rotation if 2 * len(rotation) >= len(nodes) else nodes)
-
-
-@dataclasses.dataclass
-class Sent:
-    node: str
-    sent_s: float
-    answered: bool = False
-    ended_s: float = 0.0
-
-
-async def run(record: records.Record, trouble: bool) -> None:
-    group = members.Group(
-        SERVICE, {"i-a": "quito-norte", "i-b": "quito-sur", "i-c": "cumbaya"}, OPTIONS, record
+        """Return a machine in rotation; any one if fewer than half of the zone's are."""
+        rotation = [node for node in self._nodes if self._misses[node] < 2]
+        return random.choice(rotation if 2 * len(rotation) >= len(self._nodes) else self._nodes)
+
+
+class Clients:
+    """Clients whose sessions serve a single read.
+
+    Attributes:
+      requests: All requests by id.
+    """
+
+    def __init__(self, record: Record, ingress: Ingress) -> None:
+        self.requests: dict[str, Request] = {}
+        self._record = record
+        self._ingress = ingress
+
+    async def run_operation(self) -> None:
+        """Read an item; try again at a failure."""
+        for _ in range(MAX_ATTEMPTS):
+            node = self._ingress.choose()
+            try:
+                async with sessions.Session(
+                    self._record, node.host, fleet.FRONT_PORT, DATABASE
+                ) as session:
+                    if await self._read(session, node):
+                        return
+            except sessions.Ended:
+                continue
+
+    async def _read(self, session: sessions.Session, node: fleet.Node) -> bool:
+        """Read an item; return whether that succeeded."""
+        request_id = sessions.new_id("r")
+        request = self.requests[request_id] = Request(node, self._record.now_s)
+        try:
+            answer = await session.query(
+                request_id, f"READ item{random.randrange(ITEMS)}", TIMEOUT_S + 1
+            )
+            request.answered = True
+        finally:
+            request.ended_at_s = self._record.now_s
+        return not answer.error
+
+
+async def stop_and_start(node: fleet.Node, stopped_at_s: dict[str, float], record: Record) -> None:
+    """Stop a machine's process as the platform does, and start it again."""
+    record.write(f"SIGTERM {node.name}")
+    stopped_at_s[node.name] = record.now_s
+    node.signal(signal.SIGTERM)
+    await asyncio.sleep(fleet.GRACE_S)
+    node.kill()
+    record.write(f"start {node.name}")
+    node.start()
+
+
+async def roll(
+    nodes: list[fleet.Node], stopped_at_s: dict[str, float], record: Record, trouble: bool
+) -> None:
+    """Stop and start machines in turn."""
+    await asyncio.sleep(SIGTERM_AT_S)
+    async with asyncio.TaskGroup() as stops:
+        for node in nodes if trouble else []:
+            stops.create_task(stop_and_start(node, stopped_at_s, record))
+            await asyncio.sleep(SIGTERM_INTERVAL_S)
+
+
+def check(
+    group: members.Group, clients: Clients, stopped_at_s: dict[str, float], record: Record
+) -> None:
+    """Record the requests that a member had and whose connections ended without an answer."""
+    for request_id, request in clients.requests.items():
+        stopped_s = stopped_at_s.get(request.node.name)
+        if request.answered or stopped_s is None or request_id not in group.arrivals:
+            continue
+        if request.ended_at_s - request.sent_at_s >= TIMEOUT_S:
+            continue
+        sent_after_s = request.sent_at_s - stopped_s
+        text = (
+            f"{request_id} was sent {sent_after_s:.3f} s after the SIGTERM of {request.node.name},"
+            f" a member had it, and its connection ended at {request.ended_at_s - stopped_s:.3f} s"
+        )
+        if EXCUSED_UNTIL_S < sent_after_s <= fleet.GRACE_S + 1:
+            record.violation(f"LOST: {text}")
+        else:
+            record.write(f"not counted: {text}")
+
+
+async def run(record: Record, trouble: bool) -> None:
+    """Run clients, stop machines in turn, and check for lost requests."""
+    group = members.Group(SERVICE, MEMBERS, OPTIONS, record)
+    route = scenario.route(
+        DATABASE,
+        SERVICE,
+        "bounded_staleness",
+        timeout_ms=round(TIMEOUT_S * 1000),
+        target_latency_ms=800,
+        max_staleness_ms=1500,
     )
-    platform = platform_api.Platform(record, lambda _, member: group.promote(member))
-    sent: dict[str, Sent] = {}
-    await platform.start()
-    await platform.put("config", "main", CONFIGURATION)
-    await group.start(platform)
-    terms: dict[str, float] = {}
-    with fleet.Fleet(record, platform.address, ZONES) as site:
-        site.start()
-        await site.wait_until_ready()
-        await asyncio.sleep(5)
-        ingress = Ingress(site)
+    stopped_at_s: dict[str, float] = {}
+    async with scenario.Site(record, group, [route], ZONES) as site:
+        nodes = site.fleet.nodes
+        ingress = Ingress(nodes)
+        clients = Clients(record, ingress)
         probing = asyncio.create_task(ingress.probe())
-        stop_at = record.now_s + 40
-        tasks = set()
-
-        async def operation() -> None:
-            for _ in range(3):
-                node = ingress.choose()
-                try:
-                    async with sessions.Session(record, node.host, fleet.FRONT_PORT, DATABASE) as s:
-                        rid = sessions.new_id("r")
-                        sent[rid] = Sent(node.name, record.now_s)
-                        try:
-                            answer = await s.query(rid, f"READ item{random.randrange(50)}", 4)
-                            sent[rid].answered = True
-                        finally:
-                            sent[rid].ended_s = record.now_s
-                        if not answer.error:
-                            return
-                except sessions.Ended:
-                    continue
-
-        async def stop(node: fleet.Node) -> None:
-            record.write(f"SIGTERM {node.name}")
-            terms[node.name] = record.now_s
-            node.signal(signal.SIGTERM)
-            await asyncio.sleep(fleet.GRACE_S + 0.5)
-            node.kill()
-            record.write(f"start {node.name}")
-            node.start()
-
-        stops = []
-        if trouble:
-
-            async def roll() -> None:
-                await asyncio.sleep(8)
-                for node in site.nodes[:2]:
-                    stops.append(asyncio.create_task(stop(node)))
-                    await asyncio.sleep(SIGTERM_INTERVAL_S)
-
-            stops.append(asyncio.create_task(roll()))
-        while record.now_s < stop_at:
-            t = asyncio.create_task(operation())
-            tasks.add(t)
-            t.add_done_callback(tasks.discard)
+        rolling = asyncio.create_task(roll(nodes[:2], stopped_at_s, record, trouble))
+        operations: set[asyncio.Task[None]] = set()
+        ends_at_s = record.now_s + DURATION_S
+        while record.now_s < ends_at_s:
+            operation = asyncio.create_task(clients.run_operation())
+            operations.add(operation)
+            operation.add_done_callback(operations.discard)
             await asyncio.sleep(random.expovariate(SESSIONS_PER_S))
-        await asyncio.wait(tasks, timeout=5)
+        await rolling
+        await asyncio.wait(operations, timeout=TIMEOUT_S * 2)
         probing.cancel()
-        if os.environ.get("KEEP_LOGS"):
-            for node in site.nodes:
-                pathlib.Path(os.environ["KEEP_LOGS"], node.name + ".log").write_text(node.log())
-    for rid, s in sent.items():
-        if s.answered or s.node not in terms or rid not in group.arrivals:
-            continue
-        at = s.sent_s - terms[s.node]
-        if 0 <= at <= fleet.GRACE_S + 1:
-            line = f"{rid} sent {at:.3f} s after the SIGTERM of {s.node}, ended {s.ended_s - terms[s.node]:.3f}"
-            if at > 3:
-                record.violation("LOST: " + line)
-            else:
-                record.write("lost, may be excused: " + line)
-    print(
-        "sent",
-        len(sent),
-        "answered",
-        sum(s.answered for s in sent.values()),
-        len(record.violations),
-    )
-    for v in record.violations[:10]:
-        print(v)
-
-
-def main() -> int:
-    record = records.Record(pathlib.Path(__file__).with_name("record.txt"))
-    asyncio.run(run(record, os.environ.get("TROUBLE", "1") != "0"))
-    record.close()
-    return 1 if record.violations else 0
+    if 2 * sum(request.answered for request in clients.requests.values()) < len(clients.requests):
+        raise scenario.Unusable("most requests were not answered")
+    check(group, clients, stopped_at_s, record)
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    scenario.main(__file__, run)
