--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,10 +1,8 @@
-"""Two of a zone's three machines are stopped in turn while clients go on connecting."""
+"""A replica receives nothing for a while, and the primary of a synchronous group goes dark."""
 
 import asyncio
-import dataclasses
 import pathlib
 import random
-import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standins"))
@@ -15,180 +13,129 @@
 import sessions
 from record import Record
 
-ZONES = ["quito-norte"] * 3
-MEMBERS = {"i-a": "quito-norte", "i-b": "quito-sur", "i-c": "cumbaya"}
-OPTIONS = members.Options(slots=5, queue=40, max_connections=55, work_s=0.055)
+ZONES = ["addis-bole", "addis-kirkos", "addis-yeka"]
+MEMBERS = {"i-a": "addis-bole", "i-b": "addis-kirkos", "i-c": "addis-yeka"}
+OPTIONS = members.Options(slots=2, max_connections=16, work_s=0.0045, sync_replicas=1)
 
-SERVICE, DATABASE = "trials-db-1", "reports"
-TIMEOUT_S = 3.0
-ITEMS = 50
+SERVICE, WRITES, READS = "diary-store-1", "submissions", "reports"
+WRITE_TIMEOUT_S, READ_TIMEOUT_S = 2.0, 6.0
+CLIENTS = 6
+WRITE_INTERVAL_S, READ_INTERVAL_S = 0.02, 0.05
 
-# Sessions of one read that begin in a second. The three members can run 272 reads in a second.
-SESSIONS_PER_S = 240
-DURATION_S = 26.0
-SIGTERM_AT_S = 6.0
-SIGTERM_INTERVAL_S = 1.3
-
-# A client tries an operation at most this often.
-MAX_ATTEMPTS = 3
-
-# Requests that were sent no later than this after the SIGTERM may be excused.
-EXCUSED_UNTIL_S = 3.0
-
-
-@dataclasses.dataclass(slots=True)
-class Request:
-    """A request of a client.
-
-    Attributes:
-      node: The machine that took it.
-      sent_at_s: When it was sent.
-      ended_at_s: When the answer was complete or the connection ended.
-      answered: Whether a complete answer arrived.
-    """
-
-    node: fleet.Node
-    sent_at_s: float
-    ended_at_s: float = 0.0
-    answered: bool = False
-
-
-class Ingress:
-    """Chooses the machine of each new connection, as the platform does."""
-
-    def __init__(self, nodes: list[fleet.Node]) -> None:
-        self._nodes = nodes
-        self._misses = dict.fromkeys(nodes, 0)
-
-    async def probe(self) -> None:
-        """Ask all machines each second whether they are ready, until cancelled."""
-        while True:
-            answers = await asyncio.gather(
-                *(asyncio.to_thread(node.is_ready) for node in self._nodes)
-            )
-            for node, ready in zip(self._nodes, answers, strict=True):
-                self._misses[node] = 0 if ready else self._misses[node] + 1
-            await asyncio.sleep(1)
-
-    def choose(self) -> fleet.Node:
-        """Return a machine in rotation; any one if fewer than half of the zone's are."""
-        rotation = [node for node in self._nodes if self._misses[node] < 2]
-        return random.choice(rotation if 2 * len(rotation) >= len(self._nodes) else self._nodes)
+ROUNDS = 6
+PAUSE_S = (4.0, 7.0)
+DEAF_BEFORE_DARK_S = 0.4
+DARK_S = 5.0
+REJOIN_S = members.STEP_DOWN_S + 0.5
 
 
 class Clients:
-    """Clients whose sessions serve a single read.
+    """Clients of one database that send single statements.
 
     Attributes:
-      requests: All requests by id.
+      acknowledged: Ids of the writes that were answered with success.
     """
 
-    def __init__(self, record: Record, ingress: Ingress) -> None:
-        self.requests: dict[str, Request] = {}
+    def __init__(self, record: Record, database: str, timeout_s: float, interval_s: float) -> None:
+        self.acknowledged: set[str] = set()
         self._record = record
-        self._ingress = ingress
+        self._database = database
+        self._timeout_s = timeout_s
+        self._interval_s = interval_s
 
-    async def run_operation(self) -> None:
-        """Read an item; try again at a failure."""
-        for _ in range(MAX_ATTEMPTS):
-            node = self._ingress.choose()
+    async def run(self, host: str, number: int) -> None:
+        """Send statements to one machine until cancelled."""
+        while True:
             try:
                 async with sessions.Session(
-                    self._record, node.host, fleet.FRONT_PORT, DATABASE
+                    self._record, host, fleet.FRONT_PORT, self._database
                 ) as session:
-                    if await self._read(session, node):
-                        return
+                    while await self._send(session, number):
+                        await asyncio.sleep(self._interval_s)
             except sessions.Ended:
-                continue
-
-    async def _read(self, session: sessions.Session, node: fleet.Node) -> bool:
-        """Read an item; return whether that succeeded."""
-        request_id = sessions.new_id("r")
-        request = self.requests[request_id] = Request(node, self._record.now_s)
-        try:
-            answer = await session.query(
-                request_id, f"READ item{random.randrange(ITEMS)}", TIMEOUT_S + 1
-            )
-            request.answered = True
-        finally:
-            request.ended_at_s = self._record.now_s
-        return not answer.error
-
-
-async def stop_and_start(node: fleet.Node, stopped_at_s: dict[str, float], record: Record) -> None:
-    """Stop a machine's process as the platform does, and start it again."""
-    record.write(f"SIGTERM {node.name}")
-    stopped_at_s[node.name] = record.now_s
-    node.signal(signal.SIGTERM)
-    await asyncio.sleep(fleet.GRACE_S)
-    node.kill()
-    record.write(f"start {node.name}")
-    node.start()
-
-
-async def roll(
-    nodes: list[fleet.Node], stopped_at_s: dict[str, float], record: Record, trouble: bool
-) -> None:
-    """Stop and start machines in turn."""
-    await asyncio.sleep(SIGTERM_AT_S)
-    async with asyncio.TaskGroup() as stops:
-        for node in nodes if trouble else []:
-            stops.create_task(stop_and_start(node, stopped_at_s, record))
-            await asyncio.sleep(SIGTERM_INTERVAL_S)
-
-
-def check(
-    group: members.Group, clients: Clients, stopped_at_s: dict[str, float], record: Record
-) -> None:
-    """Record the requests that a member had and whose connections ended without an answer."""
-    for request_id, request in clients.requests.items():
-        stopped_s = stopped_at_s.get(request.node.name)
-        if request.answered or stopped_s is None or request_id not in group.arrivals:
-            continue
-        if request.ended_at_s - request.sent_at_s >= TIMEOUT_S:
-            continue
-        sent_after_s = request.sent_at_s - stopped_s
-        text = (
-            f"{request_id} was sent {sent_after_s:.3f} s after the SIGTERM of {request.node.name},"
-            f" a member had it, and its connection ended at {request.ended_at_s - stopped_s:.3f} s"
+                await asyncio.sleep(0.1)
+
+    async def _send(self, session: sessions.Session, number: int) -> bool:
+        """Send one statement; return whether the session can go on."""
+        request_id = sessions.new_id("s")
+        write = self._database == WRITES
+        text = f"WRITE item{number} {request_id}" if write else f"READ item{number}"
+        answer = await session.query(request_id, text, self._timeout_s + 1)
+        if write and not answer.error:
+            self.acknowledged.add(request_id)
+        return answer.state == "I"
+
+
+def check(promoted: members.Member, clients: Clients, record: Record) -> None:
+    """Record the acknowledged commits that a promoted member lacks."""
+    lost = clients.acknowledged - {entry.request_id for entry in promoted.log}
+    if lost:
+        record.violation(
+            f"LOST: {promoted.id} was promoted without {len(lost)} acknowledged commits,"
+            f" the first is {min(lost)}"
         )
-        if EXCUSED_UNTIL_S < sent_after_s <= fleet.GRACE_S + 1:
-            record.violation(f"LOST: {text}")
-        else:
-            record.write(f"not counted: {text}")
+
+
+async def disrupt(site: scenario.Site) -> None:
+    """Let a replica receive nothing, then the primary go dark; end both."""
+    group, primary = site.group, site.group.primary
+    replicas = [member for member in group.members.values() if member is not primary]
+    deaf = max(replicas, key=lambda member: member.id)
+    site.record.write(f"{deaf.id} receives nothing")
+    deaf.receives = False
+    await asyncio.sleep(DEAF_BEFORE_DARK_S)
+    site.record.write(f"{primary.id} goes dark")
+    await primary.go_dark()
+    await asyncio.sleep(DARK_S)
+    site.record.write(f"{deaf.id} receives again, {primary.id} is back")
+    deaf.receives = True
+    group.replicate(group.primary)
+    await primary.wake()
+    await asyncio.sleep(REJOIN_S)
+    await group.register(site.platform)
 
 
 async def run(record: Record, trouble: bool) -> None:
-    """Run clients, stop machines in turn, and check for lost requests."""
+    """Run clients, disrupt the group in rounds, and check each promotion."""
     group = members.Group(SERVICE, MEMBERS, OPTIONS, record)
-    route = scenario.route(
-        DATABASE,
-        SERVICE,
-        "bounded_staleness",
-        timeout_ms=round(TIMEOUT_S * 1000),
-        target_latency_ms=800,
-        max_staleness_ms=1500,
-    )
-    stopped_at_s: dict[str, float] = {}
-    async with scenario.Site(record, group, [route], ZONES) as site:
+    routes = [
+        scenario.route(WRITES, SERVICE, "primary", timeout_ms=2000, target_latency_ms=120),
+        scenario.route(
+            READS,
+            SERVICE,
+            "bounded_staleness",
+            timeout_ms=6000,
+            target_latency_ms=400,
+            max_staleness_ms=1500,
+        ),
+    ]
+    writers = Clients(record, WRITES, WRITE_TIMEOUT_S, WRITE_INTERVAL_S)
+    readers = Clients(record, READS, READ_TIMEOUT_S, READ_INTERVAL_S)
+    promotions: list[members.Member] = []
+
+    def on_promoted(promoted: members.Member) -> None:
+        promotions.append(promoted)
+        check(promoted, writers, record)
+
+    group.on_promoted = on_promoted
+    async with scenario.Site(record, group, routes, ZONES) as site:
         nodes = site.fleet.nodes
-        ingress = Ingress(nodes)
-        clients = Clients(record, ingress)
-        probing = asyncio.create_task(ingress.probe())
-        rolling = asyncio.create_task(roll(nodes[:2], stopped_at_s, record, trouble))
-        operations: set[asyncio.Task[None]] = set()
-        ends_at_s = record.now_s + DURATION_S
-        while record.now_s < ends_at_s:
-            operation = asyncio.create_task(clients.run_operation())
-            operations.add(operation)
-            operation.add_done_callback(operations.discard)
-            await asyncio.sleep(random.expovariate(SESSIONS_PER_S))
-        await rolling
-        await asyncio.wait(operations, timeout=TIMEOUT_S * 2)
-        probing.cancel()
-    if 2 * sum(request.answered for request in clients.requests.values()) < len(clients.requests):
-        raise scenario.Unusable("most requests were not answered")
-    check(group, clients, stopped_at_s, record)
+        tasks = [
+            asyncio.create_task(clients.run(nodes[number % len(nodes)].host, number))
+            for clients in (writers, readers)
+            for number in range(CLIENTS)
+        ]
+        for _ in range(ROUNDS):
+            await asyncio.sleep(random.uniform(*PAUSE_S))
+            if trouble:
+                await disrupt(site)
+            if record.violations:
+                break
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+    if not writers.acknowledged or (trouble and not promotions):
+        raise scenario.Unusable("no write was acknowledged, or nobody was promoted")
 
 
 if __name__ == "__main__":
--- a/review/standins/members.py
+++ b/review/standins/members.py
@@ -121,6 +121,7 @@
       log: The entries that it has received.
       applied: Number of entries that reads see.
       receives: Whether it receives entries.
+      leads_when_back: Whether a promotion takes effect as soon as the member is back.
       dark: Whether it is silent: it neither reads nor answers, and accepts no connection.
     """
 
@@ -133,6 +134,7 @@
         self.log: list[Entry] = []
         self.applied = 0
         self.receives = True
+        self.leads_when_back = False
         self.connections = 0
         self.busy = 0
         self.port = 0
@@ -194,6 +196,9 @@
         await self.start()
         self._awake.set()
         self.group.rejoin(self)
+        if self.leads_when_back:
+            self.leads_when_back = False
+            self.group.lead(self)
 
     def position(self, count: int | None = None) -> str:
         """Return the position after a number of entries, by default the applied ones."""
@@ -380,6 +385,8 @@
         self.log.append(entry)
         self.applied = len(self.log)
         self.group.committed.append(entry)
+        if self.group.primary is not self:
+            self.group.committed_late[request_id] = self.id
         self.group.replicate(self)
 
     def receive(self, entries: list[Entry], term: int) -> None:
@@ -420,7 +427,10 @@
       members: The members by id; the first one starts as the primary.
       runs: All statements that members have run.
       committed: All committed entries.
+      committed_late: The member that committed a request after another had been promoted, by the id
+        of the request.
       arrivals: When each statement that takes a slot was accepted by a member.
+      on_promotion_accepted: Called with the member that a promotion call names.
       on_promoted: Called with the member that a promotion has made the primary.
     """
 
@@ -441,7 +451,9 @@
         self.connection_numbers = itertools.count(1)
         self.runs: list[Run] = []
         self.committed: list[Entry] = []
+        self.committed_late: dict[str, str] = {}
         self.arrivals: dict[str, float] = {}
+        self.on_promotion_accepted: collections.abc.Callable[[Member], None] = lambda _: None
         self.on_promoted: collections.abc.Callable[[Member], None] = lambda _: None
         self._changed = asyncio.Condition()
         self._notifications: set[asyncio.Task[None]] = set()
@@ -526,10 +538,14 @@
             return 409
         if not member.primary:
             loop = asyncio.get_running_loop()
-            loop.call_later(self.options.promote_s, self._lead, member)
+            loop.call_later(self.options.promote_s, self.lead, member)
+            self.on_promotion_accepted(member)
         return 200
 
-    def _lead(self, member: Member) -> None:
+    def lead(self, member: Member) -> None:
+        """Make a member the primary; one that is dark leads as soon as it is back."""
+        if member.dark:
+            member.leads_when_back = True
         if not member.running:
             return
         former = [other for other in self.members.values() if other.primary]
@@ -547,15 +563,17 @@
         self.replicate(member)
 
     def rejoin(self, member: Member) -> None:
-        """Have a member that is back follow the primary of the newest term."""
+        """Have a member that is back, and the others, follow the primary of the newest term."""
         newest = self.primary
-        if newest is not member:
-            delay_s = STEP_DOWN_S if member.primary else self.options.receive_s
-            asyncio.get_running_loop().call_later(delay_s, self._step_down, member, newest)
+        loop = asyncio.get_running_loop()
+        for other in self.members.values() if newest is member else (member,):
+            if other is not newest:
+                delay_s = STEP_DOWN_S if other.primary else self.options.receive_s
+                loop.call_later(delay_s, self._step_down, other, newest)
 
     def _step_down(self, former: Member, successor: Member) -> None:
         """Make a former primary a replica, a second after it could reach its successor."""
-        if former.running and former.term < successor.term:
+        if former.running and successor.running and former.term < successor.term:
             former.primary = False
             self.replicate(successor)
 
