--- a/review/5/case.py
+++ b/review/5/case.py
@@ -25,8 +25,8 @@
 
 # Sessions of one read that begin in a second. The three members can run 272 reads in a second.
 SESSIONS_PER_S = 240
-DURATION_S = 26.0
-SIGTERM_AT_S = 6.0
+DURATION_S = 44.0
+ROLLS_AT_S = (6.0, 24.0)
 SIGTERM_INTERVAL_S = 1.3
 
 # A client tries an operation at most this often.
@@ -115,10 +115,12 @@
         return not answer.error
 
 
-async def stop_and_start(node: fleet.Node, stopped_at_s: dict[str, float], record: Record) -> None:
+async def stop_and_start(
+    node: fleet.Node, stopped_at_s: dict[str, list[float]], record: Record
+) -> None:
     """Stop a machine's process as the platform does, and start it again."""
     record.write(f"SIGTERM {node.name}")
-    stopped_at_s[node.name] = record.now_s
+    stopped_at_s.setdefault(node.name, []).append(record.now_s)
     node.signal(signal.SIGTERM)
     await asyncio.sleep(fleet.GRACE_S)
     node.kill()
@@ -127,24 +129,29 @@
 
 
 async def roll(
-    nodes: list[fleet.Node], stopped_at_s: dict[str, float], record: Record, trouble: bool
+    nodes: list[fleet.Node], stopped_at_s: dict[str, list[float]], record: Record, trouble: bool
 ) -> None:
-    """Stop and start machines in turn."""
-    await asyncio.sleep(SIGTERM_AT_S)
-    async with asyncio.TaskGroup() as stops:
-        for node in nodes if trouble else []:
-            stops.create_task(stop_and_start(node, stopped_at_s, record))
-            await asyncio.sleep(SIGTERM_INTERVAL_S)
+    """Stop and start machines in turn, several times."""
+    began_at_s = record.now_s
+    for roll_at_s in ROLLS_AT_S if trouble else ():
+        await asyncio.sleep(began_at_s + roll_at_s - record.now_s)
+        async with asyncio.TaskGroup() as stops:
+            for node in nodes:
+                stops.create_task(stop_and_start(node, stopped_at_s, record))
+                await asyncio.sleep(SIGTERM_INTERVAL_S)
 
 
 def check(
-    group: members.Group, clients: Clients, stopped_at_s: dict[str, float], record: Record
+    group: members.Group, clients: Clients, stopped_at_s: dict[str, list[float]], record: Record
 ) -> None:
     """Record the requests that a member had and whose connections ended without an answer."""
     for request_id, request in clients.requests.items():
-        stopped_s = stopped_at_s.get(request.node.name)
-        if request.answered or stopped_s is None or request_id not in group.arrivals:
+        stops = [
+            at_s for at_s in stopped_at_s.get(request.node.name, []) if at_s < request.sent_at_s
+        ]
+        if request.answered or not stops or request_id not in group.arrivals:
             continue
+        stopped_s = stops[-1]
         if request.ended_at_s - request.sent_at_s >= TIMEOUT_S:
             continue
         sent_after_s = request.sent_at_s - stopped_s
@@ -169,7 +176,7 @@
         target_latency_ms=800,
         max_staleness_ms=1500,
     )
-    stopped_at_s: dict[str, float] = {}
+    stopped_at_s: dict[str, list[float]] = {}
     async with scenario.Site(record, group, [route], ZONES) as site:
         nodes = site.fleet.nodes
         ingress = Ingress(nodes)
--- a/review/standins/members.py
+++ b/review/standins/members.py
@@ -263,18 +263,23 @@
                 await asyncio.sleep(options.work_s * _spread())
                 await self._awake.wait()
                 answer = self._execute(request_id, words, after, connection)
-            await self._wait_for_replicas(words, answer)
+            received = await self._wait_for_replicas(request_id)
         finally:
             self.busy -= 1
-        return answer
+        return answer if received else (f"ERR FAILED {self.id} lost the lead",)
 
-    async def _wait_for_replicas(self, words: list[str], answer: tuple[str, ...]) -> None:
-        """Wait until enough replicas have received the log, if the group is synchronous."""
-        if words[0] == "READ" or not answer[-1].startswith("DONE"):
-            return
+    async def _wait_for_replicas(self, request_id: str) -> bool:
+        """Wait until enough replicas have received what a request has just committed, if anything.
+
+        Returns:
+          Whether they have; False if the member has lost the lead before.
+        """
+        if not self.log or self.log[-1].request_id != request_id:
+            return True
         length = len(self.log)
         while self.primary and not self.group.received(self, length):
             await self.group.wait_for_change()
+        return self.primary
 
     def _execute(
         self, request_id: str, words: list[str], after: str, connection: Connection
@@ -318,6 +323,7 @@
             case ["DEMOTE", term]:
                 if self.primary and int(term) > self.term:
                     self.primary, self.term = False, int(term)
+                    self.group.notify()
                 return self._status()
             case _:
                 return ("ERR BAD",)
@@ -575,6 +581,7 @@
         """Make a former primary a replica, a second after it could reach its successor."""
         if former.running and successor.running and former.term < successor.term:
             former.primary = False
+            self.notify()
             self.replicate(successor)
 
 
