--- a/review/5/case.py
+++ b/review/5/case.py
@@ -24,7 +24,7 @@
 ITEMS = 50
 
 # Sessions of one read that begin in a second. The three members can run 272 reads in a second.
-SESSIONS_PER_S = 240
+SESSIONS_PER_S = 255
 DURATION_S = 44.0
 ROLLS_AT_S = (6.0, 24.0)
 SIGTERM_INTERVAL_S = 1.3
