--- a/review/standins/attempts.py
+++ b/review/standins/attempts.py
@@ -122,7 +122,10 @@
             )
     for entry in group.committed:
         for request_id, item, data in entry.writes:
-            attempt = by_statement[request_id]
+            attempt = by_statement.get(request_id)
+            if attempt is None:
+                # Its run has been reported above.
+                continue
             if not attempt.commit_id:
                 record.violation(
                     f"UNASKED: write {request_id} {item} {data} was committed by"
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -66,11 +66,12 @@
         self._child: subprocess.Popen[bytes] | None = None
 
     def start(self, first: bool = False) -> None:
-        """Start the process.
+        """Start the process, after the end of an earlier one.
 
         Args:
           first: Whether the whole system starts for the first time.
         """
+        self.kill()
         self._settings_path.write_text(json.dumps(self._settings(first)))
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         inherited = ("PATH", "HOME", "LANG")
--- a/review/standins/scenario.py
+++ b/review/standins/scenario.py
@@ -4,6 +4,7 @@
 import collections.abc
 import os
 import pathlib
+import signal
 import sys
 import traceback
 from typing import Any
@@ -119,6 +120,14 @@
 Scenario = collections.abc.Callable[[Record, bool], collections.abc.Coroutine[Any, Any, None]]
 
 
+async def _run(scenario: Scenario, record: Record, trouble: bool) -> None:
+    """Run a scenario; a SIGTERM or SIGINT cancels it, so that it ends its processes."""
+    task = asyncio.ensure_future(scenario(record, trouble))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    await asyncio.wait_for(task, MAX_DURATION_S)
+
+
 def main(case: str, scenario: Scenario) -> None:
     """Run a scenario and exit.
 
@@ -129,14 +138,15 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(pathlib.Path(case).with_name("record.txt"))
     try:
-        asyncio.run(asyncio.wait_for(scenario(record, trouble), MAX_DURATION_S))
-    except (Unusable, fleet.NotReady, OSError, TimeoutError) as failure:
+        asyncio.run(_run(scenario, record, trouble))
+    except (Exception, asyncio.CancelledError) as failure:
+        # Any error means that the case could not run; 1 is only for a broken rule.
         traceback.print_exc()
         record.write(f"not run: {type(failure).__name__} {failure}")
         record.close()
         sys.exit(NOT_RUN)
     for line in record.violations[:20]:
         print(line)
-    print(f"{len(record.violations)} violations")
+    print(f"{len(record.violations)} violations in {record.now_s:.0f} s")
     record.close()
     sys.exit(BROKEN if record.violations else HELD)
