Give a member connection one user at a time, and order the end of a transaction

Cause: clients received other clients' rows and proofs, and writes ran after the rollback of their transaction, when an owner was suspended while it ran forwarded transactions. Ruled out: mismatched answers of the link between instances; they carry sequence numbers. Change: a MemberLink stands for one acquisition of a connection. release() transfers the connection to a new object, closes it if an answer is outstanding, and has no effect the second time. A transaction runs statements in order; a rollback waits for the running one and prevents the others. The owner registers a transaction when its first frame is read. The preparation of a connection has the statement's time limit. SimulatedLink of overload_test.py gets the attributes that release() reads; its assertions are unchanged. Conclusion: no late user can reach a connection that has another one.

--- a/bilberrystack/pooling/execution.py
+++ b/bilberrystack/pooling/execution.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import collections.abc
 import dataclasses
 import hashlib
 from typing import Protocol
@@ -438,19 +439,18 @@
     async def prepare(
         self,
         link: member_link.MemberLink,
-        values: dict[str, str],
-        prepared_statement: PreparedStatement | None,
+        request: Request,
     ) -> None:
-        """Set a session's values on a connection and prepare a statement there.
+        """Set a session's values on a connection and prepare its statement there.
 
         Args:
           link: The connection.
-          values: The session's values.
-          prepared_statement: The statement to prepare; None for none.
+          request: The request that is about to run.
         Raises:
-          PreparationFailed: The member rejected a value or the statement, or the connection ended.
-            The connection is closed.
+          PreparationFailed: The member rejected a value or the statement, did not answer within the
+            request's time limit, or the connection ended. The connection is closed.
         """
+        values, prepared_statement = request.values, request.prepared_statement
         queries = []
         if not link.values.keys() <= values.keys():
             queries.append(self._dialect.encode_reset())
@@ -470,9 +470,13 @@
         if not queries:
             return
         try:
-            replies = await link.run_all(queries)
+            async with asyncio.timeout(max(0.0, request.deadline_s - self._clock())):
+                replies = await link.run_all(queries)
         except member_link.Lost as error:
             raise PreparationFailed(str(error)) from error
+        except TimeoutError as error:
+            link.close()
+            raise PreparationFailed("the member did not answer in time") from error
         if any(reply.failure is not None for reply in replies):
             link.close()
             raise PreparationFailed("the member refused a value or a statement")
@@ -633,12 +637,8 @@
           member_link.Lost: The statement may have run.
         """
         try:
-            await self.prepare(link, request.values, request.prepared_statement)
-        except asyncio.CancelledError:
-            link.close()
-            self.group.release(link)
-            raise
-        except PreparationFailed:
+            await self.prepare(link, request)
+        except (asyncio.CancelledError, PreparationFailed):
             self.group.release(link)
             raise
         query = self._dialect.encode_query(request.id, request.text, requirements.min_position)
@@ -738,7 +738,12 @@
         return outcome
 
     async def run_pinned(
-        self, link: member_link.MemberLink, query: bytes, deadline_s: float, trace: Trace
+        self,
+        link: member_link.MemberLink,
+        query: bytes,
+        deadline_s: float,
+        trace: Trace,
+        abandoned: collections.abc.Callable[[], bool],
     ) -> statements.Reply | None:
         """Run a statement inside a transaction, and again while the member is too busy for it.
 
@@ -749,6 +754,8 @@
           query: The encoded statement.
           deadline_s: Instant at which the statement's time limit ends.
           trace: Records how often the statement was sent.
+          abandoned: Returns whether the transaction is to be rolled back; the statement is not sent
+            again in that case.
         Returns:
           The answer; None if it did not arrive in time.
         Raises:
@@ -764,6 +771,8 @@
                 return reply
             self._record_retry(trace, statements.ErrorCode.BUSY.value)
             await asyncio.sleep(backoff_s)
+            if abandoned():
+                return reply
 
     async def committed_outcome(
         self, link: member_link.MemberLink, reply: statements.Reply, trace: Trace
--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -540,16 +540,22 @@
         self.dispatch()
 
     def release(self, link: member_link.MemberLink) -> None:
-        """Return a connection to its pool, after a rollback if a transaction is open on it."""
+        """Return a connection to its pool, after a rollback if a transaction is open on it.
+
+        A connection that still waits for an answer is closed. The caller can't use the connection
+        any more, and a second release has no effect.
+        """
+        if link.released:
+            return
         member_pool = self._pools.get(link.member.id)
-        if member_pool is None or not link.usable:
+        if member_pool is None or not link.usable or link.answer_outstanding:
             self._discard(link)
-        elif link.state is not statements.TransactionState.IDLE:
-            self._tasks.start(self._roll_back(link))
-            return
         else:
-            link.in_use = False
-            link.idle_since_s = self._clock()
+            returned = member_pool.take_back(link)
+            if returned.state is not statements.TransactionState.IDLE:
+                returned.in_use = True
+                self._tasks.start(self._roll_back(returned))
+                return
         self.dispatch()
 
     def _discard(self, link: member_link.MemberLink) -> None:
--- a/bilberrystack/pooling/member_link.py
+++ b/bilberrystack/pooling/member_link.py
@@ -85,7 +85,10 @@
 
 
 class MemberLink:
-    """A connection to a member that runs one statement at a time.
+    """A connection to a member, from its acquisition by one request to its release.
+
+    A connection runs one statement at a time. `transfer` hands it to its next user and makes this
+    object unusable, so that a late user can neither send on it nor read another user's answers.
 
     Attributes:
       member: The member.
@@ -95,13 +98,16 @@
       position: The member's log position in the last answer; None if it showed none.
       values: The session values that are set on the connection.
       prepared_names: The names of the statements that are prepared on the connection.
+      answer_outstanding: Whether a statement was sent whose answer has not been read completely.
     """
 
     __slots__ = (
         "_clock",
         "_dialect",
         "_reader",
+        "_released",
         "_writer",
+        "answer_outstanding",
         "idle_since_s",
         "in_use",
         "member",
@@ -126,6 +132,8 @@
         self.position: positions.Position | None = None
         self.values: dict[str, str] = {}
         self.prepared_names: set[str] = set()
+        self.answer_outstanding = False
+        self._released = False
         self._reader = reader
         self._writer = writer
         self._dialect = dialect
@@ -133,8 +141,28 @@
 
     @property
     def usable(self) -> bool:
-        """Whether the connection is open, as far as this side knows."""
-        return not self._writer.is_closing() and not self._reader.at_eof()
+        """Whether the connection is open, as far as this side knows, and was not released."""
+        return not (self._released or self._writer.is_closing() or self._reader.at_eof())
+
+    @property
+    def released(self) -> bool:
+        """Whether the connection was handed to its next user."""
+        return self._released
+
+    def transfer(self) -> "MemberLink":
+        """Hand the connection to its next user; this object can't use it any more.
+
+        Returns:
+          The connection in the same state, not in use.
+        """
+        assert not self._released and not self.answer_outstanding
+        self._released = True
+        successor = MemberLink(self.member, self._reader, self._writer, self._dialect, self._clock)
+        successor.state = self.state
+        successor.position = self.position
+        successor.values = self.values
+        successor.prepared_names = self.prepared_names
+        return successor
 
     async def run(self, query: bytes) -> statements.Reply:
         """Send one statement and wait for its whole answer.
@@ -156,12 +184,21 @@
         Returns:
           The member's answers, in the order of the statements.
         Raises:
-          Lost: The connection ended; some of the statements may have run.
+          Lost: The connection ended; some of the statements may have run. Nothing was sent if the
+            connection was released, or was waiting for another answer; it is closed in that case.
         """
+        if self._released:
+            raise Lost("the connection was released")
+        if self.answer_outstanding:
+            self.close()
+            raise Lost("another statement has no answer yet")
         sent_at_s = self._clock()
         try:
+            self.answer_outstanding = True
             write(self._writer, b"".join(queries))
-            return [await self._read_reply(sent_at_s) for _ in queries]
+            replies = [await self._read_reply(sent_at_s) for _ in queries]
+            self.answer_outstanding = False
+            return replies
         except (OSError, EOFError, ValueError, asyncio.LimitOverrunError) as error:
             self.close()
             raise Lost(f"{type(error).__name__} while a statement was out") from error
@@ -192,7 +229,12 @@
                     raise Lost("the member broke the protocol")
 
     def close(self) -> None:
-        """Close the connection; the member rolls back a transaction that is open on it."""
+        """Close the connection, unless it was released.
+
+        The member rolls back a transaction that is open on it.
+        """
+        if self._released:
+            return
         # Closing a connection that the peer has reset is not an error.
         with contextlib.suppress(OSError, RuntimeError):
             self._writer.close()
--- a/bilberrystack/pooling/overload_test.py
+++ b/bilberrystack/pooling/overload_test.py
@@ -63,6 +63,8 @@
     def __init__(self, member, simulated_member):
         self.member = member
         self.in_use = False
+        self.released = False
+        self.answer_outstanding = False
         self.usable = True
         self.state = statements.TransactionState.IDLE
         self.position = None
@@ -83,6 +85,10 @@
             (), done, failure, statements.TransactionState.IDLE, position, sent_at_s, now_s
         )
 
+    def transfer(self):
+        self.released = True
+        return SimulatedLink(self.member, self.simulated_member)
+
     def close(self):
         self.usable = False
 
--- a/bilberrystack/pooling/owner_server.py
+++ b/bilberrystack/pooling/owner_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import dataclasses
 
 import loguru
 import msgspec
@@ -23,6 +24,25 @@
 ExecutorLookup = collections.abc.Callable[[str], "execution.Executor | None"]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AcceptedRequest:
+    """A request as received, with what it runs on.
+
+    Attributes:
+      request: The request as received.
+      decoded: The request as the executor runs it.
+      executor: Runs the group's statements; None if this instance can't serve the group.
+      route_superseded: Whether a newer configuration has removed or moved the request's route.
+      transaction: The request's transaction; None outside one, or if it is not open.
+    """
+
+    request: frames.ForwardedRequest
+    decoded: execution.Request
+    executor: execution.Executor | None
+    route_superseded: bool
+    transaction: transaction.Transaction | None
+
+
 class OwnerServer:
     """Runs the statements that other instances forward.
 
@@ -94,8 +114,10 @@
                     if abandoned is not None:
                         abandoned.roll_back()
                     continue
-                self._tasks.start(self._answer(request, writer, open_transactions))
-        except msgspec.MsgspecError as error:
+                # The transaction is registered before the next frame is read, which may end it.
+                accepted = self._accept(request, open_transactions)
+                self._tasks.start(self._answer(accepted, writer, open_transactions))
+        except (msgspec.MsgspecError, ValueError) as error:
             _LOG.warning(
                 "malformed frame from another instance; closing the link", error=str(error)
             )
@@ -110,25 +132,25 @@
 
     async def _answer(
         self,
-        request: frames.ForwardedRequest,
+        accepted: "AcceptedRequest",
         writer: asyncio.StreamWriter,
         open_transactions: dict[int, transaction.Transaction],
     ) -> None:
         self._running_requests += 1
         try:
-            outcome = await self._run(request, open_transactions)
+            outcome = await self._run(accepted, open_transactions)
         finally:
             self._running_requests -= 1
         # If the sender has gone, its client can't receive the outcome through this instance.
         with contextlib.suppress(member_link.Lost):
             member_link.write(writer, frames.pack(outcome))
 
-    async def _run(
+    def _accept(
         self,
         request: frames.ForwardedRequest,
         open_transactions: dict[int, transaction.Transaction],
-    ) -> frames.ForwardedOutcome:
-        trace = execution.Trace()
+    ) -> "AcceptedRequest":
+        """Determine what runs a request; begin its transaction if the request is its first."""
         decoded = frames.decode_request(request, self._clock())
         begun = request.transaction_number in open_transactions
         executor = None if self.stopping and not begun else self._executor_of(request.service)
@@ -139,18 +161,30 @@
             and executor.group.connection_limit_reached(decoded.primary_only or writes)
         ):
             executor = None
-        current: transaction.Transaction | None = None
         self._directory.observe_version(request.configuration_version)
+        superseded = self._route_superseded(request)
+        current: transaction.Transaction | None = None
+        if executor is not None and not superseded and request.transaction_number:
+            current = self._find_or_begin(request, decoded, executor, open_transactions)
+        return AcceptedRequest(request, decoded, executor, superseded, current)
+
+    async def _run(
+        self,
+        accepted: "AcceptedRequest",
+        open_transactions: dict[int, transaction.Transaction],
+    ) -> frames.ForwardedOutcome:
+        trace = execution.Trace()
+        request, decoded = accepted.request, accepted.decoded
+        executor, current = accepted.executor, accepted.transaction
         if executor is None:
             outcome = execution.failure_outcome(
                 statements.ErrorCode.BUSY, "the owner can't serve the group"
             )
-        elif self._route_superseded(request):
+        elif accepted.route_superseded:
             outcome = execution.failure_outcome(
                 statements.ErrorCode.NO_DATABASE, "no such database any more"
             )
         elif request.transaction_number:
-            current = self._find_or_begin(request, decoded, executor, open_transactions)
             outcome = await self._run_in_transaction(
                 request, decoded, trace, current, open_transactions
             )
--- a/bilberrystack/pooling/pool.py
+++ b/bilberrystack/pooling/pool.py
@@ -188,6 +188,19 @@
         self._links.append(link)
         self.record_contact()
 
+    def take_back(self, link: member_link.MemberLink) -> member_link.MemberLink:
+        """Take a connection back from the request that acquired it.
+
+        Args:
+          link: The connection, which that request can't use any more.
+        Returns:
+          The connection, not in use.
+        """
+        returned = link.transfer()
+        self._links = [returned if known is link else known for known in self._links]
+        returned.idle_since_s = self._clock()
+        return returned
+
     def discard(self, link: member_link.MemberLink) -> None:
         """Close a connection and remove it from the pool."""
         link.close()
--- a/bilberrystack/pooling/transaction.py
+++ b/bilberrystack/pooling/transaction.py
@@ -53,11 +53,18 @@
     def roll_back(self) -> None: ...
 
 
+def _rolled_back_outcome() -> execution.Outcome:
+    return execution.failure_outcome(
+        statements.ErrorCode.ABORTED, "the transaction was rolled back"
+    )
+
+
 class Transaction:
     """A transaction on a member connection of this instance. Implements SessionTransaction.
 
     The member is chosen at the first statement, so that a client that is idle after its BEGIN holds
-    no connection.
+    no connection. Statements run one after the other, in the order of the calls. A rollback
+    prevents those that have not begun, and takes effect when the running one has ended.
     """
 
     __slots__ = (
@@ -67,6 +74,8 @@
         "_leader",
         "_link",
         "_reads_at_position",
+        "_rolled_back",
+        "_statement_lock",
         "_wrote",
         "failed",
         "rollback_unreported",
@@ -97,6 +106,8 @@
         self._link: member_link.MemberLink | None = None
         self._leader: permission.Leader | None = None
         self._reads_at_position = False
+        self._rolled_back = False
+        self._statement_lock = asyncio.Lock()
         self._wrote = False
 
     @property
@@ -111,38 +122,38 @@
           request: The statement.
           trace: Records how the statement was processed.
         """
-        outcome = await self._run(request, trace)
-        if outcome.failure is not None:
-            state = None if outcome.reply is None else outcome.reply.state
-            self.failed = self._link is None or state is not statements.TransactionState.TRANSACTION
-        return outcome
+        async with self._statement_lock:
+            try:
+                outcome = await self._run(request, trace)
+            finally:
+                self._release_if_rolled_back()
+            if outcome.failure is not None:
+                state = None if outcome.reply is None else outcome.reply.state
+                in_transaction = state is statements.TransactionState.TRANSACTION
+                self.failed = self._link is None or not in_transaction
+            return outcome
 
     async def _run(self, request: execution.Request, trace: execution.Trace) -> execution.Outcome:
-        is_first = self._link is None
-        if is_first:
-            failed_outcome = await self._begin(request, trace)
-            if failed_outcome is not None:
-                return failed_outcome
+        failed_outcome = await self._begin_if_needed(request, trace)
+        if failed_outcome is not None:
+            return failed_outcome
         link = self._link
         assert link is not None
         trace.member = link.member.id
         try:
-            await self._executor.prepare(link, request.values, request.prepared_statement)
+            await self._executor.prepare(link, request)
         except execution.PreparationFailed as error:
             self._release_link()
             trace.cause = str(error)
-            return execution.failure_outcome(
-                statements.ErrorCode.ABORTED, "the transaction was rolled back"
-            )
-        query = self._dialect.encode_query(request.id, request.text)
+            return _rolled_back_outcome()
+        if self._rolled_back:
+            return _rolled_back_outcome()
         try:
-            reply = await self._executor.run_pinned(link, query, request.deadline_s, trace)
+            reply = await self._run_pinned(link, request, trace)
         except member_link.Lost as error:
             self._release_link()
             trace.cause = str(error)
-            return execution.failure_outcome(
-                statements.ErrorCode.ABORTED, "the transaction was rolled back"
-            )
+            return _rolled_back_outcome()
         if reply is None:
             # The group returns the connection to the pool after the late answer, and rolls the
             # transaction back.
@@ -156,6 +167,14 @@
             return execution.member_failure_outcome(reply.failure, reply)
         return await self._confirmed_outcome(link, request, reply, trace)
 
+    async def _run_pinned(
+        self, link: member_link.MemberLink, request: execution.Request, trace: execution.Trace
+    ) -> statements.Reply | None:
+        query = self._dialect.encode_query(request.id, request.text)
+        return await self._executor.run_pinned(
+            link, query, request.deadline_s, trace, abandoned=lambda: self._rolled_back
+        )
+
     async def _confirmed_outcome(
         self,
         link: member_link.MemberLink,
@@ -175,6 +194,19 @@
             )
         return execution.Outcome(reply.rows, reply.done, None, reply, self._leader)
 
+    async def _begin_if_needed(
+        self, request: execution.Request, trace: execution.Trace
+    ) -> execution.Outcome | None:
+        """Return the outcome if the request can't run in the transaction."""
+        if self._rolled_back or self.failed:
+            return _rolled_back_outcome()
+        if self._link is not None:
+            return None
+        failed_outcome = await self._begin(request, trace)
+        if failed_outcome is None and self._rolled_back:
+            return _rolled_back_outcome()
+        return failed_outcome
+
     async def _begin(
         self, request: execution.Request, trace: execution.Trace
     ) -> execution.Outcome | None:
@@ -196,6 +228,9 @@
                 self._executor.group.release(link)
                 trace.cause = str(error)
                 continue
+            except asyncio.CancelledError:
+                self._executor.group.release(link)
+                raise
             if reply is None:
                 trace.cause = "no answer to the transaction's begin"
                 return failed_outcome
@@ -213,6 +248,8 @@
                 if not self._executor.may_retry_busy(request):
                     return failed_outcome
                 await asyncio.sleep(execution.busy_backoff_s(attempt))
+            if self._rolled_back:
+                return failed_outcome
         return failed_outcome
 
     async def _send_begin(
@@ -221,7 +258,7 @@
         request: execution.Request,
         requirements: group.Requirements,
     ) -> statements.Reply | None:
-        await self._executor.prepare(link, request.values, request.prepared_statement)
+        await self._executor.prepare(link, request)
         query = self._dialect.encode_query(
             self._begin_request.id, self._begin_request.text, requirements.min_position
         )
@@ -234,21 +271,28 @@
           request: The commit.
           trace: Records how the commit was processed.
         """
+        async with self._statement_lock:
+            try:
+                return await self._commit(request, trace)
+            finally:
+                self._release_if_rolled_back()
+
+    async def _commit(
+        self, request: execution.Request, trace: execution.Trace
+    ) -> execution.Outcome:
         if self.failed:
             self._release_link()
             return execution.failure_outcome(
                 statements.ErrorCode.ABORTED, "the transaction had failed"
             )
-        if self._link is None:
-            failed_outcome = await self._begin(request, trace)
-            if failed_outcome is not None:
-                return failed_outcome
+        failed_outcome = await self._begin_if_needed(request, trace)
+        if failed_outcome is not None:
+            return failed_outcome
         link = self._link
         assert link is not None
         trace.member = link.member.id
-        query = self._dialect.encode_query(request.id, request.text)
         try:
-            reply = await self._executor.run_pinned(link, query, request.deadline_s, trace)
+            reply = await self._run_pinned(link, request, trace)
         except member_link.Lost as error:
             self._release_link()
             trace.cause = str(error)
@@ -273,12 +317,18 @@
         return execution.failure_outcome(code, text)
 
     def roll_back(self) -> None:
-        """Roll the transaction back.
+        """Roll the transaction back, once its running statement has ended.
 
         This is done if the client has requested it, was idle for too long inside the transaction or
         has disconnected, and if the link to the instance that forwards the transaction has ended.
         """
-        self._release_link()
+        self._rolled_back = True
+        if not self._statement_lock.locked():
+            self._release_link()
+
+    def _release_if_rolled_back(self) -> None:
+        if self._rolled_back:
+            self._release_link()
 
     def _release_link(self) -> None:
         if self._link is not None:
