Treat a requested promotion as pending until it is resolved

Cause: writes were acknowledged at a replaced primary. Ruled out: a grant that outlives its withdrawal; the writes were made under new grants. Change: pending_promotions.py keeps each request until its member leads a newer term, has answered for two seconds without leading, or is gone from the store for ten. Meanwhile there are no grants and no other promotion. The coordinator stores a request before it makes it; a successor reads the records first. No grant names a primary while a member knows a newer term. MemberView moves to a module of its own. primary_change_test.py: the views get the time of the last status query. Conclusion: a promotion that was accepted is never forgotten while the store is reachable.

--- a/bilberrystack/platform/client.py
+++ b/bilberrystack/platform/client.py
@@ -249,6 +249,7 @@
       configurations: The configuration objects.
       members: The records of members.
       instances: The registrations of instances.
+      promotions: The records of promotion requests.
     """
 
     __slots__ = (
@@ -259,6 +260,7 @@
         "configurations",
         "instances",
         "members",
+        "promotions",
     )
 
     def __init__(
@@ -280,6 +282,9 @@
         self.instances = ObjectKindClient(
             self._store, objects.INSTANCE_KIND, objects.decode_instance
         )
+        self.promotions = ObjectKindClient(
+            self._store, objects.PROMOTION_KIND, objects.decode_promotion
+        )
 
     async def register_instance(self, instance: model.Instance) -> None:
         """Write an instance's registration, replacing one of an earlier incarnation.
@@ -356,6 +361,23 @@
         stored = _decode_body(response, objects.StoredObject)
         return objects.decode_lease(stored, self._store.era_of(response))
 
+    async def record_promotion(self, record: interfaces.PromotionRecord) -> None:
+        """Store a promotion request that is about to be made.
+
+        Raises:
+          interfaces.StoreFailure: The record may not have been written.
+        """
+        body = _encode_object(record.name, objects.encode_promotion(record))
+        await self._store.change("POST", f"/objects/{objects.PROMOTION_KIND}", body)
+
+    async def remove_promotion_record(self, name: str) -> None:
+        """Delete the record of a promotion request, if there is one.
+
+        Raises:
+          interfaces.StoreFailure: The record may not have been deleted.
+        """
+        await self._store.change("DELETE", f"/objects/{objects.PROMOTION_KIND}/{name}")
+
     async def promote(
         self, service: str, member: str, coordinator: str, token: int, *, may_send: http.MaySend
     ) -> bool:
--- a/bilberrystack/platform/objects.py
+++ b/bilberrystack/platform/objects.py
@@ -14,6 +14,7 @@
 # Kinds of objects that only the proxy uses.
 INSTANCE_KIND = "bilberrystack-instances"
 LEASE_KIND = "bilberrystack-duties"
+PROMOTION_KIND = "bilberrystack-promotions"
 
 # Name of the only object of kind CONFIGURATION_KIND.
 CONFIGURATION_NAME = "main"
@@ -145,6 +146,15 @@
     cores: float = 1.0
 
 
+class _PromotionSpec(msgspec.Struct):
+    """A promotion request that may be pending."""
+
+    # Name of the database group.
+    service: str
+    member: str
+    replaced_term: int
+
+
 class _CoordinatorSpec(msgspec.Struct):
     name: str
     # Incarnation: identifier of the process, not a duration.
@@ -265,6 +275,24 @@
     )
 
 
+def decode_promotion(name: str, encoded: bytes) -> interfaces.PromotionRecord:
+    """Decode the record of a promotion request.
+
+    Args:
+      name: Name of the object.
+      encoded: Content of the object, as JSON.
+    Raises:
+      msgspec.MsgspecError: The content is malformed.
+    """
+    spec = msgspec.json.decode(encoded, type=_PromotionSpec)
+    return interfaces.PromotionRecord(name, spec.service, spec.member, spec.replaced_term)
+
+
+def encode_promotion(record: interfaces.PromotionRecord) -> msgspec.Struct:
+    """Return the content of a promotion request's record."""
+    return _PromotionSpec(record.service, record.member, record.replaced_term)
+
+
 def decode_lease(stored: StoredObject, era: int) -> interfaces.LeaseRecord:
     """Decode the coordinator lease.
 
--- a/bilberrystack/pooling/coordinator.py
+++ b/bilberrystack/pooling/coordinator.py
@@ -16,7 +16,9 @@
 from bilberrystack.pooling import pool
 from bilberrystack.pooling import tasks
 from bilberrystack.routing import lease_terms
+from bilberrystack.routing import member_view
 from bilberrystack.routing import model
+from bilberrystack.routing import pending_promotions
 from bilberrystack.routing import permission
 from bilberrystack.routing import primary_change
 
@@ -72,6 +74,13 @@
 # A coordinator that hears less than half of the owners for this long resigns.
 MINORITY_TIMEOUT_S = 1.0
 
+# Time limit for storing a promotion request before it is made. While the store does not answer, the
+# request is made without: a group without a primary serves no writes.
+PROMOTION_RECORD_TIMEOUT_S = 0.2
+
+# Pause before the records of promotion requests are read again after a failure.
+PROMOTIONS_RETRY_DELAY_S = 0.3
+
 # Interval between repetitions of a withdrawal that has not been acknowledged.
 WITHDRAWAL_RETRY_INTERVAL_S = 0.06
 
@@ -137,7 +146,11 @@
         "_metrics",
         "_own_instance",
         "_peers",
+        "_pending_promotions",
         "_platform",
+        "_promotion_records",
+        "_promotions_loaded_for",
+        "_promotions_task",
         "_status_pending",
         "_status_queried_at_s",
         "_tasks",
@@ -174,6 +187,13 @@
         # number, also after an interruption of the lease.
         self._change_numbers: dict[str, int] = {}
         self._peers: dict[str, _PeerState] = {}
+        # Pending promotion requests of all coordinators by group, also after an interruption of the
+        # lease, and the names of their records by group and member.
+        self._pending_promotions: dict[str, pending_promotions.PendingPromotions] = {}
+        self._promotion_records: dict[tuple[str, str], set[str]] = {}
+        # The token under which the requests of earlier coordinators were read.
+        self._promotions_loaded_for: int | None = None
+        self._promotions_task: asyncio.Task[None] | None = None
         self._status_queried_at_s: dict[str, float] = {}
         self._status_pending: set[str] = set()
         self.send: collections.abc.Callable[[messages.Message, model.Endpoint], None] = (
@@ -184,8 +204,81 @@
         """Take the decisions that are due at each interval, until cancelled."""
         while True:
             self.step()
+            self._load_promotions_if_due()
             await asyncio.sleep(STEP_INTERVAL_S)
 
+    def _load_promotions_if_due(self) -> None:
+        """Read the promotion requests of earlier coordinators if that was not done yet."""
+        running = self._promotions_task is not None and not self._promotions_task.done()
+        if self._token is None or self._promotions_loaded_for == self._token or running:
+            return
+        self._promotions_task = self._tasks.start(self._load_promotions(self._token))
+
+    async def _load_promotions(self, token: int) -> None:
+        """Read the promotion requests of earlier coordinators, which may still take effect."""
+        try:
+            snapshot = await self._platform.promotions.list()
+        except interfaces.StoreFailure as failure:
+            _LOG.info(
+                "promotion requests of earlier coordinators not read; retrying",
+                failure=type(failure).__name__,
+                detail=str(failure),
+            )
+            await asyncio.sleep(PROMOTIONS_RETRY_DELAY_S)
+            return
+        if token != self._token:
+            return
+        now_s = self._clock()
+        for record in snapshot.items.values():
+            assert isinstance(record, interfaces.PromotionRecord)
+            key = (record.service, record.member)
+            if record.name in self._promotion_records.get(key, ()):
+                continue
+            self._promotion_records.setdefault(key, set()).add(record.name)
+            self._pending_of(record.service).add(record.member, record.replaced_term, now_s)
+            _LOG.info(
+                "promotion request of an earlier coordinator may still take effect",
+                service=record.service,
+                member=record.member,
+                replaced_term=record.replaced_term,
+            )
+        self._promotions_loaded_for = token
+
+    def _pending_of(self, service: str) -> pending_promotions.PendingPromotions:
+        return self._pending_promotions.setdefault(service, pending_promotions.PendingPromotions())
+
+    def _grantable_primary(self, state: _GroupState, now_s: float) -> permission.Leader | None:
+        """Return the primary that grants may name; None while requests may be unknown."""
+        if self._promotions_loaded_for != self._token:
+            return None
+        return state.change_machine.grantable_primary(now_s)
+
+    def _remove_resolved_promotions(self, service: str) -> None:
+        """Remove the records of promotion requests that can't take effect any more."""
+        for member, resolution in self._pending_of(service).take_resolved().items():
+            _LOG.info(
+                "promotion request no longer pending",
+                service=service,
+                member=member,
+                resolution=resolution.value,
+            )
+            self._remove_promotion_records(service, member)
+
+    def _remove_promotion_records(self, service: str, member: str) -> None:
+        for name in self._promotion_records.pop((service, member), ()):
+            self._tasks.start(self._remove_promotion_record(name))
+
+    async def _remove_promotion_record(self, name: str) -> None:
+        try:
+            await self._platform.remove_promotion_record(name)
+        except interfaces.StoreFailure as failure:
+            # A later coordinator finds the request resolved, and removes the record.
+            _LOG.info(
+                "record of a promotion request not removed",
+                record=name,
+                failure=type(failure).__name__,
+            )
+
     def step(self) -> None:
         """Take the decisions that are due, if this instance is the coordinator."""
         token = self._lease.token
@@ -206,7 +299,9 @@
             state = self._group_states.get(service)
             if state is None:
                 change = primary_change.PrimaryChange(
-                    self._lease.settled_at_s, self._lease.leaving_replaceable_at_s
+                    self._lease.settled_at_s,
+                    self._lease.leaving_replaceable_at_s,
+                    self._pending_of(service),
                 )
                 number = self._change_numbers.get(service, 0)
                 state = self._group_states[service] = _GroupState(change, number)
@@ -263,6 +358,7 @@
         phase_before = state.change_machine.phase
         grants_end_s = self._unacknowledged_grants_end_s(state)
         action = state.change_machine.step(views, grants_end_s, now_s, self._lacks_majority())
+        self._remove_resolved_promotions(service)
         if state.change_machine.phase is not phase_before:
             _LOG.info(
                 "primary change entered another phase",
@@ -298,7 +394,11 @@
     ) -> None:
         """Send the status queries that are due, and have an unresponsive primary probed."""
         change = state.change_machine
-        steady = change.phase is primary_change.Phase.STEADY and not change.without_primary
+        steady = (
+            change.phase is primary_change.Phase.STEADY
+            and not change.without_primary
+            and not change.promotion_pending
+        )
         leader = state.change_machine.leader
         for member, member_pool in served_group.pools.items():
             queried_at_s = self._status_queried_at_s.get(member, float("-inf"))
@@ -342,7 +442,7 @@
 
     def _member_view(
         self, served_group: group.Group, member_pool: pool.MemberPool, now_s: float
-    ) -> primary_change.MemberView:
+    ) -> member_view.MemberView:
         """Combine what this instance and the others know about a member."""
         observations = member_pool.observations
         status = observations.status
@@ -362,7 +462,7 @@
                 status_at_s = reported_status_at_s
                 primary, term = report.primary, report.term
                 received = _to_position(report.received)
-        return primary_change.MemberView(
+        return member_view.MemberView(
             id=member_pool.member.id,
             in_store=member_pool.member.id not in served_group.members_without_record,
             leaving=member_pool.member.leaving,
@@ -371,6 +471,7 @@
             received_position=received,
             last_contact_at_s=contact_at_s,
             refusing_since_s=observations.refusing_since_s,
+            polled_at_s=observations.status_at_s,
         )
 
     def _unacknowledged_grants_end_s(self, state: _GroupState) -> float:
@@ -442,6 +543,7 @@
                 member, primary_change.PromotionReply.NOT_MADE, self._clock()
             )
             return
+        await self._record_promotion(service, state, member, token)
         try:
             # A coordinator that was suspended may have lost the lease to another instance since.
             accepted = await self._platform.promote(
@@ -479,11 +581,39 @@
             answer=reply.value,
         )
         state.change_machine.record_reply(member, reply, self._clock())
+        if member not in self._pending_of(service).members:
+            self._remove_promotion_records(service, member)
+
+    async def _record_promotion(
+        self, service: str, state: _GroupState, member: str, token: int
+    ) -> None:
+        """Store a promotion request before it is made; a coordinator that follows reads it."""
+        leader = state.change_machine.leader
+        record = interfaces.PromotionRecord(
+            name=f"{service}.{member}.{token}.{state.change_number}",
+            service=service,
+            member=member,
+            replaced_term=0 if leader is None else leader.term,
+        )
+        self._promotion_records.setdefault((service, member), set()).add(record.name)
+        try:
+            async with asyncio.timeout(PROMOTION_RECORD_TIMEOUT_S):
+                await self._platform.record_promotion(record)
+        except interfaces.Conflict:
+            # The same change has requested this promotion before, without effect.
+            pass
+        except (interfaces.StoreFailure, TimeoutError) as failure:
+            _LOG.warning(
+                "promotion request not stored; a successor would not know of it",
+                service=service,
+                member=member,
+                failure=type(failure).__name__,
+            )
 
     def _grant_to_self(
         self, served_group: group.Group, state: _GroupState, token: int, now_s: float
     ) -> None:
-        leader = state.change_machine.grantable_primary(now_s)
+        leader = self._grantable_primary(state, now_s)
         if leader is None:
             return
         until_s = min(now_s + permission.GRANT_DURATION_S, self._lease.ends_at_s)
@@ -545,7 +675,7 @@
         grants = []
         for service in heartbeat.owned_services:
             state, served_group = self._group_states.get(service), self._groups.get(service)
-            leader = None if state is None else state.change_machine.grantable_primary(now_s)
+            leader = None if state is None else self._grantable_primary(state, now_s)
             if state is None or served_group is None or leader is None:
                 continue
             state.granted_until_s[heartbeat.incarnation] = now_s + valid_s
--- a/bilberrystack/pooling/coordinator_lease.py
+++ b/bilberrystack/pooling/coordinator_lease.py
@@ -24,8 +24,8 @@
 from bilberrystack.pooling import member_link
 from bilberrystack.routing import lease_terms
 from bilberrystack.routing import model
+from bilberrystack.routing import pending_promotions
 from bilberrystack.routing import permission
-from bilberrystack.routing import primary_change
 
 _LOG = loguru.logger.bind(component="duty")
 
@@ -57,7 +57,7 @@
 PROBE_TIMEOUT_S = 0.5
 
 # Grants and promotion requests of the previous coordinator have ended after this time.
-SETTLE_DELAY_S = primary_change.PROMOTION_EFFECT_S
+SETTLE_DELAY_S = pending_promotions.PROMOTION_EFFECT_S
 
 
 # Shortest delay between two checks of a lease that is about to expire.
--- a/bilberrystack/pooling/interfaces.py
+++ b/bilberrystack/pooling/interfaces.py
@@ -97,6 +97,23 @@
         return self.exists and self.written_era == self.revision.era
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromotionRecord:
+    """A promotion request as stored before it is made, so that later coordinators know of it.
+
+    Attributes:
+      name: Name of the record.
+      service: The group.
+      member: Id of the member that the request names.
+      replaced_term: Term of the primary that it replaces; 0 if none was known.
+    """
+
+    name: str
+    service: str
+    member: str
+    replaced_term: int
+
+
 class StoreFailure(Exception):
     """A call to the store or to the platform did not succeed."""
 
@@ -176,6 +193,8 @@
     def members(self) -> ObjectKind: ...
     @property
     def instances(self) -> ObjectKind: ...
+    @property
+    def promotions(self) -> ObjectKind: ...
 
     async def register_instance(self, instance: model.Instance) -> None: ...
     async def deregister_instance(self, name: str) -> None: ...
@@ -189,6 +208,8 @@
         token: int,
         standbys: tuple[str, ...] = (),
     ) -> LeaseRecord: ...
+    async def record_promotion(self, record: PromotionRecord) -> None: ...
+    async def remove_promotion_record(self, name: str) -> None: ...
     async def promote(
         self,
         service: str,
--- a/bilberrystack/routing/primary_change.py
+++ b/bilberrystack/routing/primary_change.py
@@ -3,14 +3,15 @@
 The coordinator runs one `PrimaryChange` for each group. The state machine takes the observed state
 of the members and returns the next action. The caller carries out the action and reports its
 result. The state machine never requests a promotion while a grant of the group may be in use, nor
-while an earlier promotion request may still take effect.
+while an earlier promotion request may still take effect; no grants are given in that time either.
 """
 
 import collections.abc
 import dataclasses
 import enum
 
-from bilberrystack.core import positions
+from bilberrystack.routing import member_view
+from bilberrystack.routing import pending_promotions
 from bilberrystack.routing import permission
 
 # A primary that no instance has reached for this long is unresponsive and is replaced. The target
@@ -37,10 +38,6 @@
 # Time that a planned change waits for a replica to receive the complete log of the old primary.
 CATCH_UP_TIMEOUT_S = 0.4
 
-# Time within which a promotion request may take effect. A promotion takes effect within about 1 s
-# of its request; a request without an answer may also be executed late.
-PROMOTION_EFFECT_S = 2.0
-
 # Time after which a group whose members all report themselves as replicas gets a new primary. A
 # promotion requested by another instance may still take effect within that time.
 NO_PRIMARY_TIMEOUT_S = 0.3
@@ -57,31 +54,6 @@
     SETTLING = "settling"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class MemberView:
-    """Observed state of one member, combined from the reports of all instances.
-
-    Attributes:
-      id: Id of the member.
-      in_store: Whether its record is in the store.
-      leaving: Whether it is draining and accepts no new work.
-      primary: Whether it reported itself as the primary in its last status report.
-      term: Newest term that it knows.
-      received_position: Position of the last log entry that it has received.
-      last_contact_at_s: Time of its last answer to this instance or to one that reported it.
-      refusing_since_s: Time since which its address refuses connections; None if it accepts them.
-    """
-
-    id: str
-    in_store: bool
-    leaving: bool
-    primary: bool
-    term: int
-    received_position: positions.Position | None
-    last_contact_at_s: float
-    refusing_since_s: float | None
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Withdraw:
     """Action: withdraw the group's grants and collect the acknowledgements."""
@@ -126,8 +98,10 @@
         "_leader",
         "_leaving_replaceable_at_s",
         "_missing_since_s",
+        "_newer_term_seen",
         "_no_primary_since_s",
         "_observed_since_s",
+        "_pending",
         "_phase",
         "_reason",
         "_rejected_at_s",
@@ -136,7 +110,12 @@
         "_started_at_s",
     )
 
-    def __init__(self, settled_at_s: float, leaving_replaceable_at_s: float | None = None) -> None:
+    def __init__(
+        self,
+        settled_at_s: float,
+        leaving_replaceable_at_s: float | None = None,
+        pending: pending_promotions.PendingPromotions | None = None,
+    ) -> None:
         """Starts to observe a group.
 
         Args:
@@ -145,7 +124,10 @@
           leaving_replaceable_at_s: Time from which no grant of the previous coordinator is in
             effect, so that a primary that leaves can be replaced; None for `settled_at_s`. If a
             promotion request of the previous coordinator still takes effect, no grant suffers.
+          pending: Promotion requests of earlier coordinators; None for none.
         """
+        self._pending = pending_promotions.PendingPromotions() if pending is None else pending
+        self._newer_term_seen = False
         self._phase = Phase.STEADY
         self._leader: permission.Leader | None = None
         self._first_settled_at_s = settled_at_s
@@ -178,15 +160,26 @@
         """Whether no member is known to be the primary of the newest term."""
         return self._leader is None or self._no_primary_since_s is not None
 
+    @property
+    def promotion_pending(self) -> bool:
+        """Whether a promotion request may still take effect."""
+        return bool(self._pending.members)
+
     @property
     def reason(self) -> str:
         """Reason for the last primary change; empty if there was none."""
         return self._reason
 
     def grantable_primary(self, now_s: float) -> permission.Leader | None:
-        """Returns the primary for which grants may be given; None during a primary change."""
+        """Returns the primary for which grants may be given.
+
+        There is none during a primary change, while a promotion request may still take effect, and
+        if a member knows a newer term than the primary's.
+        """
         if self._phase is not Phase.STEADY or now_s < self._settled_at_s:
             return None
+        if self.promotion_pending or self._newer_term_seen:
+            return None
         return self._leader
 
     def record_fenced(self) -> None:
@@ -203,18 +196,21 @@
         """
         match reply:
             case PromotionReply.ACCEPTED | PromotionReply.UNKNOWN:
-                self._settled_at_s = max(self._settled_at_s, now_s + PROMOTION_EFFECT_S)
+                self._settled_at_s = max(
+                    self._settled_at_s, now_s + pending_promotions.PROMOTION_EFFECT_S
+                )
                 return
             case PromotionReply.REJECTED:
                 self._rejected_at_s[member] = now_s
             case PromotionReply.NOT_MADE:
                 pass
+        self._pending.remove(member)
         self._requested_at_s = None
         self._phase = Phase.FENCING
 
     def step(
         self,
-        views: collections.abc.Sequence[MemberView],
+        views: collections.abc.Sequence[member_view.MemberView],
         grants_end_at_s: float,
         now_s: float,
         isolated: bool = False,
@@ -231,7 +227,11 @@
         Returns:
           The action; None to wait.
         """
+        self._pending.update(views, now_s)
         leader = self._newest_primary(views)
+        self._newer_term_seen = leader is None and any(
+            self._leader is not None and view.term > self._leader.term for view in views
+        )
         match self._phase:
             case Phase.STEADY:
                 return self._step_steady(leader, views, now_s, isolated)
@@ -244,15 +244,17 @@
                     self._phase = Phase.STEADY
         return None
 
-    def _newest_primary(self, views: collections.abc.Sequence[MemberView]) -> MemberView | None:
+    def _newest_primary(
+        self, views: collections.abc.Sequence[member_view.MemberView]
+    ) -> member_view.MemberView | None:
         newest = max((view.term for view in views), default=0)
         primaries = [view for view in views if view.primary and view.term == newest]
         return max(primaries, key=lambda view: view.last_contact_at_s, default=None)
 
     def _step_steady(
         self,
-        leader: MemberView | None,
-        views: collections.abc.Sequence[MemberView],
+        leader: member_view.MemberView | None,
+        views: collections.abc.Sequence[member_view.MemberView],
         now_s: float,
         isolated: bool,
     ) -> Action | None:
@@ -264,7 +266,7 @@
         if leader is None and self._awaits_first_reports(views, now_s):
             return None
         reason = self._change_reason(leader, now_s, isolated)
-        if not reason or now_s < self._earliest_change_s(reason):
+        if not reason or self.promotion_pending or now_s < self._earliest_change_s(reason):
             return None
         if not any(view.in_store and not view.primary and not view.leaving for view in views):
             return None
@@ -282,7 +284,7 @@
         return self._settled_at_s
 
     def _awaits_first_reports(
-        self, views: collections.abc.Sequence[MemberView], now_s: float
+        self, views: collections.abc.Sequence[member_view.MemberView], now_s: float
     ) -> bool:
         """Returns whether a member that has not reported yet may turn out to be the primary."""
         assert self._observed_since_s is not None
@@ -295,7 +297,9 @@
             return True
         return observed_s < UNRESPONSIVE_TIMEOUT_S and any(view.term == 0 for view in views)
 
-    def _change_reason(self, leader: MemberView | None, now_s: float, isolated: bool) -> str:
+    def _change_reason(
+        self, leader: member_view.MemberView | None, now_s: float, isolated: bool
+    ) -> str:
         if leader is None:
             if self._no_primary_since_s is None:
                 self._no_primary_since_s = now_s
@@ -323,8 +327,8 @@
         return "primary is silent" if unresponsive_s >= limit_s else ""
 
     def _best_candidate(
-        self, views: collections.abc.Sequence[MemberView], now_s: float
-    ) -> MemberView | None:
+        self, views: collections.abc.Sequence[member_view.MemberView], now_s: float
+    ) -> member_view.MemberView | None:
         """Returns the eligible replica with the highest received position."""
         eligible = [
             view
@@ -334,12 +338,16 @@
             and not view.leaving
             and view.received_position is not None
             and now_s - view.last_contact_at_s < UNRESPONSIVE_TIMEOUT_S
-            and now_s - self._rejected_at_s.get(view.id, -PROMOTION_EFFECT_S) >= PROMOTION_EFFECT_S
+            and now_s - self._rejected_at_s.get(view.id, -pending_promotions.PROMOTION_EFFECT_S)
+            >= pending_promotions.PROMOTION_EFFECT_S
         ]
         return max(eligible, key=lambda view: (view.received_position, view.id), default=None)
 
     def _step_fencing(
-        self, views: collections.abc.Sequence[MemberView], grants_end_at_s: float, now_s: float
+        self,
+        views: collections.abc.Sequence[member_view.MemberView],
+        grants_end_at_s: float,
+        now_s: float,
     ) -> Action | None:
         reachable = [
             view
@@ -356,7 +364,7 @@
             return None
         candidate = self._best_candidate(views, now_s)
         if candidate is None:
-            if waited_s > PROMOTION_EFFECT_S:
+            if waited_s > pending_promotions.PROMOTION_EFFECT_S:
                 self._abort(now_s)
             return None
         if self._is_behind(candidate, views) and waited_s < CATCH_UP_TIMEOUT_S:
@@ -364,10 +372,13 @@
         self._phase = Phase.CALLING
         self._candidate = candidate.id
         self._requested_at_s = now_s
+        self._pending.add(candidate.id, self._leader.term if self._leader else 0, now_s)
         return Promote(candidate.id)
 
     def _is_behind(
-        self, candidate: MemberView, views: collections.abc.Sequence[MemberView]
+        self,
+        candidate: member_view.MemberView,
+        views: collections.abc.Sequence[member_view.MemberView],
     ) -> bool:
         """Returns whether a member has more of the log than the candidate, after a step-down."""
         if not self._fenced:
@@ -375,7 +386,7 @@
         known = [view.received_position for view in views if view.received_position is not None]
         return candidate.received_position is not None and max(known) > candidate.received_position
 
-    def _step_calling(self, leader: MemberView | None, now_s: float) -> Action | None:
+    def _step_calling(self, leader: member_view.MemberView | None, now_s: float) -> Action | None:
         old_term = self._leader.term if self._leader is not None else 0
         if leader is not None and leader.term > old_term and leader.id == self._candidate:
             self._leader = permission.Leader(leader.id, leader.term)
@@ -383,12 +394,15 @@
             self._phase = Phase.STEADY
             self._no_primary_since_s = None
             return None
-        if self._requested_at_s is not None and now_s - self._requested_at_s > PROMOTION_EFFECT_S:
+        if (
+            self._requested_at_s is not None
+            and now_s - self._requested_at_s > pending_promotions.PROMOTION_EFFECT_S
+        ):
             self._abort(now_s)
         return None
 
     def _abort(self, now_s: float) -> None:
-        """Returns to the steady phase after the time in which earlier requests may take effect."""
+        """Returns to the steady phase; a request that may still take effect stays pending."""
         self._phase = Phase.SETTLING
         self._settled_at_s = max(self._settled_at_s, now_s)
         self._requested_at_s = None
--- a/bilberrystack/routing/primary_change_test.py
+++ b/bilberrystack/routing/primary_change_test.py
@@ -3,6 +3,8 @@
 import dataclasses
 
 from bilberrystack.core import positions
+from bilberrystack.routing import member_view
+from bilberrystack.routing import pending_promotions
 from bilberrystack.routing import permission
 from bilberrystack.routing import primary_change
 
@@ -19,7 +21,7 @@
         "last_contact_at_s": 0.0,
         "refusing_since_s": None,
     }
-    return primary_change.MemberView(id=member, **(values | changes))
+    return member_view.MemberView(id=member, **(values | changes))
 
 
 class _Group:
@@ -38,7 +40,7 @@
 
     def step(self, now_s, grants_end_at_s=NO_GRANTS, unresponsive=()):
         for member in self.views.keys() - set(unresponsive):
-            self.set(member, last_contact_at_s=now_s)
+            self.set(member, last_contact_at_s=now_s, polled_at_s=now_s)
         return self.change.step(list(self.views.values()), grants_end_at_s, now_s)
 
 
@@ -138,7 +140,7 @@
     _request_promotion(group)
     group.change.record_reply("c", primary_change.PromotionReply.UNKNOWN, 1.1)
     now_s = 1.1
-    while now_s < 1.1 + primary_change.PROMOTION_EFFECT_S:
+    while now_s < 1.1 + pending_promotions.PROMOTION_EFFECT_S:
         assert group.step(now_s, unresponsive="a") is None
         assert group.change.grantable_primary(now_s) is None
         now_s += 0.1
@@ -300,3 +302,70 @@
     group.change = primary_change.PrimaryChange(2.0, leaving_replaceable_at_s=0.0)
     assert all(group.step(step * 0.1, unresponsive="a") is None for step in range(20))
     assert isinstance(group.step(2.0, unresponsive="a"), primary_change.Withdraw)
+
+
+def _silent_candidate(reply):
+    """Returns a group whose primary is back, after the member to be promoted became silent."""
+    group = _Group()
+    _request_promotion(group)
+    group.change.record_reply("c", reply, 1.1)
+    now_s = 1.1
+    while now_s < 1.0 + 5.0:
+        now_s += 0.05
+        assert group.step(now_s, unresponsive="c") is None
+        assert group.change.grantable_primary(now_s) is None
+    return group, now_s
+
+
+def test_the_replaced_primary_is_not_granted_after_an_accepted_promotion():
+    """Guards against writes at the old primary after the promotion took effect (ONE).
+
+    The promoted member was silent when the promotion took effect, and the old primary was back.
+    """
+    for reply in (primary_change.PromotionReply.ACCEPTED, primary_change.PromotionReply.UNKNOWN):
+        group, now_s = _silent_candidate(reply)
+        group.set("c", primary=True, term=2)
+        group.step(now_s + 0.05)
+        assert group.change.grantable_primary(now_s + 0.05) == permission.Leader("c", 2)
+
+
+def test_a_promotion_without_effect_returns_the_group_to_its_primary():
+    """Guards against a group without writes for good after a request that was never executed."""
+    group, now_s = _silent_candidate(primary_change.PromotionReply.UNKNOWN)
+    for step in range(50):
+        assert group.step(now_s + step * 0.05) is None
+    assert group.change.grantable_primary(now_s + 2.5) == permission.Leader("a", 1)
+
+
+def test_no_second_promotion_is_requested_while_one_may_take_effect():
+    """Guards against a member that is promoted while another one is about to lead."""
+    group = _Group()
+    _request_promotion(group)
+    group.change.record_reply("c", primary_change.PromotionReply.ACCEPTED, 1.1)
+    for step in range(200):
+        now_s = 1.1 + step * 0.05
+        assert group.step(now_s, unresponsive=("a", "c")) is None
+
+
+def test_a_primary_is_not_granted_once_a_member_knows_a_newer_term():
+    """Guards against grants of the old primary while the new one itself is unreachable."""
+    group = _Group()
+    group.step(0.0)
+    assert group.change.grantable_primary(0.0) == permission.Leader("a", 1)
+    group.set("b", term=2)
+    group.step(0.1)
+    assert group.change.grantable_primary(0.1) is None
+
+
+def test_a_promotion_of_an_earlier_coordinator_withholds_grants():
+    """Guards against a coordinator that grants the old primary because it knows of no promotion."""
+    group = _Group()
+    pending = pending_promotions.PendingPromotions()
+    pending.add("c", 1, 0.0)
+    group.change = primary_change.PrimaryChange(0.0, pending=pending)
+    for step in range(100):
+        assert group.step(step * 0.05, unresponsive="c") is None
+        assert group.change.grantable_primary(step * 0.05) is None
+    group.set("c", primary=True, term=2)
+    group.step(5.0)
+    assert group.change.grantable_primary(5.0) == permission.Leader("c", 2)
--- a/bilberrystack/routing/takeover_model_test.py
+++ b/bilberrystack/routing/takeover_model_test.py
@@ -14,6 +14,7 @@
 from hypothesis import strategies
 
 from bilberrystack.core import positions
+from bilberrystack.routing import member_view
 from bilberrystack.routing import permission
 from bilberrystack.routing import primary_change
 
@@ -39,7 +40,9 @@
 class SimulatedGroup:
     """A simulated group with a coordinator and two instances that receive grants from it."""
 
-    def __init__(self, wait_for_grants=True, count_changes=True):
+    def __init__(
+        self, wait_for_grants=True, count_changes=True, late_effect=False, keep_requests=True
+    ):
         self.now_s = 0.0
         self.members = {name: _Member(primary=name == "a") for name in MEMBERS}
         self.change = primary_change.PrimaryChange(0.0)
@@ -50,6 +53,8 @@
         self.pending_promotions = []
         self._wait_for_grants = wait_for_grants
         self._count_changes = count_changes
+        self._late_effect = late_effect
+        self._keep_requests = keep_requests
 
     def advance_time(self, steps):
         for _ in range(steps):
@@ -58,9 +63,13 @@
             self._run_coordinator()
 
     def _complete_promotions(self):
-        due = [promotion for promotion in self.pending_promotions if promotion[0] <= self.now_s]
+        due = [
+            (due_s, name)
+            for due_s, name in self.pending_promotions
+            if due_s <= self.now_s and (self.members[name].alive or not self._late_effect)
+        ]
         self.pending_promotions = [
-            promotion for promotion in self.pending_promotions if promotion[0] > self.now_s
+            promotion for promotion in self.pending_promotions if promotion not in due
         ]
         for _, name in due:
             term = max(member.term for member in self.members.values()) + 1
@@ -71,7 +80,7 @@
             if member.alive:
                 member.last_contact_at_s = self.now_s
         return [
-            primary_change.MemberView(
+            member_view.MemberView(
                 id=name,
                 in_store=True,
                 leaving=False,
@@ -80,12 +89,16 @@
                 received_position=positions.Position(1, member.index),
                 last_contact_at_s=member.last_contact_at_s,
                 refusing_since_s=None,
+                polled_at_s=member.last_contact_at_s,
             )
             for name, member in self.members.items()
         ]
 
     def _run_coordinator(self):
         end_s = max(self.grants_end_at_s.values()) if self._wait_for_grants else float("-inf")
+        if not self._keep_requests and self.change.phase is primary_change.Phase.STEADY:
+            for name in MEMBERS:
+                self.change._pending.remove(name)
         match self.change.step(self._views(), end_s, self.now_s):
             case primary_change.Withdraw():
                 self.change_count += 1
@@ -194,6 +207,41 @@
     _run_model(SimulatedGroup, 80)
 
 
+def test_no_replaced_primary_is_trusted_after_a_late_promotion():
+    """Guards against grants of the old primary while the promoted member is unreachable."""
+    _run_model(lambda: SimulatedGroup(late_effect=True), 80)
+
+
+def _play_silent_candidate(group):
+    """Plays a history in which the promoted member is silent until the old primary is back."""
+    group.advance_time(1)
+    group.members["a"].alive = False
+    while not group.pending_promotions:
+        group.advance_time(1)
+    candidate = group.pending_promotions[0][1]
+    group.members[candidate].alive = False
+    group.advance_time(15)
+    group.members["a"].alive = True
+    for _ in range(30):
+        group.advance_time(1)
+        group.request_grant(0)
+        if group.messages:
+            group.deliver(len(group.messages) - 1)
+        group.check()
+    group.members[candidate].alive = True
+    for _ in range(10):
+        group.advance_time(1)
+        group.check()
+    assert group.members[candidate].primary
+
+
+def test_a_forgotten_request_breaks_the_invariant():
+    """Proves that the model detects a coordinator that takes an accepted promotion for void."""
+    _play_silent_candidate(SimulatedGroup(late_effect=True))
+    with pytest.raises(InvariantViolation):
+        _play_silent_candidate(SimulatedGroup(late_effect=True, keep_requests=False))
+
+
 def _play_late_grant(group, deliver_withdrawal):
     """Plays a history in which an instance receives a grant just before its primary is replaced.
 
