Choose the member to promote by positions that were asked for in time

Cause: acknowledged commits of a synchronous group were gone after a change of primary. Ruled out: a report that is mixed up between members; the promoted replica's report was right when it was made. Change: candidates.py counts positions that were asked for after the change began, in a synchronous group after the replicas were held or the primary has stepped down, and there requires those of all but sync_replicas - 1 replicas. HOLD and RESUME are new; a held replica is resumed in the steady phase. Replicas are asked at once when a change begins. The wire test of HOLD also checks the new field; the stand-in can declare sync_replicas. Conclusion: the choice rests on what was certainly acknowledged, and waits if that is not known.

--- a/bilberrystack/platform/wire.py
+++ b/bilberrystack/platform/wire.py
@@ -157,9 +157,9 @@
         return None
     # Fields after ROW: role, newest known term, received position, term of the HOLD in force (0 if
     # there is none), replication lag in milliseconds, active statements, connections. The term of a
-    # HOLD is skipped: it says nothing about the member's log or about a completed promotion.
+    # HOLD says nothing about the member's log or about a completed promotion.
     try:
-        term = int(words[2])
+        term, held_term = int(words[2]), int(words[4])
         lag_ms, active_statements, connections = float(words[5]), int(words[6]), int(words[7])
     except ValueError:
         return None
@@ -170,6 +170,7 @@
         lag_s=lag_ms / 1000,
         active_statements=active_statements,
         connections=connections,
+        held=held_term > 0,
     )
 
 
@@ -259,6 +260,20 @@
     return _encode_proxy_query(f"DEMOTE {term}")
 
 
+def encode_hold(term: int) -> bytes:
+    """Encode the command that stops a replica from receiving log entries.
+
+    Args:
+      term: A term above the newest one that the proxy knows.
+    """
+    return _encode_proxy_query(f"HOLD {term}")
+
+
+def encode_resume() -> bytes:
+    """Encode the command that ends a HOLD."""
+    return _encode_proxy_query("RESUME")
+
+
 def encode_reset() -> bytes:
     """Encode the command that discards a connection's session values and prepared statements."""
     return _encode_proxy_query("RESET")
--- a/bilberrystack/platform/wire_test.py
+++ b/bilberrystack/platform/wire_test.py
@@ -63,7 +63,9 @@
 def test_term_of_a_hold_is_not_read_as_the_members_term():
     """Otherwise a replica that received a HOLD would look as if a promotion had taken effect."""
     status = wire.parse_member_status(b"ROW replica 3 3.1209 9 12 2 17")
-    assert status == statements.MemberStatus(False, 3, positions.Position(3, 1209), 0.012, 2, 17)
+    assert status == statements.MemberStatus(
+        False, 3, positions.Position(3, 1209), 0.012, 2, 17, held=True
+    )
     assert wire.parse_member_status(b"ROW replica x 3.1209 9 12 2 17") is None
     assert wire.parse_member_status(b"ROW") is None
 
--- a/bilberrystack/pooling/coordinator.py
+++ b/bilberrystack/pooling/coordinator.py
@@ -357,9 +357,17 @@
             return
         phase_before = state.change_machine.phase
         grants_end_s = self._unacknowledged_grants_end_s(state)
-        action = state.change_machine.step(views, grants_end_s, now_s, self._lacks_majority())
+        action = state.change_machine.step(
+            views,
+            grants_end_s,
+            now_s,
+            self._lacks_majority(),
+            served_group.service.sync_replicas,
+        )
         self._remove_resolved_promotions(service)
         if state.change_machine.phase is not phase_before:
+            # The candidates' positions are needed at once.
+            self._poll_members(service, served_group, state, now_s)
             _LOG.info(
                 "primary change entered another phase",
                 service=service,
@@ -377,6 +385,10 @@
                 self._withdraw_grants(service, served_group, state, token, now_s)
             case primary_change.Fence(member, term):
                 self._start_action(state, self._fence(served_group, state, member, term))
+            case primary_change.Hold(members, term):
+                self._start_action(state, self._hold(served_group, state, members, term))
+            case primary_change.Resume(member):
+                self._start_action(state, self._resume(served_group, member))
             case primary_change.Promote(member):
                 self._start_action(state, self._promote(service, state, member))
         self._grant_to_self(served_group, state, token, now_s)
@@ -472,6 +484,8 @@
             last_contact_at_s=contact_at_s,
             refusing_since_s=observations.refusing_since_s,
             polled_at_s=observations.status_at_s,
+            polled_position=None if status is None else status.received_position,
+            held=status is not None and status.held,
         )
 
     def _unacknowledged_grants_end_s(self, state: _GroupState) -> float:
@@ -536,6 +550,40 @@
         if status is not None and not status.primary:
             state.change_machine.record_fenced()
 
+    async def _hold(
+        self, served_group: group.Group, state: _GroupState, members: tuple[str, ...], term: int
+    ) -> None:
+        """Order replicas to receive nothing more."""
+        reports = await asyncio.gather(
+            *(
+                served_group.query_member(member, self._dialect.encode_hold(term))
+                for member in members
+            )
+        )
+        _LOG.info(
+            "replicas ordered to receive nothing more",
+            service=served_group.service.name,
+            term=term,
+            held=[
+                member
+                for member, report in zip(members, reports, strict=True)
+                if report is not None and report.held
+            ],
+            asked=len(members),
+        )
+        state.change_machine.record_held(self._clock())
+
+    async def _resume(self, served_group: group.Group, member: str) -> None:
+        """Order a replica to receive log entries again."""
+        await served_group.query_member(member, self._dialect.encode_resume())
+        status = await served_group.query_member(member, self._dialect.encode_status_query())
+        _LOG.info(
+            "replica ordered to receive log entries again",
+            service=served_group.service.name,
+            member=member,
+            held=None if status is None else status.held,
+        )
+
     async def _promote(self, service: str, state: _GroupState, member: str) -> None:
         token = self._lease.token
         if token is None or token != self._token:
--- a/bilberrystack/routing/member_view.py
+++ b/bilberrystack/routing/member_view.py
@@ -20,6 +20,8 @@
       last_contact_at_s: Time of its last answer to this instance or to one that reported it.
       refusing_since_s: Time since which its address refuses connections; None if it accepts them.
       polled_at_s: Time at which this instance sent the last status query that the member answered.
+      polled_position: Position of the last received log entry in that answer.
+      held: Whether a HOLD keeps it from receiving log entries.
     """
 
     id: str
@@ -31,3 +33,5 @@
     last_contact_at_s: float
     refusing_since_s: float | None
     polled_at_s: float = permission.NEVER_S
+    polled_position: positions.Position | None = None
+    held: bool = False
--- a/bilberrystack/routing/primary_change.py
+++ b/bilberrystack/routing/primary_change.py
@@ -9,7 +9,9 @@
 import collections.abc
 import dataclasses
 import enum
+import math
 
+from bilberrystack.routing import candidates
 from bilberrystack.routing import member_view
 from bilberrystack.routing import pending_promotions
 from bilberrystack.routing import permission
@@ -85,7 +87,22 @@
     UNKNOWN = "unknown"
 
 
-Action = Withdraw | Fence | Promote
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hold:
+    """Action: order replicas to receive nothing more, so that no commit is acknowledged."""
+
+    members: tuple[str, ...]
+    term: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resume:
+    """Action: order a replica to receive log entries again."""
+
+    member: str
+
+
+Action = Withdraw | Fence | Promote | Hold | Resume
 
 
 class PrimaryChange:
@@ -95,6 +112,7 @@
         "_candidate",
         "_fenced",
         "_first_settled_at_s",
+        "_fixed_at_s",
         "_leader",
         "_leaving_replaceable_at_s",
         "_missing_since_s",
@@ -140,6 +158,7 @@
         self._requested_at_s: float | None = None
         self._candidate: str | None = None
         self._fenced = False
+        self._fixed_at_s = math.inf
         self._no_primary_since_s: float | None = None
         self._missing_since_s: float | None = None
         self._reason = ""
@@ -186,6 +205,14 @@
         """Records that the old primary has stepped down."""
         self._fenced = True
 
+    def record_held(self, now_s: float) -> None:
+        """Records that replicas were ordered to receive nothing more.
+
+        Positions that are asked for from now on contain all acknowledged commits, whether or not
+        each replica has carried the order out: the grants of the old primary have ended.
+        """
+        self._fixed_at_s = now_s
+
     def record_reply(self, member: str, reply: PromotionReply, now_s: float) -> None:
         """Records the result of a promotion request.
 
@@ -214,6 +241,7 @@
         grants_end_at_s: float,
         now_s: float,
         isolated: bool = False,
+        sync_replicas: int = 0,
     ) -> Action | None:
         """Advances the state machine and returns the next action.
 
@@ -224,6 +252,7 @@
           now_s: Current time.
           isolated: Whether the coordinator hears too few instances to distinguish a dead primary
             from one that only the coordinator can't reach.
+          sync_replicas: Number of replicas that receive a commit before it is acknowledged.
         Returns:
           The action; None to wait.
         """
@@ -236,7 +265,7 @@
             case Phase.STEADY:
                 return self._step_steady(leader, views, now_s, isolated)
             case Phase.FENCING:
-                return self._step_fencing(views, grants_end_at_s, now_s)
+                return self._step_fencing(views, grants_end_at_s, sync_replicas, now_s)
             case Phase.CALLING:
                 return self._step_calling(leader, now_s)
             case Phase.SETTLING:
@@ -265,6 +294,9 @@
             self._leader = permission.Leader(leader.id, leader.term)
         if leader is None and self._awaits_first_reports(views, now_s):
             return None
+        for view in views:
+            if view.held and not view.primary:
+                return Resume(view.id)
         reason = self._change_reason(leader, now_s, isolated)
         if not reason or self.promotion_pending or now_s < self._earliest_change_s(reason):
             return None
@@ -275,6 +307,7 @@
         self._started_at_s = now_s
         self._requested_at_s = None
         self._fenced = False
+        self._fixed_at_s = math.inf
         return Withdraw(reason)
 
     def _earliest_change_s(self, reason: str) -> float:
@@ -326,27 +359,38 @@
         limit_s = UNRESPONSIVE_TIMEOUT_S if contacted else FIRST_CONTACT_TIMEOUT_S
         return "primary is silent" if unresponsive_s >= limit_s else ""
 
-    def _best_candidate(
-        self, views: collections.abc.Sequence[member_view.MemberView], now_s: float
+    def _choose_candidate(
+        self,
+        views: collections.abc.Sequence[member_view.MemberView],
+        sync_replicas: int,
+        now_s: float,
     ) -> member_view.MemberView | None:
-        """Returns the eligible replica with the highest received position."""
-        eligible = [
-            view
+        """Returns the member to promote; None to wait."""
+        excluded = {
+            view.id
             for view in views
-            if not view.primary
-            and view.in_store
-            and not view.leaving
-            and view.received_position is not None
-            and now_s - view.last_contact_at_s < UNRESPONSIVE_TIMEOUT_S
-            and now_s - self._rejected_at_s.get(view.id, -pending_promotions.PROMOTION_EFFECT_S)
-            >= pending_promotions.PROMOTION_EFFECT_S
-        ]
-        return max(eligible, key=lambda view: (view.received_position, view.id), default=None)
+            if now_s - view.last_contact_at_s >= UNRESPONSIVE_TIMEOUT_S
+            or now_s - self._rejected_at_s.get(view.id, permission.NEVER_S)
+            < pending_promotions.PROMOTION_EFFECT_S
+        }
+        # The limit of an asynchronous group counts from the begin, because its commits need no
+        # replica, and the newest one may be lost in any case.
+        fixed_at_s = self._fixed_at_s if sync_replicas > 0 else self._started_at_s
+        situation = candidates.Situation(
+            views=views,
+            old_primary=None if self._leader is None else self._leader.member,
+            fenced=self._fenced,
+            fixed_at_s=fixed_at_s,
+            sync_replicas=sync_replicas,
+            excluded=frozenset(excluded),
+        )
+        return candidates.choose(situation, now_s - self._started_at_s >= CATCH_UP_TIMEOUT_S)
 
     def _step_fencing(
         self,
         views: collections.abc.Sequence[member_view.MemberView],
         grants_end_at_s: float,
+        sync_replicas: int,
         now_s: float,
     ) -> Action | None:
         reachable = [
@@ -362,7 +406,13 @@
             return Fence(reachable[0].id, newest + 1)
         if now_s <= grants_end_at_s:
             return None
-        candidate = self._best_candidate(views, now_s)
+        if sync_replicas > 0 and self._fixed_at_s == math.inf:
+            if self._fenced:
+                self._fixed_at_s = now_s
+                return None
+            replicas = [view.id for view in views if not view.primary]
+            return Hold(tuple(replicas), newest + 1)
+        candidate = self._choose_candidate(views, sync_replicas, now_s)
         if candidate is None:
             if waited_s > pending_promotions.PROMOTION_EFFECT_S:
                 self._abort(now_s)
--- a/bilberrystack/routing/primary_change_test.py
+++ b/bilberrystack/routing/primary_change_test.py
@@ -29,6 +29,7 @@
 
     def __init__(self):
         self.change = primary_change.PrimaryChange(0.0)
+        self.sync_replicas = 0
         self.views = {
             "a": _view("a", primary=True),
             "b": _view("b"),
@@ -40,8 +41,11 @@
 
     def step(self, now_s, grants_end_at_s=NO_GRANTS, unresponsive=()):
         for member in self.views.keys() - set(unresponsive):
-            self.set(member, last_contact_at_s=now_s, polled_at_s=now_s)
-        return self.change.step(list(self.views.values()), grants_end_at_s, now_s)
+            position = self.views[member].received_position
+            self.set(member, last_contact_at_s=now_s, polled_at_s=now_s, polled_position=position)
+        return self.change.step(
+            list(self.views.values()), grants_end_at_s, now_s, sync_replicas=self.sync_replicas
+        )
 
 
 def test_keeps_a_healthy_primary():
@@ -369,3 +373,39 @@
     group.set("c", primary=True, term=2)
     group.step(5.0)
     assert group.change.grantable_primary(5.0) == permission.Leader("c", 2)
+
+
+def test_a_synchronous_group_holds_its_replicas_before_it_reads_their_positions():
+    """Guards against commits that are acknowledged after the positions were read (LOST)."""
+    group = _Group()
+    group.sync_replicas = 1
+    group.step(0.0)
+    group.step(1.0, unresponsive="a")
+    assert group.step(1.1, grants_end_at_s=1.5, unresponsive="a") is None
+    assert group.step(1.6, grants_end_at_s=1.5, unresponsive="a") == primary_change.Hold(
+        ("b", "c"), 2
+    )
+    group.change.record_held(1.7)
+    group.set("b", received_position=positions.Position(1, 15))
+    assert group.step(1.75, unresponsive=("a", "b")) is None
+    assert group.step(1.8, unresponsive="a") == primary_change.Promote("b")
+
+
+def test_a_replica_that_was_held_receives_the_log_again():
+    """Guards against a replica that stays held after a coordinator has failed."""
+    group = _Group()
+    group.set("b", held=True)
+    assert group.step(0.0) == primary_change.Resume("b")
+    group.set("b", held=False)
+    assert group.step(0.1) is None
+
+
+def test_a_replica_with_an_old_report_is_not_promoted():
+    """Guards against a choice by reports from before the primary's last commits (LOST)."""
+    group = _Group()
+    group.step(0.0)
+    group.step(1.0, unresponsive=("a", "c"))
+    group.set("c", last_contact_at_s=1.1)
+    assert group.step(1.1, unresponsive=("a", "c")) is None
+    group.set("c", last_contact_at_s=1.5)
+    assert group.step(1.5, unresponsive=("a", "c")) == primary_change.Promote("b")
--- a/bilberrystack/routing/statements.py
+++ b/bilberrystack/routing/statements.py
@@ -236,6 +236,7 @@
       lag_s: Replication lag that it reports, in seconds.
       active_statements: Statements that run or are queued at the member.
       connections: Connections that are open to the member, from all instances.
+      held: Whether a HOLD keeps it from receiving log entries.
     """
 
     primary: bool
@@ -244,3 +245,4 @@
     lag_s: float
     active_statements: int
     connections: int
+    held: bool = False
--- a/bilberrystack/routing/takeover_model_test.py
+++ b/bilberrystack/routing/takeover_model_test.py
@@ -90,6 +90,7 @@
                 last_contact_at_s=member.last_contact_at_s,
                 refusing_since_s=None,
                 polled_at_s=member.last_contact_at_s,
+                polled_position=positions.Position(1, member.index),
             )
             for name, member in self.members.items()
         ]
--- a/bilberrystack_standins/platform_server.py
+++ b/bilberrystack_standins/platform_server.py
@@ -75,6 +75,7 @@
       next_update_delay_s: If not 0, the connection of the next update is closed at once, and the
         update is executed after this time.
       unpromotable_members: Ids of the members whose promotion requests are rejected.
+      sync_replicas: Declared number of replicas that receive a commit before it is acknowledged.
       port: The port that the server listens on; 0 before the first start.
     """
 
@@ -88,6 +89,7 @@
         self.responses_to_lose = 0
         self.next_update_delay_s = 0.0
         self.unpromotable_members: set[str] = set()
+        self.sync_replicas = 0
         self.port = 0
         self._objects: dict[str, dict[str, dict[str, Any]]] = collections.defaultdict(dict)
         self._events: dict[str, list[tuple[int, dict[str, Any], bool]]] = collections.defaultdict(
@@ -329,7 +331,7 @@
                 "name": name,
                 "health_path": "/health",
                 "max_connections": group.options.max_connections,
-                "sync_replicas": 0,
+                "sync_replicas": self.sync_replicas,
             }
             for name, group in self.groups.items()
         ]
