Plan a graceful stop backwards from its end

Ruled out: slow members; the requests were begun within the last half second. A session is closed only after reading has stopped and no request was read. The stop moves out of instance.py. Conclusion: every request that was read gets a complete answer before the process ends.

--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -17,6 +17,7 @@
 from bilberrystack.pooling import execution
 from bilberrystack.pooling import fleet
 from bilberrystack.pooling import forwarding
+from bilberrystack.pooling import graceful_stop
 from bilberrystack.pooling import group
 from bilberrystack.pooling import http
 from bilberrystack.pooling import interfaces
@@ -44,15 +45,6 @@
 # housekeeping interval because each search costs a status query to every member.
 PRIMARY_QUERY_INTERVAL_S = 0.75
 
-# Fraction of the grace time within which transactions may end by themselves.
-TRANSACTION_GRACE_FRACTION = 0.5
-
-# The process ends this long before its grace time does.
-EXIT_MARGIN_S = 0.7
-
-# The platform probes each second, and takes an instance out of rotation after two failed probes.
-ROTATION_REMOVAL_S = 2.5
-
 # While the store is reachable, a new instance appears in the store's list within this time.
 MAX_LISTING_DELAY_S = 2.0
 
@@ -90,6 +82,7 @@
         "_executors",
         "_fleet",
         "_forwarders",
+        "_graceful_stop",
         "_groups",
         "_lease",
         "_own_instance",
@@ -175,6 +168,7 @@
         self._owner_server = owner_server.OwnerServer(
             self.executor, self._directory, self.dialect, self.clock, self._tasks
         )
+        self._graceful_stop = graceful_stop.GracefulStop(self._sessions, self._owner_server, clock)
 
     @property
     def configuration(self) -> model.Configuration | None:
@@ -196,6 +190,11 @@
         """Whether the readiness probe tells the platform to send new sessions."""
         return self._directory.loaded and not self.stopping
 
+    @property
+    def refuses_work(self) -> bool:
+        """Whether this instance begins nothing new, because it is about to end."""
+        return self._graceful_stop.refuses_work
+
     def executor(self, service: str) -> execution.Executor | None:
         """Return the executor that runs a group's statements at its members.
 
@@ -523,12 +522,7 @@
                     self._tasks.start(served_group.confirmation.find_primary())
 
     async def _stop(self) -> None:
-        """Stop gracefully within the grace time.
-
-        Sessions without an open transaction are closed first; transactions get the first half of
-        the grace time to end by themselves.
-        """
-        started_at_s = self.clock()
+        """Stop gracefully within the grace time."""
         self.stopping = self._owner_server.stopping = True
         _LOG.info(
             "stopping",
@@ -539,13 +533,7 @@
         )
         self._coordinator.announce_departure()
         self._tasks.start(self._deregister_and_release())
-        ends_at_s = started_at_s + self._settings.grace_s - EXIT_MARGIN_S
-        while self.clock() < ends_at_s:
-            elapsed_s = self.clock() - started_at_s
-            self._close_idle_sessions(elapsed_s)
-            if not self._has_pending_work(elapsed_s) and elapsed_s >= ROTATION_REMOVAL_S:
-                break
-            await asyncio.sleep(0.02)
+        await self._graceful_stop.run(self._settings.grace_s)
         _LOG.info(
             "stopped",
             sessions_cut=len(self._sessions),
@@ -553,24 +541,6 @@
         )
         await self.terminate()
 
-    def _has_pending_work(self, elapsed_s: float) -> bool:
-        """Return whether work of this instance's clients or of other instances is unfinished."""
-        awaited_transactions = (
-            0 if self._transaction_grace_over(elapsed_s) else self._owner_server.open_transactions
-        )
-        return bool(self._sessions or self._owner_server.running_requests or awaited_transactions)
-
-    def _transaction_grace_over(self, elapsed_s: float) -> bool:
-        return elapsed_s >= self._settings.grace_s * TRANSACTION_GRACE_FRACTION
-
-    def _close_idle_sessions(self, elapsed_s: float) -> None:
-        grace_over = self._transaction_grace_over(elapsed_s)
-        for client_session in list(self._sessions):
-            if (client_session.quiescent and not client_session.expects_operation) or (
-                grace_over and client_session.between_requests
-            ):
-                client_session.close()
-
     async def _deregister_and_release(self) -> None:
         with contextlib.suppress(interfaces.StoreFailure):
             await self._platform.deregister_instance(self._own_instance.name)
--- a/bilberrystack/pooling/owner_server.py
+++ b/bilberrystack/pooling/owner_server.py
@@ -48,6 +48,7 @@
 
     Attributes:
       stopping: Whether new work is declined, so that the sender turns to another owner.
+      refusing: Whether statements of open transactions are declined, too.
     """
 
     __slots__ = (
@@ -58,6 +59,7 @@
         "_link_transactions",
         "_running_requests",
         "_tasks",
+        "refusing",
         "stopping",
     )
 
@@ -83,6 +85,7 @@
         self._running_requests = 0
         self._link_transactions: list[dict[int, transaction.Transaction]] = []
         self.stopping = False
+        self.refusing = False
         self._dialect = dialect
         self._clock = clock
         self._tasks = background_tasks
@@ -153,7 +156,8 @@
         """Determine what runs a request; begin its transaction if the request is its first."""
         decoded = frames.decode_request(request, self._clock())
         begun = request.transaction_number in open_transactions
-        executor = None if self.stopping and not begun else self._executor_of(request.service)
+        declined = self.refusing or (self.stopping and not begun)
+        executor = None if declined else self._executor_of(request.service)
         writes = request.begin is not None and not request.begin.read_only
         if (
             executor is not None
--- a/bilberrystack/pooling/session.py
+++ b/bilberrystack/pooling/session.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import typing
 from typing import Protocol
 
 import loguru
@@ -50,6 +51,8 @@
     def configuration(self) -> model.Configuration | None: ...
     @property
     def stopping(self) -> bool: ...
+    @property
+    def refuses_work(self) -> bool: ...
 
     def clock(self) -> float: ...
     def runner(self, service: str, primary_only: bool) -> execution.Runner | None: ...
@@ -70,7 +73,9 @@
         "_position",
         "_prepared_statements",
         "_reader",
+        "_reading_paused",
         "_request_in_progress",
+        "_request_limit",
         "_transaction",
         "_values",
         "_writer",
@@ -96,6 +101,8 @@
         self._last_write: freshness.LastWritePosition | None = None
         self._position: positions.Position | None = None
         self._request_in_progress = True
+        self._request_limit: asyncio.Timeout | None = None
+        self._reading_paused = False
         self._operation_expected_since_s: float | None = None
 
     @property
@@ -109,11 +116,6 @@
         since_s = self._operation_expected_since_s
         return since_s is not None and self._host.clock() - since_s < OPERATION_WAIT_S
 
-    @property
-    def between_requests(self) -> bool:
-        """Whether no request is in progress; a transaction may be open."""
-        return not self._request_in_progress
-
     @property
     def state(self) -> statements.TransactionState:
         """The session state that is reported to the client."""
@@ -128,6 +130,45 @@
         with contextlib.suppress(OSError, RuntimeError):
             self._writer.close()
 
+    def close_when_idle(self) -> None:
+        """Close the connection at the second call in a row that finds the session quiescent.
+
+        The first call stops reading, so that a request that has been read meanwhile is answered and
+        one that arrives later was never read.
+        """
+        if self._reading_paused:
+            self.close()
+            return
+        self._reading_paused = True
+        # The transport has been closed, or the reader has paused it because of unread data.
+        with contextlib.suppress(OSError, RuntimeError):
+            self._transport.pause_reading()
+
+    @property
+    def _transport(self) -> asyncio.Transport:
+        # uvloop's transports don't derive from the standard library's class.
+        return typing.cast(asyncio.Transport, self._writer.transport)
+
+    def _resume_reading(self) -> None:
+        if self._reading_paused:
+            self._reading_paused = False
+            with contextlib.suppress(OSError, RuntimeError):
+                self._transport.resume_reading()
+
+    def abandon_transaction(self) -> None:
+        """Roll the transaction back, if no statement of it runs; its next statement reports it."""
+        if self._request_in_progress or self._transaction is None or self._transaction.failed:
+            return
+        self._transaction.roll_back()
+        self._transaction.failed = self._transaction.rollback_unreported = True
+
+    def end_request(self) -> None:
+        """Answer the running statement at once; close the session if none runs."""
+        if not self._request_in_progress:
+            self.close_when_idle()
+        elif self._request_limit is not None and not self._request_limit.expired():
+            self._request_limit.reschedule(asyncio.get_running_loop().time())
+
     async def serve(self) -> None:
         """Answer requests until the client disconnects or violates the protocol, or until `close`.
 
@@ -157,6 +198,11 @@
         async with asyncio.timeout(START_TIMEOUT_S):
             line = await member_link.read_line(self._reader)
         dialect = self._host.dialect
+        if self._host.refuses_work:
+            self._send(
+                dialect.encode_error(statements.ErrorCode.BUSY, "the instance stops, try another")
+            )
+            return False
         match dialect.parse_client_message(line):
             case statements.Start(database):
                 self._database = database
@@ -191,6 +237,7 @@
         line = await self._next_line()
         self._request_in_progress = True
         self._operation_expected_since_s = None
+        self._resume_reading()
         try:
             match self._host.dialect.parse_client_message(line):
                 case statements.Query(request_id, text):
@@ -277,7 +324,7 @@
                 self._reply_error(statements.ErrorCode.ABORTED, "the transaction had failed")
             case _ if self._transaction is not None and self._transaction.rollback_unreported:
                 self._transaction.rollback_unreported = False
-                self._reply_error(statements.ErrorCode.ABORTED, "the transaction rested too long")
+                self._reply_error(statements.ErrorCode.ABORTED, "the transaction was rolled back")
             case _:
                 self._reply_error(statements.ErrorCode.BAD, "the transaction has failed")
 
@@ -356,22 +403,19 @@
         if request is None or runner is None:
             self._reply_error(statements.ErrorCode.NO_DATABASE, "no such database")
             return
+        if self._transaction is None and self._host.refuses_work:
+            self._reply_error(statements.ErrorCode.BUSY, "the instance stops, try another")
+            return
         trace = execution.Trace()
-        current = self._transaction
         wrote = False
-        match statement:
-            case statements.Commit():
-                assert current is not None
-                outcome = await current.commit(request, trace)
-                self._transaction = None
-                wrote = outcome.leader is not None
-            case _ if current is not None:
-                outcome = await current.run(request, trace)
-            case _ if request.access is statements.Access.WRITE:
-                outcome = await runner.run_write(request, trace)
-                wrote = True
-            case _:
-                outcome = await runner.run_read(request, trace)
+        try:
+            async with asyncio.timeout(None) as self._request_limit:
+                outcome, wrote = await self._execute(request, statement, runner, trace)
+        except TimeoutError:
+            trace.cause = "the instance stops"
+            outcome = self._unfinished_outcome(request, statement)
+        finally:
+            self._request_limit = None
         self._record_position(outcome, wrote)
         self._log_request(request, statement, outcome, trace)
         if outcome.failure is not None:
@@ -381,6 +425,47 @@
             lines = [*outcome.rows, outcome.done]
             self._reply(b"".join(self._host.dialect.encode_result_line(line) for line in lines))
 
+    async def _execute(
+        self,
+        request: execution.Request,
+        statement: statements.Statement,
+        runner: execution.Runner,
+        trace: execution.Trace,
+    ) -> tuple[execution.Outcome, bool]:
+        """Run a statement; return its outcome and whether that of a write."""
+        current = self._transaction
+        match statement:
+            case statements.Commit():
+                assert current is not None
+                outcome = await current.commit(request, trace)
+                self._transaction = None
+                return outcome, outcome.leader is not None
+            case _ if current is not None:
+                return await current.run(request, trace), False
+            case _ if request.access is statements.Access.WRITE:
+                return await runner.run_write(request, trace), True
+            case _:
+                return await runner.run_read(request, trace), False
+
+    def _unfinished_outcome(
+        self, request: execution.Request, statement: statements.Statement
+    ) -> execution.Outcome:
+        """Return the outcome of a statement that is still running when the instance ends."""
+        current = self._transaction
+        if current is not None:
+            current.roll_back()
+            if not isinstance(statement, statements.Commit):
+                current.failed = True
+                return execution.failure_outcome(
+                    statements.ErrorCode.ABORTED, "the transaction was rolled back"
+                )
+            self._transaction = None
+        elif request.access is statements.Access.READ:
+            return execution.failure_outcome(statements.ErrorCode.TIMEOUT, "no answer in time")
+        return execution.failure_outcome(
+            statements.ErrorCode.UNKNOWN_OUTCOME, "no answer before the instance stopped"
+        )
+
     def _record_position(self, outcome: execution.Outcome, wrote: bool) -> None:
         reply = outcome.reply
         if reply is None or reply.position is None:
