Leave out an odd entry of the store, and nothing else

Ruled out: the connection to the store; the same entries failed in a test without sockets. Change: a page or watch result that can't be decoded is split into its items (json_parts.py), which are decoded alone; any error leaves out the one entry, with a log line. Numbers, addresses and names have limits. The same at other entrances: a malformed lease is replaced after its duration, only config/main is the configuration, nested datagrams and frames are dropped, a request that can't be decoded is declined, numbers of members that no datagram can carry are ignored. The two copies of the address parser in fleet.py and relay.py become model.parse_endpoint. Conclusion: what counts is each way into the process; the limits of the decoders stand there.

--- a/bilberrystack/platform/client.py
+++ b/bilberrystack/platform/client.py
@@ -7,6 +7,7 @@
 import loguru
 import msgspec
 
+from bilberrystack.platform import json_parts
 from bilberrystack.platform import objects
 from bilberrystack.pooling import counters
 from bilberrystack.pooling import http
@@ -27,10 +28,14 @@
 # Header of each response of the store. Its number rises by one each time that the store returns
 # from an older copy, in which revisions are lower than before.
 ERA_HEADER = "store-era"
+MAX_ERA_DIGITS = 18
 
 # HTTP status codes which mean that the call was not executed.
 _NOT_EXECUTED_STATUSES = (429, 503)
 
+# What decoding raises for text that is malformed, or nested too deeply.
+_DECODING_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
+
 Decoded = typing.TypeVar("Decoded")
 
 # Decodes the content of an object, given the object's name and the content as JSON.
@@ -62,7 +67,8 @@
         A response without a valid era counts as one of the newest known era.
         """
         text = response.headers.get(ERA_HEADER, "")
-        return int(text) if text.isascii() and text.isdecimal() else self.era
+        valid = text.isascii() and text.isdecimal() and len(text) <= MAX_ERA_DIGITS
+        return int(text) if valid else self.era
 
     async def get(self, target: str, timeout_s: float = STORE_CALL_TIMEOUT_S) -> http.Response:
         """Read an object, a list of objects or the result of a watch.
@@ -166,7 +172,7 @@
         target = f"/objects/{self.name}" + (f"?{stale_parameter}" if stale_parameter else "")
         while True:
             response = await self._store.get(target)
-            page = _decode_body(response, objects.ListPage)
+            page = _decode_list_page(response)
             page_revision = interfaces.Revision(self._store.era_of(response), page.current_rev)
             # A watch continues from the revision of the first page, so that it returns changes that
             # are made while the pages are read.
@@ -204,7 +210,7 @@
         if era != revision.era:
             # The number belongs to another change in this era, so that changes may be missing.
             raise interfaces.HistoryGone(target)
-        watched = _decode_body(response, objects.WatchResult)
+        watched = _decode_watch_result(response)
         items: dict[str, object | None] = {}
         for event in watched.events:
             name, item = self._decode_object(event.object)
@@ -220,8 +226,8 @@
           None if that is malformed.
         """
         try:
-            stored = msgspec.json.decode(raw, type=objects.StoredObject)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            stored = _decode_stored_object(bytes(raw))
+        except _DECODING_ERRORS as error:
             _LOG.warning(
                 "store object with malformed metadata ignored", kind=self.name, error=str(error)
             )
@@ -229,7 +235,9 @@
         name = stored.meta.name
         try:
             return name, self._decode_spec(name, bytes(stored.spec))
-        except (msgspec.MsgspecError, ValueError) as error:
+        except Exception as error:
+            # Another writer's entry can be malformed in ways that nobody foresees. It must not end
+            # the reading of the other entries.
             if self._malformed_revisions.get(name) != stored.meta.rev:
                 self._malformed_revisions[name] = stored.meta.rev
                 _LOG.warning(
@@ -276,7 +284,7 @@
         self.configurations = ObjectKindClient(
             self._store,
             objects.CONFIGURATION_KIND,
-            lambda _, encoded: objects.decode_configuration(encoded),
+            objects.decode_named_configuration,
         )
         self.members = ObjectKindClient(self._store, objects.MEMBER_KIND, objects.decode_member)
         self.instances = ObjectKindClient(
@@ -306,7 +314,8 @@
         Raises:
           interfaces.StoreFailure: The registration may not have been deleted.
         """
-        await self._store.change("DELETE", f"/objects/{objects.INSTANCE_KIND}/{name}")
+        quoted = urllib.parse.quote(name, safe="")
+        await self._store.change("DELETE", f"/objects/{objects.INSTANCE_KIND}/{quoted}")
 
     @property
     def store_era(self) -> int:
@@ -316,15 +325,30 @@
     async def read_coordinator_lease(self) -> interfaces.LeaseRecord:
         """Return the coordinator lease.
 
+        A record with malformed content names no coordinator and counts as one from before the
+        store's return: it may have replaced the record of a coordinator that still acts.
+
         Raises:
           interfaces.StoreFailure: The store did not answer with a valid response.
-          msgspec.MsgspecError, ValueError: The content of the lease is malformed.
         """
         response = await self._store.get(f"/objects/{objects.LEASE_KIND}/{objects.LEASE_NAME}")
         era = self._store.era_of(response)
         if response.status == 404:
             return interfaces.LeaseRecord(None, 0, interfaces.Revision(era, 0), era)
-        return objects.decode_lease(_decode_body(response, objects.StoredObject), era)
+        try:
+            stored = _decode_stored_object(response.body)
+        except _DECODING_ERRORS as error:
+            raise interfaces.NotDone(f"malformed body: {error}") from error
+        try:
+            return objects.decode_lease(stored, era)
+        except _DECODING_ERRORS as error:
+            _LOG.warning(
+                "malformed coordinator lease; it is replaced once it has expired",
+                revision=stored.meta.rev,
+                error=str(error),
+            )
+            revision = interfaces.Revision(era, stored.meta.rev)
+            return interfaces.LeaseRecord(None, 0, revision, objects.UNKNOWN_ERA)
 
     async def write_coordinator_lease(
         self,
@@ -376,7 +400,8 @@
         Raises:
           interfaces.StoreFailure: The record may not have been deleted.
         """
-        await self._store.change("DELETE", f"/objects/{objects.PROMOTION_KIND}/{name}")
+        quoted = urllib.parse.quote(name, safe="")
+        await self._store.change("DELETE", f"/objects/{objects.PROMOTION_KIND}/{quoted}")
 
     async def promote(
         self, service: str, member: str, coordinator: str, token: int, *, may_send: http.MaySend
@@ -433,6 +458,67 @@
     return {"meta": meta, "spec": spec}
 
 
+def _decode_list_page(response: http.Response) -> objects.ListPage:
+    """Decode a page of a list, also if some of its items can't be decoded.
+
+    Raises:
+      interfaces.NotDone: The page itself is malformed.
+    """
+    try:
+        return msgspec.json.decode(response.body, type=objects.ListPage)
+    except _DECODING_ERRORS:
+        pass
+    try:
+        parts = json_parts.split_object(response.body)
+        return objects.ListPage(
+            items=[msgspec.Raw(item) for item in json_parts.split_array(parts["items"])],
+            more=msgspec.json.decode(parts["more"], type=bool),
+            current_rev=msgspec.json.decode(parts["current_rev"], type=int),
+        )
+    except (LookupError, *_DECODING_ERRORS) as error:
+        raise interfaces.NotDone(f"malformed body: {error}") from error
+
+
+def _decode_watch_result(response: http.Response) -> objects.WatchResult:
+    """Decode the result of a watch, also if some of its events can't be decoded.
+
+    Raises:
+      interfaces.NotDone: The result itself is malformed.
+    """
+    try:
+        return msgspec.json.decode(response.body, type=objects.WatchResult)
+    except _DECODING_ERRORS:
+        pass
+    try:
+        parts = json_parts.split_object(response.body)
+        return objects.WatchResult(
+            events=list(map(_decode_event, json_parts.split_array(parts["events"]))),
+            current_rev=msgspec.json.decode(parts["current_rev"], type=int),
+        )
+    except (LookupError, *_DECODING_ERRORS) as error:
+        raise interfaces.NotDone(f"malformed body: {error}") from error
+
+
+def _decode_event(encoded: bytes) -> objects.WatchEvent:
+    parts = json_parts.split_object(encoded)
+    deleted = parts.get("deleted") == b"true"
+    return objects.WatchEvent(msgspec.Raw(parts["object"]), deleted)
+
+
+def _decode_stored_object(encoded: bytes) -> objects.StoredObject:
+    """Decode an object's metadata; its content may be unreadable.
+
+    Raises:
+      msgspec.MsgspecError, ValueError, RecursionError: The metadata is malformed.
+    """
+    try:
+        return msgspec.json.decode(encoded, type=objects.StoredObject)
+    except _DECODING_ERRORS:
+        parts = json_parts.split_object(encoded)
+    meta = msgspec.json.decode(parts.get("meta", b""), type=objects.ObjectMetadata)
+    return objects.StoredObject(meta, msgspec.Raw(parts.get("spec", b"null")))
+
+
 def _decode_body(response: http.Response, body_type: type[Decoded]) -> Decoded:
     """Decode the body of a store response.
 
@@ -441,5 +527,5 @@
     """
     try:
         return msgspec.json.decode(response.body, type=body_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except _DECODING_ERRORS as error:
         raise interfaces.NotDone(f"malformed body: {error}") from error
--- a/bilberrystack/platform/objects.py
+++ b/bilberrystack/platform/objects.py
@@ -1,5 +1,6 @@
 """Objects of the platform's store: their formats, and conversion to and from the proxy's types."""
 
+import re
 import typing
 
 import msgspec
@@ -87,6 +88,18 @@
     current_rev: int
 
 
+# Era of a record whose writer's era is not known; lower than each era of the store.
+UNKNOWN_ERA = -1
+
+# Characters of the ids and names that are sent in lines of the members' protocol.
+_ID = re.compile(r"[!-~]{1,256}")
+
+# Numbers of other writers' entries, within what arithmetic and the messages between instances hold.
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+_Slots = typing.Annotated[int, msgspec.Meta(ge=0, le=2**16)]
+_Cores = typing.Annotated[float, msgspec.Meta(gt=0, le=2**16)]
+
+
 class _RouteSpec(msgspec.Struct):
     # Name of the database. The route's own field `name` is only a label and is not decoded.
     host: str
@@ -125,12 +138,12 @@
     # Failure domain.
     zone: str
     # Number of statements that the member runs concurrently.
-    slots: int
+    slots: _Slots
     state: typing.Literal["ready", "draining"]
     # Number of the liveness report that last changed the record.
-    seq: int
+    seq: _Count
     # Start time in Unix milliseconds.
-    born: int
+    born: _Count
     # Role that the member reports for itself.
     db_role: typing.Literal["primary", "replica"]
 
@@ -143,7 +156,7 @@
     address: str
     # Failure domain.
     zone: str
-    cores: float = 1.0
+    cores: _Cores = 1.0
 
 
 class _PromotionSpec(msgspec.Struct):
@@ -152,7 +165,7 @@
     # Name of the database group.
     service: str
     member: str
-    replaced_term: int
+    replaced_term: _Count
 
 
 class _CoordinatorSpec(msgspec.Struct):
@@ -170,7 +183,7 @@
     # Coordinator; None if the lease was released.
     holder: _CoordinatorSpec | None
     # Fencing token.
-    token: int
+    token: _Count
     # Number of writes by the coordinator's process. It makes each renewal a change of the object.
     count: int
     # Era of the store that the writer knew.
@@ -191,12 +204,26 @@
     """Parse an address of the form IP:PORT.
 
     Raises:
-      ValueError: The host is missing or the port is not a number.
+      ValueError: The host is not an IP address, or the port is not one.
+    """
+    endpoint = model.parse_endpoint(text)
+    if endpoint is None:
+        raise ValueError(f"{text[:100]!r} is not an IP address and a port")
+    return endpoint
+
+
+def decode_named_configuration(name: str, encoded: bytes) -> model.Configuration:
+    """Decode the configuration; no other object of its kind is one.
+
+    Args:
+      name: Name of the object.
+      encoded: Content of the object, as JSON.
+    Raises:
+      msgspec.MsgspecError, ValueError: The content is malformed, or the object has another name.
     """
-    host, _, port = text.rpartition(":")
-    if not host:
-        raise ValueError(f"{text!r} is not an IP address and a port")
-    return model.Endpoint(host, int(port))
+    if name != CONFIGURATION_NAME:
+        raise ValueError("not the object with the configuration")
+    return decode_configuration(encoded)
 
 
 def decode_configuration(encoded: bytes) -> model.Configuration:
@@ -242,6 +269,8 @@
       msgspec.MsgspecError, ValueError: The content is malformed.
     """
     spec = msgspec.json.decode(encoded, type=_MemberSpec)
+    if not (_ID.fullmatch(name) and _ID.fullmatch(spec.service)):
+        raise ValueError("the name or the service can't be sent in a line")
     return model.Member(
         id=name,
         service=spec.service,
--- a/bilberrystack/platform/wire.py
+++ b/bilberrystack/platform/wire.py
@@ -6,12 +6,17 @@
 The `encode_` functions return bytes with the line end, ready to be sent.
 """
 
+import math
+
 from bilberrystack.core import positions
 from bilberrystack.routing import statements
 
 # Maximum length of a message, without its line end, as the protocol specifies.
 MAX_LINE_BYTES = 1_048_576
 
+# Longest number of a member that the messages between instances can carry.
+MAX_DIGITS = 18
+
 # Request id that the protocol reserves for statements that the proxy itself issues.
 PROXY_REQUEST_ID = "-"
 
@@ -139,11 +144,16 @@
 def parse_position(text: str) -> positions.Position | None:
     """Parse a log position of the form TERM.INDEX; return None for any other text, such as "-"."""
     term, point, index = text.partition(".")
-    if not point or not term.isdecimal() or not index.isdecimal():
+    if not point or not _is_count(term) or not _is_count(index):
         return None
     return positions.Position(int(term), int(index))
 
 
+def _is_count(text: str) -> bool:
+    """Return whether a text is a number that the messages between instances can carry."""
+    return text.isascii() and text.isdecimal() and len(text) <= MAX_DIGITS
+
+
 def parse_member_status(row: bytes) -> statements.MemberStatus | None:
     """Parse the row with which a member answers STATUS, HOLD and DEMOTE.
 
@@ -158,11 +168,15 @@
     # Fields after ROW: role, newest known term, received position, term of the HOLD in force (0 if
     # there is none), replication lag in milliseconds, active statements, connections. The term of a
     # HOLD says nothing about the member's log or about a completed promotion.
+    if not all(map(_is_count, (words[2], words[4], *words[6:8]))):
+        return None
     try:
         term, held_term = int(words[2]), int(words[4])
         lag_ms, active_statements, connections = float(words[5]), int(words[6]), int(words[7])
     except ValueError:
         return None
+    if not math.isfinite(lag_ms):
+        return None
     return statements.MemberStatus(
         primary=words[1] == "primary",
         term=term,
--- a/bilberrystack/pooling/fleet.py
+++ b/bilberrystack/pooling/fleet.py
@@ -123,7 +123,7 @@
         """Decode and handle a datagram."""
         try:
             message = messages.decode(data)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             _LOG.warning("malformed datagram dropped", sender=addr[0], error=str(error))
             return
         try:
@@ -231,7 +231,7 @@
                     change=grant.change_number,
                 )
             self._withdrawn_at_s.pop(grant.service, None)
-            served_group.relay = _parse_endpoint(grant.relay_address)
+            served_group.relay = model.parse_endpoint(grant.relay_address)
             if grant.position is not None and served_group.permission.valid_at(leader, now_s):
                 request_sent_at_s = message.requested_at_s - grant.position_age_s
                 position = positions.Position(grant.position.term, grant.position.index)
@@ -325,8 +325,3 @@
     return coordinator_lease.ToldRenewal(
         revision, now_s - max(0.0, renewal.age_s), renewal.names_receiver
     )
-
-
-def _parse_endpoint(text: str) -> model.Endpoint | None:
-    host, _, port = text.rpartition(":")
-    return model.Endpoint(host, int(port)) if host and port.isdecimal() else None
--- a/bilberrystack/pooling/forwarding.py
+++ b/bilberrystack/pooling/forwarding.py
@@ -147,7 +147,7 @@
                 future = self._pending.get(outcome.sequence_number)
                 if future is not None and not future.done():
                     future.set_result(outcome)
-        except (OSError, EOFError, msgspec.MsgspecError) as error:
+        except (OSError, EOFError, ValueError, RecursionError, msgspec.MsgspecError) as error:
             self._avoid(type(error).__name__)
         finally:
             writer.close()
--- a/bilberrystack/pooling/frames.py
+++ b/bilberrystack/pooling/frames.py
@@ -133,6 +133,10 @@
 )
 
 
+_STATES = {state.value: state for state in statements.TransactionState}
+_ERROR_CODES = {code.value: code for code in statements.ErrorCode}
+
+
 def pack(message: msgspec.Struct) -> bytes:
     """Encode a message as a frame."""
     body = _ENCODER.encode(message)
@@ -328,13 +332,12 @@
     reply = None
     if forwarded.has_reply:
         position = None if forwarded.position is None else positions.Position(*forwarded.position)
-        state = statements.TransactionState(forwarded.state)
+        state = _STATES.get(forwarded.state, statements.TransactionState.FAILED)
         sent_at_s = now_s - forwarded.sent_age_s
         reply = statements.Reply((), None, None, state, position, sent_at_s, now_s)
     failure = None
     if forwarded.error_code:
-        failure = statements.Failure(
-            statements.ErrorCode(forwarded.error_code), forwarded.error_text
-        )
+        code = _ERROR_CODES.get(forwarded.error_code, statements.ErrorCode.OTHER)
+        failure = statements.Failure(code, forwarded.error_text)
     leader = None if forwarded.leader is None else permission.Leader(*forwarded.leader)
     return execution.Outcome(tuple(forwarded.rows), forwarded.done, failure, reply, leader)
--- a/bilberrystack/pooling/malformed_test.py
+++ b/bilberrystack/pooling/malformed_test.py
@@ -7,11 +7,13 @@
 import msgspec
 import pytest
 
+from bilberrystack.platform import wire
+from bilberrystack.pooling import execution
+from bilberrystack.pooling import frames
 from bilberrystack.pooling import messages
+from bilberrystack.routing import statements
 from bilberrystack_standins import line_site
 
-pytestmark = pytest.mark.asyncio
-
 SENDER = ("127.0.0.9", 7002)
 UNEXPECTED_VALUES = [
     "",
@@ -59,6 +61,7 @@
     return bytes(data[: rng.randint(0, len(data))] if rng.random() < 0.2 else data)
 
 
+@pytest.mark.asyncio
 async def test_an_instance_serves_despite_corrupted_datagrams():
     """Guards against an exception in the datagram callback.
 
@@ -77,6 +80,7 @@
         assert all(instance.ready for instance in site.instances)
 
 
+@pytest.mark.asyncio
 async def test_forged_grants_are_ignored():
     """Guards against grants of another process than the coordinator.
 
@@ -97,6 +101,7 @@
         assert (await session.query("READ x"))[0] == "ROW 1"
 
 
+@pytest.mark.asyncio
 async def test_an_error_in_one_datagram_does_not_close_the_socket(monkeypatch):
     """Guards against an unexpected error that ends an instance's grants."""
     async with line_site.Site(1) as site:
@@ -107,3 +112,78 @@
 
         monkeypatch.setattr(type(fleet), "_handle", fail)
         fleet.datagram_received(messages.encode(messages.CoordinatorDeparture("life", 1)), SENDER)
+
+
+@pytest.mark.asyncio
+async def test_odd_values_from_other_processes_end_nothing():
+    """Guards against nesting, numbers and ports that no code expects, in datagrams and frames."""
+    nested = b"\x91" * 100_000 + b"\xc0"
+    async with line_site.Site(2) as site:
+        for instance in site.instances:
+            instance._fleet.datagram_received(nested, SENDER)
+        grants = messages.Grants(
+            *("proxy-9", "forged", 1, 1.0, 1.5),
+            [messages.Grant("store-1", "a", 1, 0, POSITION, 0.1, "127.0.0.1:" + "9" * 5_000)],
+            1,
+        )
+        instance._fleet.datagram_received(messages.encode(grants), SENDER)
+        endpoint = site.settings[0].peers_endpoint
+        for body in (nested, msgspec.msgpack.encode([1, "write"])):
+            reader, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
+            writer.write(b"forward\n" + len(body).to_bytes(4) + body)
+            assert await reader.read() == b""
+            writer.close()
+        session = await site.connect("strict")
+        assert (await session.query("WRITE x 1"))[0].startswith("DONE proof")
+
+
+@pytest.mark.asyncio
+async def test_a_request_of_another_version_is_declined():
+    """Guards against one request that ends the link on which others are waiting."""
+    async with line_site.Site(1) as site:
+        endpoint = site.settings[0].peers_endpoint
+        request = msgspec.structs.replace(
+            frames.rollback_request(0), sequence_number=7, kind="read", consistency="future"
+        )
+        reader, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
+        writer.write(b"forward\n" + frames.pack(request))
+        outcome = frames.unpack_outcome(await frames.read_body(reader))
+        assert (outcome.sequence_number, outcome.declined) == (7, True)
+        writer.close()
+
+
+def test_an_outcome_of_another_version_is_an_error():
+    """Guards against a client session that ends because an owner knows more error codes."""
+    request = frames.encode_outcome(
+        7,
+        execution.failure_outcome(statements.ErrorCode.BUSY, "full"),
+        execution.Trace(),
+        0.0,
+        None,
+    )
+    odd = msgspec.structs.replace(request, error_code="future", state="future", has_reply=True)
+    outcome = frames.decode_outcome(odd, execution.Trace(), 0.0)
+    assert outcome.failure.code is statements.ErrorCode.OTHER
+    assert outcome.reply.state is statements.TransactionState.FAILED
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        b"ROW replica " + b"9" * 5_000 + b" 3.1 0 0 0 0",
+        b"ROW replica 99999999999999999999 3.1 0 0 0 0",
+        b"ROW replica -3 3.1 0 0 0 0",
+        b"ROW replica 3 3.1 0 nan 0 0",
+        b"ROW replica 3 3.1 0 inf 0 0",
+        b"ROW replica 3 3.1 x 0 0 0",
+    ],
+)
+def test_odd_numbers_of_a_member_are_no_status(row):
+    """Guards against a term that no datagram can carry: it ended the heartbeats of an instance."""
+    assert wire.parse_member_status(row) is None
+
+
+def test_an_odd_position_is_none():
+    """Guards against a position that no datagram can carry."""
+    assert wire.parse_position("3." + "9" * 5_000) is None
+    assert wire.parse_position("99999999999999999999.1") is None
--- a/bilberrystack/pooling/member_link.py
+++ b/bilberrystack/pooling/member_link.py
@@ -273,7 +273,8 @@
             )
     except ConnectionRefusedError as error:
         raise Refused(str(endpoint)) from error
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, OverflowError, ValueError) as error:
+        # An address that no socket accepts belongs to nobody.
         raise Unreachable(str(endpoint)) from error
     configure_socket(writer)
     return reader, writer
--- a/bilberrystack/pooling/owner_server.py
+++ b/bilberrystack/pooling/owner_server.py
@@ -118,9 +118,15 @@
                         abandoned.roll_back()
                     continue
                 # The transaction is registered before the next frame is read, which may end it.
-                accepted = self._accept(request, open_transactions)
+                try:
+                    accepted = self._accept(request, open_transactions)
+                except (ArithmeticError, LookupError, TypeError, ValueError) as error:
+                    # Another version's request, for example. The link serves other clients, too.
+                    _LOG.warning("request that can't be decoded declined", error=str(error))
+                    self._decline(request, writer)
+                    continue
                 self._tasks.start(self._answer(accepted, writer, open_transactions))
-        except (msgspec.MsgspecError, ValueError) as error:
+        except (msgspec.MsgspecError, RecursionError, ValueError) as error:
             _LOG.warning(
                 "malformed frame from another instance; closing the link", error=str(error)
             )
@@ -133,6 +139,17 @@
             for abandoned in open_transactions.values():
                 abandoned.roll_back()
 
+    def _decline(self, request: frames.ForwardedRequest, writer: asyncio.StreamWriter) -> None:
+        outcome = frames.encode_outcome(
+            request.sequence_number,
+            execution.failure_outcome(statements.ErrorCode.BUSY, "the owner can't serve the group"),
+            execution.Trace(),
+            self._clock(),
+            None,
+        )
+        with contextlib.suppress(member_link.Lost):
+            member_link.write(writer, frames.pack(msgspec.structs.replace(outcome, declined=True)))
+
     async def _answer(
         self,
         accepted: "AcceptedRequest",
--- a/bilberrystack/pooling/relay.py
+++ b/bilberrystack/pooling/relay.py
@@ -63,7 +63,7 @@
             if line == b"forward":
                 await self._owner_server.serve(reader, writer)
                 return
-            target = _parse_endpoint(line)
+            target = model.parse_endpoint(line.decode(errors="replace"))
             if target is None or not self._is_member(target):
                 _LOG.warning("refused to relay a connection to an address that is not a member's")
                 return
@@ -100,8 +100,3 @@
     while data := await reader.read(BUFFER_BYTES):
         member_link.write(writer, data)
         await writer.drain()
-
-
-def _parse_endpoint(line: bytes) -> model.Endpoint | None:
-    host, _, port = line.decode(errors="replace").rpartition(":")
-    return model.Endpoint(host, int(port)) if host and port.isdecimal() else None
--- a/bilberrystack/routing/model.py
+++ b/bilberrystack/routing/model.py
@@ -7,6 +7,9 @@
 import collections.abc
 import dataclasses
 import enum
+import ipaddress
+
+MAX_PORT = 65_535
 
 
 class Consistency(enum.Enum):
@@ -40,6 +43,19 @@
         return f"{self.host}:{self.port}"
 
 
+def parse_endpoint(text: str) -> Endpoint | None:
+    """Return the endpoint that a text of the form IP:PORT names; None if it names none."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return None
+    is_number = port.isascii() and port.isdecimal() and len(port) <= len(str(MAX_PORT))
+    if not is_number or not 0 < int(port) <= MAX_PORT:
+        return None
+    return Endpoint(host, int(port))
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Route:
     """A database under the name that clients use for it.
