Don't let a held replica keep the primary from being replaced

A replica that is silent or refuses the order would have occupied its group for good. Ruled out: a site in force; none has synchronous replicas, so that none is ever held there. Change: the order is given only if no change is due, to replicas that answer, once a second each. Figures: the new test of primary_change_test.py failed before (1 failed, 30 passed) and passes now. Conclusion: a held replica delays nothing but itself.

--- a/bilberrystack/routing/primary_change.py
+++ b/bilberrystack/routing/primary_change.py
@@ -44,6 +44,9 @@
 # promotion requested by another instance may still take effect within that time.
 NO_PRIMARY_TIMEOUT_S = 0.3
 
+# Interval between orders to a replica that still reports a HOLD.
+RESUME_RETRY_INTERVAL_S = 1.0
+
 _LEAVING_REASON = "primary leaves"
 
 
@@ -124,6 +127,7 @@
         "_reason",
         "_rejected_at_s",
         "_requested_at_s",
+        "_resumed_at_s",
         "_settled_at_s",
         "_started_at_s",
     )
@@ -163,6 +167,7 @@
         self._missing_since_s: float | None = None
         self._reason = ""
         self._rejected_at_s: dict[str, float] = {}
+        self._resumed_at_s: dict[str, float] = {}
 
     @property
     def phase(self) -> Phase:
@@ -294,12 +299,9 @@
             self._leader = permission.Leader(leader.id, leader.term)
         if leader is None and self._awaits_first_reports(views, now_s):
             return None
-        for view in views:
-            if view.held and not view.primary:
-                return Resume(view.id)
         reason = self._change_reason(leader, now_s, isolated)
         if not reason or self.promotion_pending or now_s < self._earliest_change_s(reason):
-            return None
+            return self._resume_held(views, now_s)
         if not any(view.in_store and not view.primary and not view.leaving for view in views):
             return None
         self._phase = Phase.FENCING
@@ -310,6 +312,18 @@
         self._fixed_at_s = math.inf
         return Withdraw(reason)
 
+    def _resume_held(
+        self, views: collections.abc.Sequence[member_view.MemberView], now_s: float
+    ) -> Resume | None:
+        """Returns the order for a replica that an earlier change has held and that answers."""
+        for view in views:
+            answers = now_s - view.last_contact_at_s < UNRESPONSIVE_TIMEOUT_S
+            due_s = self._resumed_at_s.get(view.id, permission.NEVER_S) + RESUME_RETRY_INTERVAL_S
+            if view.held and not view.primary and answers and now_s >= due_s:
+                self._resumed_at_s[view.id] = now_s
+                return Resume(view.id)
+        return None
+
     def _earliest_change_s(self, reason: str) -> float:
         """Returns the time from which a primary change for a reason may begin."""
         if reason == _LEAVING_REASON and self._settled_at_s == self._first_settled_at_s:
--- a/bilberrystack/routing/primary_change_test.py
+++ b/bilberrystack/routing/primary_change_test.py
@@ -400,6 +400,19 @@
     assert group.step(0.1) is None
 
 
+def test_a_replica_that_stays_held_does_not_keep_the_primary_from_being_replaced():
+    """Guards against a group that is occupied with a held replica that is silent or refuses."""
+    group = _Group()
+    group.set("b", held=True)
+    assert group.step(0.0) == primary_change.Resume("b")
+    assert group.step(0.5) is None
+    assert group.step(1.0) == primary_change.Resume("b")
+    assert isinstance(group.step(2.0, unresponsive="a"), primary_change.Withdraw)
+    group = _Group()
+    group.set("b", held=True, last_contact_at_s=-9.0)
+    assert group.step(0.0, unresponsive="b") is None
+
+
 def test_a_replica_with_an_old_report_is_not_promoted():
     """Guards against a choice by reports from before the primary's last commits (LOST)."""
     group = _Group()
