Let the members' stand-in frame lines by CR LF and send answers twice

Cause: the stand-in read and wrote lines with the product's own idea of their end, and answered each statement once, so that no test could show either fault of the incident. Change: members and test clients end a line at CR LF only; GroupOptions has the share of answers that are sent twice and their delay, and a member the number of its next answers to repeat.

--- a/bilberrystack_standins/line_group.py
+++ b/bilberrystack_standins/line_group.py
@@ -1,8 +1,9 @@
 """A database group whose members speak the line protocol of the session mode.
 
 Members replicate asynchronously, run statements in slots, limit their connections and follow the
-promotions of the platform's stand-in. Tests can make them unresponsive, stop their replication or
-let them lose answers. A real member drops the connection of a client that it cannot reach; here
+promotions of the platform's stand-in. A message ends in CR LF; data may have any other character.
+Tests can make members unresponsive, stop their replication, or let them lose answers or send them
+twice. A real member drops the connection of a client that it cannot reach; here
 the connections simply end.
 """
 
@@ -12,6 +13,7 @@
 import dataclasses
 import errno
 import itertools
+import random
 
 # Longest line that a member reads.
 _MAX_LINE_BYTES = 1_048_580
@@ -79,6 +81,9 @@
       promotion_delay_s: Time between a promotion request and its effect.
       step_down_delay_s: Time until a former primary that still runs steps down after a promotion.
         Until then the group has two primaries.
+      repeated_share: Share of the answers that are sent a second time.
+      repetition_delay_s: Maximum time until the second copy of an answer is sent.
+      seed: Determines which answers are sent twice, and when.
     """
 
     slots: int = 2
@@ -87,6 +92,9 @@
     service_time_s: float = 0.002
     promotion_delay_s: float = 0.05
     step_down_delay_s: float = 1.0
+    repeated_share: float = 0.0
+    repetition_delay_s: float = 0.4
+    seed: int = 0
 
 
 _CONNECTION_NUMBERS = itertools.count(1)
@@ -125,6 +133,7 @@
       reads_to_fail: Number of the next reads that fail, a fault.
       statements_to_reject: Number of the next statements that are rejected as if the member were
         busy, a fault.
+      answers_to_repeat: Number of the next answers that are sent a second time, a fault.
       connection_count: The number of open connections.
       empty_connections: The number of connections so far that the client closed without sending
         a line, or whose first line was empty.
@@ -145,6 +154,7 @@
         self.answers_to_lose = 0
         self.reads_to_fail = 0
         self.statements_to_reject = 0
+        self.answers_to_repeat = 0
         self.connection_count = 0
         self.empty_connections = 0
         self.active_statements = 0
@@ -152,6 +162,7 @@
         self._slots = asyncio.Semaphore(group.options.slots)
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._random = random.Random(f"{group.options.seed} {member_id}")
 
     @property
     def address(self) -> str:
@@ -202,9 +213,10 @@
         self._writers.add(writer)
         self.connection_count += 1
         try:
-            words = (await reader.readline()).decode().split()
-            if not words:
-                self.empty_connections += 1
+            try:
+                words = (await read_line(reader)).split(" ")
+            except asyncio.IncompleteReadError as error:
+                self.empty_connections += not error.partial
                 return
             refusal = self._refusal(words)
             if refusal:
@@ -212,8 +224,8 @@
                 return
             writer.write(f"READY I {self.position}\r\n".encode())
             connection = _Connection(next(_CONNECTION_NUMBERS))
-            while line := await reader.readline():
-                text = line.decode().rstrip("\r\n")
+            while True:
+                text = await read_line(reader)
                 if self.unresponsive or not await self._answer(text, connection, writer):
                     # The member sends nothing more on this connection, but keeps it open until the
                     # client closes it.
@@ -265,11 +277,20 @@
                 return False
         else:
             answer = self._execute(request_id, words, min_position, connection)
-        writer.write(
-            f"{answer}\r\nREADY {connection.transaction_state} {self.position}\r\n".encode()
-        )
+        data = f"{answer}\r\nREADY {connection.transaction_state} {self.position}\r\n".encode()
+        writer.write(data)
+        self._repeat_if_due(data, writer)
         return True
 
+    def _repeat_if_due(self, data: bytes, writer: asyncio.StreamWriter) -> None:
+        options = self.group.options
+        if self.answers_to_repeat > 0:
+            self.answers_to_repeat -= 1
+        elif self._random.random() >= options.repeated_share:
+            return
+        delay_s = self._random.uniform(0, options.repetition_delay_s)
+        asyncio.get_running_loop().call_later(delay_s, _write_if_open, writer, data)
+
     def _execute(
         self, request_id: str, words: list[str], min_position: str, connection: _Connection
     ) -> str:
@@ -515,6 +536,20 @@
         self.notify_role_change()
 
 
+async def read_line(reader: asyncio.StreamReader) -> str:
+    """Reads a line up to CR LF and returns it without its end.
+
+    Raises:
+      asyncio.IncompleteReadError: The connection ended, inside a line or before one.
+    """
+    return (await reader.readuntil(b"\r\n"))[:-2].decode()
+
+
+def _write_if_open(writer: asyncio.StreamWriter, data: bytes) -> None:
+    if not writer.is_closing():
+        writer.write(data)
+
+
 def _parse_position(position: str) -> tuple[int, int]:
     term, _, index = position.partition(".")
     return int(term), int(index)
--- a/bilberrystack_standins/line_site.py
+++ b/bilberrystack_standins/line_site.py
@@ -47,10 +47,11 @@
 
     async def read_answer(self) -> list[str]:
         """Returns the received lines, up to READY or the connection's end."""
-        lines = []
-        while line := await self.reader.readline():
-            lines.append(line.decode().rstrip("\r\n"))
-            if lines[-1].startswith("READY"):
+        lines: list[str] = []
+        while not lines or not lines[-1].startswith("READY"):
+            try:
+                lines.append(await line_group.read_line(self.reader))
+            except asyncio.IncompleteReadError:
                 break
         return lines
 
