End a line of clients and members at CR LF only

Cause: read_line ended a line at any line feed, and the instances' own first lines, which end in a line feed, shared it. Data with a line feed was cut in two: the member got the first part with a line end of its own, and the second part became a request or an answer of its own, so that all later answers of the connection belonged to the request before (MIXED, UNASKED). Ruled out: stripping one CR before the line feed, as before. Data that ends in CR before a line feed, or a line feed inside data, is still cut then. Change: pooling/line_stream.py reads lines of clients and members up to CR LF; pooling/instance_lines.py reads and encodes the first lines of connections between instances, in the same form as before. The warning about bare line feeds goes, since they are legal in data. line_end_test.py also sends bytes one by one, two requests at once, error texts of members, transactions and forwarded statements. Answers that are sent twice are another fault.

--- a/bilberrystack/pooling/coordinator_lease.py
+++ b/bilberrystack/pooling/coordinator_lease.py
@@ -20,6 +20,7 @@
 import loguru
 
 from bilberrystack.pooling import counters
+from bilberrystack.pooling import instance_lines
 from bilberrystack.pooling import interfaces
 from bilberrystack.pooling import member_link
 from bilberrystack.routing import lease_terms
@@ -580,9 +581,9 @@
     except member_link.LinkFailure:
         return ProcessState.UNRESPONSIVE
     try:
-        member_link.write(writer, b"lifetime\n")
+        member_link.write(writer, instance_lines.encode_incarnation_request())
         async with asyncio.timeout(PROBE_TIMEOUT_S):
-            answer = await member_link.read_line(reader)
+            answer = await instance_lines.read_line(reader)
     except (OSError, EOFError, TimeoutError, asyncio.LimitOverrunError):
         return ProcessState.UNRESPONSIVE
     finally:
--- a/bilberrystack/pooling/forwarding.py
+++ b/bilberrystack/pooling/forwarding.py
@@ -10,6 +10,7 @@
 
 from bilberrystack.pooling import execution
 from bilberrystack.pooling import frames
+from bilberrystack.pooling import instance_lines
 from bilberrystack.pooling import interfaces
 from bilberrystack.pooling import member_link
 from bilberrystack.pooling import tasks
@@ -124,7 +125,7 @@
             reader, writer = await member_link.connect(
                 self._endpoint, frames.MAX_FRAME_BYTES, CONNECT_TIMEOUT_S
             )
-            member_link.write(writer, b"forward\n")
+            member_link.write(writer, instance_lines.encode_forwarding_request())
         except member_link.LinkFailure as failure:
             self._avoid(type(failure).__name__)
             raise OwnerUnavailable(str(self._endpoint)) from failure
--- /dev/null
+++ b/bilberrystack/pooling/instance_lines.py
@@ -0,0 +1,57 @@
+"""The first lines of connections between instances, which end in a line feed.
+
+The connecting instance asks for the other's incarnation, announces forwarded statements, or names
+the member to relay the connection to. Instances of two versions run at the same time during an
+upgrade, so the form of these lines must not change.
+"""
+
+import asyncio
+
+from bilberrystack.routing import model
+
+LINE_END = b"\n"
+
+# Asks for the incarnation of the process, which answers with one line.
+INCARNATION_REQUEST = b"lifetime"
+
+# Announces frames with forwarded statements.
+FORWARDING_REQUEST = b"forward"
+
+
+async def read_line(reader: asyncio.StreamReader) -> bytes:
+    """Read a line and strip its line end.
+
+    Raises:
+      EOFError: The connection ended, inside a line or before one.
+      asyncio.LimitOverrunError: The line is longer than the reader's limit.
+    """
+    line = await reader.readuntil(LINE_END)
+    return line[: -len(LINE_END)]
+
+
+def encode_incarnation_request() -> bytes:
+    """Encode the request for the incarnation of the process."""
+    return INCARNATION_REQUEST + LINE_END
+
+
+def encode_incarnation(incarnation: str) -> bytes:
+    """Encode the answer to a request for the incarnation.
+
+    Args:
+      incarnation: The incarnation, which contains no line feed.
+    """
+    return incarnation.encode() + LINE_END
+
+
+def encode_forwarding_request() -> bytes:
+    """Encode the announcement of forwarded statements."""
+    return FORWARDING_REQUEST + LINE_END
+
+
+def encode_relay_request(target: model.Endpoint) -> bytes:
+    """Encode the request to relay the connection to a member.
+
+    Args:
+      target: The member's address.
+    """
+    return str(target).encode() + LINE_END
--- a/bilberrystack/pooling/line_end_test.py
+++ b/bilberrystack/pooling/line_end_test.py
@@ -4,8 +4,11 @@
 character, among them single carriage returns and line feeds.
 """
 
+import asyncio
+
 import pytest
 
+from bilberrystack_standins import line_group
 from bilberrystack_standins import line_site
 
 pytestmark = pytest.mark.asyncio
@@ -68,3 +71,78 @@
         executed = site.group.executed_statements[-1]
         assert executed.text == "WRITE x 1\n2"
         assert executed.session_values == {"v": "a\nb"}
+
+
+@pytest.mark.parametrize("data", ["a\nb", "a\r", "\nQUERY w2 WRITE y 2"])
+async def test_bytes_that_come_one_by_one_are_one_request(data):
+    """Guards against a line that ends at the end of a packet, as between the CR and the LF."""
+    async with line_site.Site(1) as site:
+        session = await site.connect("strict")
+        for byte in f"QUERY w1 WRITE x {data}\r\n".encode():
+            session.writer.write(bytes([byte]))
+            await session.writer.drain()
+            await asyncio.sleep(0)
+        assert (await session.read_answer())[0] == "DONE proof-a-w1"
+        assert [run.text for run in site.group.executed_statements] == [f"WRITE x {data}"]
+
+
+async def test_two_requests_sent_at_once_get_their_own_answers():
+    """Guards against a second request that is lost or joined to the first one's data."""
+    async with line_site.Site(1) as site:
+        session = await site.connect("strict")
+        session.writer.write(b"QUERY w1 WRITE x a\n\r\nQUERY r1 READ x\r\n")
+        assert (await session.read_answer())[0] == "DONE proof-a-w1"
+        assert (await session.read_answer())[:2] == ["ROW a\n", "DONE proof-a-r1"]
+
+
+@pytest.mark.parametrize("text", ["a\nREADY I -", "a\rb", "a\n\rDONE x", "a\r"])
+async def test_an_error_text_of_a_member_is_one_line(monkeypatch, text):
+    """Guards against an error text whose second line is taken for the next message."""
+    execute = line_group.LineMember._execute
+
+    def fail_writes(member, request_id, words, min_position, connection):
+        if words[0] == "WRITE":
+            return f"ERR FAILED {text}"
+        return execute(member, request_id, words, min_position, connection)
+
+    monkeypatch.setattr(line_group.LineMember, "_execute", fail_writes)
+    async with line_site.Site(1) as site:
+        session = await site.connect("strict")
+        answer = await session.query("WRITE x 1", "w1")
+        assert len(answer) == 2 and answer[0].startswith("ERR FAILED")
+        assert (await session.query("READ x", "r1"))[:2] == ["ROW -", "DONE proof-a-r1"]
+
+
+@pytest.mark.parametrize("data", DATA.values(), ids=DATA)
+async def test_data_with_line_feeds_stays_whole_in_a_transaction(data):
+    """Guards against a line inside data that runs in a transaction, such as its COMMIT."""
+    hidden = f"1\nCOMMIT\n{data}"
+    async with line_site.Site(1) as site:
+        session = await site.connect("strict")
+        await session.query("BEGIN")
+        assert (await session.query(f"WRITE x {hidden}", "w1"))[0] == "DONE proof-a-w1"
+        assert site.group.committed_entries == []
+        assert (await session.query("COMMIT", "c1"))[0] == "DONE proof-a-c1"
+        assert site.group.committed_entries[0].writes == (("x", hidden),)
+        assert (await session.query("READ x", "r1"))[0] == f"ROW {hidden}"
+
+
+async def test_forwarded_data_with_line_feeds_stays_whole():
+    """Guards against data that is cut at an instance between the client and the owner."""
+    options = line_group.GroupOptions(max_connections=7)
+    async with line_site.Site(5, options) as site:
+
+        def owned():
+            executors = [each.executor(line_site.SERVICE) for each in site.instances]
+            return [executor is not None and executor.group.owned for executor in executors]
+
+        await site.wait_until(lambda: owned().count(True) == 2)
+        session = await site.connect("strict", owned().index(False))
+        await session.query("SET v a\nb")
+        await session.query("PREPARE p WRITE s\nQUERY - RESET")
+        for number, data in enumerate(DATA.values()):
+            assert (await session.query(f"EXEC p x {data}", f"w{number}"))[0].startswith("DONE")
+            executed = site.group.executed_statements[-1]
+            assert (executed.request_id, executed.text) == (f"w{number}", f"WRITE x {data}")
+            assert executed.session_values == {"v": "a\nb"}
+            assert (await session.query("READ x"))[0] == f"ROW {data}"
--- /dev/null
+++ b/bilberrystack/pooling/line_stream.py
@@ -0,0 +1,20 @@
+"""Lines of the protocol that clients and members speak: they end in CR LF, and only there.
+
+The last field of a message extends to the end of the line. Its data may contain single carriage
+returns, line feeds and any other separator.
+"""
+
+import asyncio
+
+LINE_END = b"\r\n"
+
+
+async def read_line(reader: asyncio.StreamReader) -> bytes:
+    """Read a line and strip its line end.
+
+    Raises:
+      EOFError: The connection ended, inside a line or before one.
+      asyncio.LimitOverrunError: The line is longer than the reader's limit.
+    """
+    line = await reader.readuntil(LINE_END)
+    return line[: -len(LINE_END)]
--- a/bilberrystack/pooling/member_link.py
+++ b/bilberrystack/pooling/member_link.py
@@ -9,7 +9,9 @@
 import loguru
 
 from bilberrystack.core import positions
+from bilberrystack.pooling import instance_lines
 from bilberrystack.pooling import interfaces
+from bilberrystack.pooling import line_stream
 from bilberrystack.routing import model
 from bilberrystack.routing import statements
 
@@ -256,7 +258,7 @@
         done: bytes | None = None
         failure: statements.Failure | None = None
         while True:
-            line = await read_line(self._reader)
+            line = await line_stream.read_line(self._reader)
             match self._dialect.parse_member_message(line):
                 case statements.Row(text) if done is None and failure is None:
                     rows.append(text)
@@ -295,20 +297,6 @@
             self._writer.close()
 
 
-async def read_line(reader: asyncio.StreamReader) -> bytes:
-    """Read a line and strip its line ending.
-
-    Raises:
-      EOFError: The connection ended, inside a line or before one.
-      asyncio.LimitOverrunError: The line is longer than the reader's limit.
-    """
-    line = await reader.readuntil(b"\n")
-    if line.endswith(b"\r\n"):
-        return line[:-2]
-    _LOG.warning("line ends in a bare line feed", bytes=len(line))
-    return line[:-1]
-
-
 async def connect(
     endpoint: model.Endpoint, max_line_bytes: int, timeout_s: float = CONNECT_TIMEOUT_S
 ) -> tuple[Reader, asyncio.StreamWriter]:
@@ -372,10 +360,10 @@
     link = MemberLink(member, reader, writer, dialect, clock)
     try:
         if relay is not None:
-            write(writer, f"{member.endpoint}\n".encode())
+            write(writer, instance_lines.encode_relay_request(member.endpoint))
         write(writer, dialect.encode_member_start(member.service, instance_name, member.id))
         async with asyncio.timeout(START_TIMEOUT_S):
-            line = await read_line(reader)
+            line = await line_stream.read_line(reader)
     except (OSError, EOFError, Lost, asyncio.LimitOverrunError, TimeoutError) as error:
         link.close()
         raise Unreachable(str(target)) from error
--- a/bilberrystack/pooling/relay.py
+++ b/bilberrystack/pooling/relay.py
@@ -10,6 +10,7 @@
 
 import loguru
 
+from bilberrystack.pooling import instance_lines
 from bilberrystack.pooling import member_link
 from bilberrystack.pooling import owner_server
 from bilberrystack.routing import model
@@ -56,11 +57,11 @@
         try:
             member_link.configure_socket(writer)
             async with asyncio.timeout(FIRST_LINE_TIMEOUT_S):
-                line = await member_link.read_line(reader)
-            if line == b"lifetime":
-                member_link.write(writer, f"{self._incarnation}\n".encode())
+                line = await instance_lines.read_line(reader)
+            if line == instance_lines.INCARNATION_REQUEST:
+                member_link.write(writer, instance_lines.encode_incarnation(self._incarnation))
                 return
-            if line == b"forward":
+            if line == instance_lines.FORWARDING_REQUEST:
                 await self._owner_server.serve(reader, writer)
                 return
             target = model.parse_endpoint(line.decode(errors="replace"))
--- a/bilberrystack/pooling/session.py
+++ b/bilberrystack/pooling/session.py
@@ -11,6 +11,7 @@
 from bilberrystack.pooling import counters
 from bilberrystack.pooling import execution
 from bilberrystack.pooling import interfaces
+from bilberrystack.pooling import line_stream
 from bilberrystack.pooling import member_link
 from bilberrystack.pooling import transaction
 from bilberrystack.routing import freshness
@@ -196,7 +197,7 @@
     async def _start(self) -> bool:
         """Handle the start message; return whether the session is accepted."""
         async with asyncio.timeout(START_TIMEOUT_S):
-            line = await member_link.read_line(self._reader)
+            line = await line_stream.read_line(self._reader)
         dialect = self._host.dialect
         if self._host.refuses_work:
             self._send(
@@ -260,8 +261,8 @@
         open_transaction = self._transaction
         configuration = self._host.configuration
         if open_transaction is None or not open_transaction.pinned or configuration is None:
-            return await member_link.read_line(self._reader)
-        task = asyncio.ensure_future(member_link.read_line(self._reader))
+            return await line_stream.read_line(self._reader)
+        task = asyncio.ensure_future(line_stream.read_line(self._reader))
         try:
             done, _ = await asyncio.wait({task}, timeout=configuration.transaction_idle_timeout_s)
             if not done:
