Take an answer only for the statement that it can belong to

Cause: an answer carries no request id, and a member may send one twice, the second time late. Change: routing/answers.py says what the answer to each statement can be and remembers the proofs, errors and rows of a connection. Data without a statement end the connection, as does an answer that was there before, has no proof, other rows or another state. The outcome is that of a lost answer: it is unknown for a write or a commit, a read runs again, a transaction is aborted. It is no failure of the member. A statement that had not been sent counts as not run (NotSent). An error that the connection has had before, or that follows an answer without a proof, may belong to another statement. It is verified by sending the last preparation (or RESET) again, which needs no slot. STATUS needs one and would be rejected by the busy member whose BUSY is to be verified. If the answer to BEGIN was a second copy and the member rejected this BEGIN, the first write ran by itself; its outcome is unknown, not aborted. A message that is cut off and continued by another one is malformed (wire.py). A connection is replaced after 2,000 answers, so that what it remembers stays bounded. In overload_test.py and transaction_test.py the stand-in of a connection and three calls take the new parameter; nothing else in them changes. Conclusion: a row that was cut off inside its text and is continued by the next row can't be told from data; it remains.

--- a/bilberrystack/platform/wire.py
+++ b/bilberrystack/platform/wire.py
@@ -127,6 +127,8 @@
     """
     if line.startswith(b"ROW ") or line == b"ROW":
         return statements.Row(line)
+    if _contains_message(line):
+        return statements.Malformed("a message that was cut off, and another one")
     if line.startswith(b"DONE "):
         return statements.Done(line)
     words = line.decode(errors="replace").split(" ", 2)
@@ -141,6 +143,20 @@
             return statements.Malformed("unknown message type")
 
 
+def _contains_message(line: bytes) -> bool:
+    """Return whether another message begins inside a line that is no row.
+
+    A member may send an answer a second time and cut it off. What it sends next then continues the
+    line; a proof or an error text with such a word in it is not known.
+    """
+    return (
+        line.find(b"DONE ", 1) > 0
+        or line.find(b"ERR ", 1) > 0
+        or line.find(b"READY ", 1) > 0
+        or line.find(b"ROW ", 1) > 0
+    )
+
+
 def parse_proof(done: bytes) -> bytes | None:
     """Return the proof in the last line of a result.
 
--- a/bilberrystack/platform/wire_test.py
+++ b/bilberrystack/platform/wire_test.py
@@ -77,3 +77,16 @@
         wire.encode_query("5c", "READ 1a4", min_position) == b"QUERY 5c AFTER 3.1207 READ 1a4\r\n"
     )
     assert wire.encode_query("5c", "WRITE 1a4 x  y ") == b"QUERY 5c WRITE 1a4 x  y \r\n"
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        *(b"DONE 7.1fDONE 7.2a", b"DONE 7.1fERR BUSY a", b"DONE 7.1fREADY I 1.1"),
+        *(b"ERR BUSY aDONE 7.2a", b"ERR BUERR BUSY a", b"ERR BUSY aROW x", b"DOROW x"),
+        *(b"READY I 1.ROW x", b"READY I 1.DONE 7.2a"),
+    ],
+)
+def test_a_message_that_was_cut_off_is_no_part_of_the_next(line):
+    """Guards against a write that ran and is taken as rejected, or that has a wrong proof."""
+    assert isinstance(wire.parse_member_message(line), statements.Malformed)
--- /dev/null
+++ b/bilberrystack/pooling/answer_outcomes_test.py
@@ -0,0 +1,207 @@
+"""Tests the outcomes of statements that another statement's answer has reached."""
+
+import asyncio
+import dataclasses
+
+import pytest
+import pytest_asyncio
+
+from bilberrystack.platform import wire
+from bilberrystack.pooling import counters
+from bilberrystack.pooling import execution
+from bilberrystack.pooling import group
+from bilberrystack.pooling import tasks
+from bilberrystack.pooling import transaction
+from bilberrystack.routing import answers
+from bilberrystack.routing import model
+from bilberrystack.routing import permission
+from bilberrystack.routing import statements
+from bilberrystack_standins import scripted_member
+
+pytestmark = pytest.mark.asyncio
+
+SERVICE = model.Service("store", 23, 0)
+ROUTE = model.Route("base", "store", model.Consistency.PRIMARY, 1.0, 1.0, 0, None)
+BEGIN = transaction.BeginRequest("b1", "BEGIN", read_only=False)
+
+
+@dataclasses.dataclass
+class Fixture:
+    """A group with one member.
+
+    Attributes:
+      member: The member.
+      group: The group.
+      executor: Runs the group's statements.
+      failures: Ids of members that were reported as failed.
+      faults: Why connections ended because of the member's data.
+    """
+
+    member: scripted_member.ScriptedMember
+    group: group.Group
+    executor: execution.Executor
+    failures: list[str]
+    faults: list[answers.Fault]
+
+    def transaction(self):
+        return transaction.Transaction(BEGIN, ROUTE, self.executor, wire)
+
+    async def write(self, request_id):
+        return await self.executor.run_write(_request(request_id, "WRITE x 1"), execution.Trace())
+
+    async def read(self, request_id):
+        return await self.executor.run_read(
+            _request(request_id, "READ x", "READ"), execution.Trace()
+        )
+
+
+def _request(request_id, text, access="WRITE"):
+    now_s = asyncio.get_running_loop().time()
+    return execution.Request(
+        request_id, text, statements.Access[access], None, now_s, ROUTE, {}, None
+    )
+
+
+@pytest_asyncio.fixture
+async def fixture():
+    member = scripted_member.ScriptedMember()
+    port = await member.start()
+    clock = asyncio.get_running_loop().time
+    background_tasks = tasks.Tasks()
+    served = group.Group(
+        service=SERVICE,
+        failure_domain="zone",
+        instance_name="proxy",
+        dialect=wire,
+        clock=clock,
+        background_tasks=background_tasks,
+    )
+    record = model.Member(
+        "a", "store", model.Endpoint("127.0.0.1", port), "zone", 3, False, None, 1
+    )
+    served.update(SERVICE, [record], frozenset())
+    served.permission.grant(permission.Leader("a", 1), clock() + 1e6, (1, 0))
+    failures, faults = [], []
+    served.on_member_failure = failures.append
+    served.on_answer_fault = faults.append
+    executor = execution.Executor(served, wire, clock, counters.Counters())
+    yield Fixture(member, served, executor, failures, faults)
+    await background_tasks.close()
+    served.close()
+    await member.close()
+
+
+def _assert_balanced(fixture):
+    """Check that no connection is in use for good and that no statement counts as in flight."""
+    member_pool = fixture.group.pools["a"]
+    member_pool.idle_links(ignore_window=True)
+    assert member_pool.in_flight == 0
+    assert not any(link.in_use for link in member_pool._links)
+    assert fixture.failures == []
+
+
+async def test_the_outcome_of_a_write_is_unknown(fixture):
+    """Guards against a write that is reported as not run, or sent again, although it ran."""
+    await fixture.write("w1")
+    fixture.member.data_before["WRITE"] = [b"DONE proof-w1\r\nREADY I 1.2\r\n"]
+    outcome = await fixture.write("w2")
+    assert outcome.failure.code is statements.ErrorCode.UNKNOWN_OUTCOME
+    assert fixture.member.committed == ["w1", "w2"]
+    assert fixture.faults == [answers.Fault.REPEATED]
+    assert (await fixture.write("w3")).done == b"DONE proof-w3"
+    _assert_balanced(fixture)
+
+
+async def test_a_repeated_rejection_does_not_have_a_write_run_twice(fixture):
+    """Guards against the second copy of BUSY that is taken for the answer to a later write."""
+    fixture.member.errors["WRITE"] = ["BUSY full"]
+    await fixture.write("w1")
+    fixture.member.data_before["WRITE"] = [b"ERR BUSY full\r\nREADY I 1.1\r\n"]
+    outcome = await fixture.write("w2")
+    assert outcome.failure.code is statements.ErrorCode.UNKNOWN_OUTCOME
+    assert fixture.member.committed == ["w1", "w2"]
+    _assert_balanced(fixture)
+
+
+async def test_a_write_whose_connection_has_just_ended_is_sent_on_another(fixture):
+    """Guards against an unknown outcome of a write that was not sent."""
+    fixture.member.data_after["SET"] = [b"DONE -\r\nREADY I 1.1\r\n"]
+    request = _request("w1", "WRITE x 1")
+    request.values["v"] = "1"
+    outcome = await fixture.executor.run_write(request, execution.Trace())
+    assert outcome.done == b"DONE proof-w1"
+    assert fixture.faults == [answers.Fault.UNASKED]
+    assert fixture.member.committed == ["w1"]
+    _assert_balanced(fixture)
+
+
+async def test_a_read_runs_again_on_another_connection(fixture):
+    """Guards against a failed read that another connection could serve."""
+    await fixture.read("r1")
+    fixture.member.data_before["READ"] = [b"ROW row-r1\r\nDONE proof-r1\r\nREADY I 1.1\r\n"]
+    outcome = await fixture.read("r2")
+    assert (outcome.rows, outcome.done) == ((b"ROW row-r2",), b"DONE proof-r2")
+    assert [number for number, _ in fixture.member.received] == [1, 1, 2]
+    _assert_balanced(fixture)
+
+
+async def test_a_transaction_is_aborted(fixture):
+    """Guards against a transaction that goes on after an answer to another statement."""
+    current = fixture.transaction()
+    await current.run(_request("w1", "WRITE x 1"), execution.Trace())
+    fixture.member.data_before["WRITE"] = [b"DONE -\r\nREADY T 1.2\r\n"]
+    outcome = await current.run(_request("w2", "WRITE y 2"), execution.Trace())
+    assert outcome.failure.code is statements.ErrorCode.ABORTED
+    commit = await current.commit(_request("c1", "COMMIT"), execution.Trace())
+    assert commit.failure.code is statements.ErrorCode.ABORTED
+    assert fixture.member.committed == []
+    _assert_balanced(fixture)
+
+
+async def test_data_before_a_commit_abort_the_transaction(fixture):
+    """Guards against an unknown outcome of a commit that was not sent."""
+    current = fixture.transaction()
+    await current.run(_request("w1", "WRITE x 1"), execution.Trace())
+    fixture.member.send(b"DONE proof-w1\r\nREADY T 1.2\r\n")
+    async with asyncio.timeout(5):
+        while not fixture.faults:
+            await asyncio.sleep(0.001)
+    outcome = await current.commit(_request("c1", "COMMIT"), execution.Trace())
+    assert outcome.failure.code is statements.ErrorCode.ABORTED
+    assert "COMMIT" not in fixture.member.texts()
+    _assert_balanced(fixture)
+
+
+async def test_the_outcome_of_a_commit_is_unknown(fixture):
+    """Guards against a commit that is reported as aborted although it took effect."""
+    current = fixture.transaction()
+    await current.run(_request("w1", "WRITE x 1"), execution.Trace())
+    fixture.member.data_before["COMMIT"] = [b"DONE proof-w1\r\nREADY T 1.2\r\n"]
+    outcome = await current.commit(_request("c1", "COMMIT"), execution.Trace())
+    assert outcome.failure.code is statements.ErrorCode.UNKNOWN_OUTCOME
+    assert fixture.member.committed == ["w1"]
+    _assert_balanced(fixture)
+
+
+async def test_a_write_behind_a_rejected_begin_has_an_unknown_outcome(fixture):
+    """Guards against a write that is reported as rolled back although it ran by itself.
+
+    A second copy was taken for the answer to the BEGIN, which the member rejected.
+    """
+    fixture.member.errors["BEGIN"] = ["BUSY full"]
+    fixture.member.data_before["BEGIN"] = [b"DONE -\r\nREADY T 1.1\r\n"]
+    fixture.member.held["BEGIN"] = asyncio.Event()
+    current, trace = fixture.transaction(), execution.Trace()
+    running = asyncio.create_task(current.run(_request("w1", "WRITE x 1"), trace))
+    async with asyncio.timeout(5):
+        while not trace.sent:
+            await asyncio.sleep(0.001)
+    fixture.member.held["BEGIN"].set()
+    outcome = await running
+    assert outcome.failure.code is statements.ErrorCode.UNKNOWN_OUTCOME
+    async with asyncio.timeout(5):
+        while fixture.member.committed != ["w1"]:
+            await asyncio.sleep(0.001)
+    commit = await current.commit(_request("c1", "COMMIT"), execution.Trace())
+    assert commit.failure.code is statements.ErrorCode.ABORTED
+    _assert_balanced(fixture)
--- a/bilberrystack/pooling/execution.py
+++ b/bilberrystack/pooling/execution.py
@@ -16,6 +16,7 @@
 from bilberrystack.pooling import interfaces
 from bilberrystack.pooling import member_link
 from bilberrystack.routing import admission
+from bilberrystack.routing import answers
 from bilberrystack.routing import freshness
 from bilberrystack.routing import model
 from bilberrystack.routing import permission
@@ -471,7 +472,7 @@
             return
         try:
             async with asyncio.timeout(max(0.0, request.deadline_s - self._clock())):
-                replies = await link.run_all(queries)
+                replies = await link.run_all([(query, answers.PREPARATION) for query in queries])
         except member_link.Lost as error:
             raise PreparationFailed(str(error)) from error
         except TimeoutError as error:
@@ -644,7 +645,12 @@
         query = self._dialect.encode_query(request.id, request.text, requirements.min_position)
         trace.sent += 1
         try:
-            reply = await self.group.run(link, query, request.deadline_s - self._clock())
+            reply = await self.group.run(
+                link, query, answers.of_access(request.access), request.deadline_s - self._clock()
+            )
+        except member_link.NotSent as error:
+            self.group.release(link)
+            raise PreparationFailed(str(error)) from error
         except member_link.Lost:
             self.group.release(link)
             raise
@@ -741,8 +747,10 @@
         self,
         link: member_link.MemberLink,
         query: bytes,
+        expectation: answers.Expectation,
         deadline_s: float,
         trace: Trace,
+        *,
         abandoned: collections.abc.Callable[[], bool],
     ) -> statements.Reply | None:
         """Run a statement inside a transaction, and again while the member is too busy for it.
@@ -752,6 +760,7 @@
         Args:
           link: The transaction's connection.
           query: The encoded statement.
+          expectation: What its answer can be.
           deadline_s: Instant at which the statement's time limit ends.
           trace: Records how often the statement was sent.
           abandoned: Returns whether the transaction is to be rolled back; the statement is not sent
@@ -759,13 +768,14 @@
         Returns:
           The answer; None if it did not arrive in time.
         Raises:
+          member_link.NotSent: The connection had ended before; the statement was not sent.
           member_link.Lost: The connection ended; the statement may have run.
         """
         attempts = 0
         while True:
             attempts += 1
             trace.sent += 1
-            reply = await self.group.run(link, query, deadline_s - self._clock())
+            reply = await self.group.run(link, query, expectation, deadline_s - self._clock())
             backoff_s = busy_backoff_s(attempts)
             if not _rejected_as_busy(reply) or self._clock() + backoff_s >= deadline_s:
                 return reply
--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -15,6 +15,7 @@
 from bilberrystack.pooling import pool
 from bilberrystack.pooling import tasks
 from bilberrystack.routing import admission
+from bilberrystack.routing import answers
 from bilberrystack.routing import freshness
 from bilberrystack.routing import model
 from bilberrystack.routing import owners
@@ -107,6 +108,8 @@
       members_without_record: Ids of members whose records have just left the store.
       on_member_failure: Called with a member's id when a connection to it fails or it reports that
         it is not the primary.
+      on_answer_fault: Called when a connection ends because a member sent data that answer no
+        statement, or another one.
       owned: Whether this instance opens connections to the members.
       confirmation: Confirms that the primary still leads.
     """
@@ -125,6 +128,7 @@
         "confirmation",
         "history",
         "members_without_record",
+        "on_answer_fault",
         "on_member_failure",
         "owned",
         "permission",
@@ -158,6 +162,7 @@
         self.relay: model.Endpoint | None = None
         self.members_without_record: frozenset[str] = frozenset()
         self.on_member_failure: collections.abc.Callable[[str], None] = lambda _: None
+        self.on_answer_fault: collections.abc.Callable[[answers.Fault], None] = lambda _: None
         self._failure_domain = failure_domain
         self._instance_name = instance_name
         self._dialect = dialect
@@ -531,6 +536,10 @@
                 detail=str(failure),
             )
         else:
+            if link.fault is None:
+                link.on_fault = self._report_answer_fault
+            else:
+                self._report_answer_fault(link.fault)
             if self._pools.get(member_pool.member.id) is member_pool:
                 member_pool.add(link)
             else:
@@ -539,6 +548,9 @@
             member_pool.opening_links -= 1
         self.dispatch()
 
+    def _report_answer_fault(self, fault: answers.Fault) -> None:
+        self.on_answer_fault(fault)
+
     def release(self, link: member_link.MemberLink) -> None:
         """Return a connection to its pool, after a rollback if a transaction is open on it.
 
@@ -556,6 +568,8 @@
                 returned.in_use = True
                 self._tasks.start(self._roll_back(returned))
                 return
+            if returned.worn_out:
+                member_pool.discard(returned)
         self.dispatch()
 
     def _discard(self, link: member_link.MemberLink) -> None:
@@ -564,12 +578,13 @@
             link.close()
         else:
             member_pool.discard(link)
-        self.on_member_failure(link.member.id)
+        if link.fault is None:
+            self.on_member_failure(link.member.id)
 
     async def _roll_back(self, link: member_link.MemberLink) -> None:
         try:
             async with asyncio.timeout(ROLLBACK_TIMEOUT_S):
-                await link.run(self._dialect.encode_rollback())
+                await link.run(self._dialect.encode_rollback(), answers.ROLLBACK)
         except (member_link.Lost, TimeoutError):
             link.close()
         if link.state is not statements.TransactionState.IDLE:
@@ -577,25 +592,31 @@
         self.release(link)
 
     async def run(
-        self, link: member_link.MemberLink, query: bytes, timeout_s: float
+        self,
+        link: member_link.MemberLink,
+        query: bytes,
+        expectation: answers.Expectation,
+        timeout_s: float,
     ) -> statements.Reply | None:
         """Run one statement on a connection.
 
         Args:
           link: A connection that the caller has acquired.
           query: The encoded statement.
+          expectation: What its answer can be.
           timeout_s: Maximum wait for the answer.
         Returns:
           The answer; None if it did not arrive in time. In that case the caller no longer owns the
           connection: it returns to the pool once the answer has arrived.
         Raises:
+          member_link.NotSent: The connection had ended before; the statement was not sent.
           member_link.Lost: The connection ended; the statement may have run.
         """
         member_pool = self._pools.get(link.member.id)
         if member_pool is not None:
             member_pool.in_flight += 1
         sent_at_s = self._clock()
-        task = self._tasks.start(self._exchange(link, query, member_pool))
+        task = self._tasks.start(self._exchange(link, query, expectation, member_pool))
         try:
             await asyncio.wait({task}, timeout=max(0.0, min(timeout_s, SUSPECT_AFTER_S)))
             if not task.done() and timeout_s > SUSPECT_AFTER_S:
@@ -648,13 +669,18 @@
             self.dispatch()
 
     async def _exchange(
-        self, link: member_link.MemberLink, query: bytes, member_pool: pool.MemberPool | None
+        self,
+        link: member_link.MemberLink,
+        query: bytes,
+        expectation: answers.Expectation,
+        member_pool: pool.MemberPool | None,
     ) -> statements.Reply:
         """Run a statement and record what its answer shows of the member."""
         try:
-            reply = await link.run(query)
+            reply = await link.run(query, expectation)
         except member_link.Lost:
-            self.on_member_failure(link.member.id)
+            if link.fault is None:
+                self.on_member_failure(link.member.id)
             raise
         finally:
             if member_pool is not None:
@@ -720,7 +746,7 @@
         )
         try:
             link = await self.acquire(requirements)
-            reply = await self.run(link, query, deadline_s - self._clock())
+            reply = await self.run(link, query, answers.STATUS, deadline_s - self._clock())
         except Unavailable:
             return None
         except member_link.Lost:
--- a/bilberrystack/pooling/member_link.py
+++ b/bilberrystack/pooling/member_link.py
@@ -10,6 +10,7 @@
 
 from bilberrystack.core import positions
 from bilberrystack.pooling import interfaces
+from bilberrystack.routing import answers
 from bilberrystack.routing import model
 from bilberrystack.routing import statements
 
@@ -58,6 +59,24 @@
     """The connection ended, or the member violated the protocol, while a statement was running."""
 
 
+class NotSent(Lost):
+    """The connection had ended before the statement, which was not sent."""
+
+
+class AnswerMismatch(Lost):
+    """The received data can't be the answer to the statement, which may have run.
+
+    This is no failure of the member.
+
+    Attributes:
+      fault: Why they can't be the answer.
+    """
+
+    def __init__(self, fault: answers.Fault) -> None:
+        super().__init__(f"the answer belongs to another statement: {fault.value}")
+        self.fault = fault
+
+
 def configure_socket(writer: asyncio.StreamWriter) -> None:
     """Set the socket options that make the kernel close a connection to an unresponsive peer."""
     sock = writer.get_extra_info("socket")
@@ -105,6 +124,12 @@
         super().__init__(limit=limit)
         self.on_data: collections.abc.Callable[[int], None] = lambda _byte_count: None
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes that were received and not read."""
+        # The stream reader has no public way to see whether data wait in its buffer.
+        return len(self._buffer)  # type: ignore[attr-defined]
+
     def feed_data(self, data: collections.abc.Iterable[typing.SupportsIndex]) -> None:
         """Report and buffer data; called by the protocol of the connection."""
         received = bytes(data)
@@ -118,6 +143,9 @@
     A connection runs one statement at a time. `transfer` hands it to its next user and makes this
     object unusable, so that a late user can neither send on it nor read another user's answers.
 
+    A member may send an answer twice, the second time late. The connection is closed when data
+    arrive that can't be the answer to the statement that is out, and when none is out.
+
     Attributes:
       member: The member.
       in_use: Whether a request has acquired the connection.
@@ -127,19 +155,24 @@
       values: The session values that are set on the connection.
       prepared_names: The names of the statements that are prepared on the connection.
       answer_outstanding: Whether a statement was sent whose answer has not been read completely.
+      fault: Why the connection was closed because of unexpected data; None if it was not.
+      on_fault: Called when the connection is closed because of unexpected data.
     """
 
     __slots__ = (
+        "_answers",
         "_clock",
         "_dialect",
-        "_last_proof",
+        "_last_preparation",
         "_reader",
         "_released",
         "_writer",
         "answer_outstanding",
+        "fault",
         "idle_since_s",
         "in_use",
         "member",
+        "on_fault",
         "position",
         "prepared_names",
         "state",
@@ -162,8 +195,11 @@
         self.values: dict[str, str] = {}
         self.prepared_names: set[str] = set()
         self.answer_outstanding = False
+        self.fault: answers.Fault | None = None
+        self.on_fault: collections.abc.Callable[[answers.Fault], None] = lambda _: None
         self._released = False
-        self._last_proof: bytes | None = None
+        self._answers = answers.AnswerHistory()
+        self._last_preparation = dialect.encode_reset()
         self._reader = reader
         self._writer = writer
         self._dialect = dialect
@@ -179,6 +215,11 @@
         """Whether the connection was handed to its next user."""
         return self._released
 
+    @property
+    def worn_out(self) -> bool:
+        """Whether the connection is to be replaced, since it remembers no more answers."""
+        return self._answers.full
+
     def transfer(self) -> "MemberLink":
         """Hand the connection to its next user; this object can't use it any more.
 
@@ -192,64 +233,148 @@
         successor.position = self.position
         successor.values = self.values
         successor.prepared_names = self.prepared_names
-        successor._last_proof = self._last_proof
+        successor.on_fault = self.on_fault
+        successor._answers = self._answers
+        successor._last_preparation = self._last_preparation
         successor.observe_data()
         return successor
 
     def observe_data(self) -> None:
-        """Log data that arrive while no statement is out; called once the session has started."""
-        self._reader.on_data = self._record_data
+        """Close the connection on data without a statement; called once the session has started."""
+        self._reader.on_data = self._check_asked
+        if self._reader.buffered_bytes:
+            self._end(answers.Fault.UNASKED)
 
-    def _record_data(self, byte_count: int) -> None:
+    def _check_asked(self, _byte_count: int) -> None:
         if not self.answer_outstanding:
-            _LOG.warning(
-                "member sent data while no statement was out",
-                member=self.member.id,
-                bytes=byte_count,
-                in_use=self.in_use,
-            )
-
-    async def run(self, query: bytes) -> statements.Reply:
+            self._end(answers.Fault.UNASKED)
+
+    def _end(self, fault: answers.Fault) -> None:
+        """Close the connection because of data that don't belong to the statement that is out."""
+        if self.fault is not None or self._writer.is_closing():
+            return
+        self.fault = fault
+        _LOG.warning(
+            "connection closed: the member sent data that answer no statement, or another one",
+            member=self.member.id,
+            reason=fault.value,
+            in_use=self.in_use,
+        )
+        self.close()
+        self.on_fault(fault)
+
+    async def run(self, query: bytes, expectation: answers.Expectation) -> statements.Reply:
         """Send one statement and wait for its whole answer.
 
         Args:
           query: The statement as encoded by the dialect.
+          expectation: What its answer can be.
         Returns:
           The member's answer.
         Raises:
+          NotSent: The connection had ended before; the statement was not sent.
+          AnswerMismatch: The data received are not its answer; the statement may have run.
           Lost: The connection ended; the statement may have run.
         """
-        return (await self.run_all([query]))[0]
+        return (await self.run_all([(query, expectation)]))[0]
 
-    async def run_all(self, queries: collections.abc.Sequence[bytes]) -> list[statements.Reply]:
+    async def run_all(
+        self, queries: collections.abc.Sequence[tuple[bytes, answers.Expectation]]
+    ) -> list[statements.Reply]:
         """Send several statements in one write and wait for the answers to all of them.
 
         Args:
-          queries: The statements as encoded by the dialect.
+          queries: The statements as encoded by the dialect, and what the answer to each can be.
         Returns:
           The member's answers, in the order of the statements.
         Raises:
-          Lost: The connection ended; some of the statements may have run. Nothing was sent if the
-            connection was released, or was waiting for another answer; it is closed in that case.
+          NotSent: The connection had ended or was released, or was waiting for another answer; it
+            is closed in that case. Nothing was sent.
+          AnswerMismatch: The data received are not the answers; some of the statements may have
+            run.
+          Lost: The connection ended; some of the statements may have run.
         """
         if self._released:
-            raise Lost("the connection was released")
+            raise NotSent("the connection was released")
         if self.answer_outstanding:
             self.close()
-            raise Lost("another statement has no answer yet")
-        sent_at_s = self._clock()
+            raise NotSent("another statement has no answer yet")
+        if self._writer.is_closing():
+            raise NotSent("the connection had ended before the statement")
         try:
             self.answer_outstanding = True
-            write(self._writer, b"".join(queries))
-            replies = [await self._read_reply(sent_at_s) for _ in queries]
+            replies = await self._exchange(queries)
             self.answer_outstanding = False
-            return replies
         except (OSError, EOFError, ValueError, asyncio.LimitOverrunError) as error:
+            mismatch = error.fault if isinstance(error, AnswerMismatch) else None
+            if mismatch is not None:
+                self._end(mismatch)
             self.close()
+            if isinstance(error, Lost):
+                raise
             raise Lost(f"{type(error).__name__} while a statement was out") from error
-        except Lost:
-            self.close()
-            raise
+        if self._reader.buffered_bytes:
+            # The rest of a second copy, or the true answer if a second copy was taken for it.
+            self._end(answers.Fault.UNASKED)
+            if not queries[-1][1].proven and queries[-1][1].row_count is answers.RowCount.NONE:
+                raise AnswerMismatch(answers.Fault.UNASKED)
+        return replies
+
+    async def _exchange(
+        self, queries: collections.abc.Sequence[tuple[bytes, answers.Expectation]]
+    ) -> list[statements.Reply]:
+        """Send statements, read their answers, and verify the last one if that is necessary."""
+        sent_at_s = self._clock()
+        write(self._writer, b"".join(query for query, _ in queries))
+        replies = []
+        verified = True
+        for query, expectation in queries:
+            reply = await self._read_reply(sent_at_s)
+            verified = self._accept(reply, expectation)
+            replies.append(reply)
+            if expectation is answers.PREPARATION:
+                self._last_preparation = query
+        if not verified:
+            await self._verify_error()
+        return replies
+
+    async def _verify_error(self) -> None:
+        """Check that the error received last is the answer to the statement sent last.
+
+        The last preparation is sent again. That changes nothing, needs no slot of a member that is
+        busy, and is answered without rows and proof. If the error was a second copy, the answer to
+        the statement itself arrives instead.
+
+        Raises:
+          AnswerMismatch: The error is not known to be that answer.
+        """
+        write(self._writer, self._last_preparation)
+        reply = await self._read_reply(self._clock())
+        if (
+            reply.done is None
+            or self._dialect.parse_proof(reply.done) is not None
+            or self._answers.check_success(reply, None, answers.PREPARATION, self.state)
+        ):
+            raise AnswerMismatch(answers.Fault.ERROR_UNVERIFIED)
+
+    def _accept(self, reply: statements.Reply, expectation: answers.Expectation) -> bool:
+        """Take an answer for the one to the statement that is out; return whether that is certain.
+
+        Raises:
+          AnswerMismatch: The answer belongs to another statement.
+        """
+        result: answers.Fault | answers.Verdict | None
+        if reply.failure is not None:
+            result = self._answers.check_failure(reply, reply.failure, expectation, self.state)
+        else:
+            assert reply.done is not None
+            proof = self._dialect.parse_proof(reply.done)
+            result = self._answers.check_success(reply, proof, expectation, self.state)
+        if isinstance(result, answers.Fault):
+            raise AnswerMismatch(result)
+        self.state = reply.state
+        self.position = reply.position
+        return result is not answers.Verdict.UNVERIFIED
 
     async def _read_reply(self, sent_at_s: float) -> statements.Reply:
         rows: list[bytes] = []
@@ -262,26 +387,14 @@
                     rows.append(text)
                 case statements.Done(text) if done is None and failure is None:
                     done = text
-                    self._record_proof(text)
                 case statements.Failure() as reported if done is None and failure is None:
                     failure = reported
                 case statements.Ready(state, position) if done or failure:
-                    self.state = state
-                    self.position = position
                     return statements.Reply(
                         tuple(rows), done, failure, state, position, sent_at_s, self._clock()
                     )
                 case _:
-                    raise Lost("the member broke the protocol")
-
-    def _record_proof(self, done: bytes) -> None:
-        """Log an answer with the proof of the proven answer before it."""
-        proof = self._dialect.parse_proof(done)
-        if proof is None:
-            return
-        if proof == self._last_proof:
-            _LOG.warning("member sent the same proof again", member=self.member.id)
-        self._last_proof = proof
+                    raise AnswerMismatch(answers.Fault.MALFORMED)
 
     def close(self) -> None:
         """Close the connection, unless it was released.
--- a/bilberrystack/pooling/overload_test.py
+++ b/bilberrystack/pooling/overload_test.py
@@ -65,6 +65,8 @@
         self.in_use = False
         self.released = False
         self.answer_outstanding = False
+        self.fault = None
+        self.worn_out = False
         self.usable = True
         self.state = statements.TransactionState.IDLE
         self.position = None
@@ -73,7 +75,7 @@
         self.idle_since_s = 0.0
         self.simulated_member = simulated_member
 
-    async def run(self, query):
+    async def run(self, query, _expectation):
         sent_at_s = asyncio.get_running_loop().time()
         mean_work_s = float(query.split()[-1])
         ran = await self.simulated_member.run(mean_work_s)
--- a/bilberrystack/pooling/transaction.py
+++ b/bilberrystack/pooling/transaction.py
@@ -8,6 +8,7 @@
 from bilberrystack.pooling import group
 from bilberrystack.pooling import interfaces
 from bilberrystack.pooling import member_link
+from bilberrystack.routing import answers
 from bilberrystack.routing import model
 from bilberrystack.routing import permission
 from bilberrystack.routing import statements
@@ -68,6 +69,7 @@
     """
 
     __slots__ = (
+        "_begin_proven",
         "_begin_request",
         "_dialect",
         "_executor",
@@ -100,6 +102,7 @@
         self.route = route
         self.failed = False
         self.rollback_unreported = False
+        self._begin_proven = False
         self._begin_request = begin_request
         self._executor = executor
         self._dialect = dialect
@@ -149,10 +152,14 @@
         if self._rolled_back:
             return _rolled_back_outcome()
         try:
-            reply = await self._run_pinned(link, request, trace)
+            reply = await self._run_pinned(link, request, answers.of_access(request.access), trace)
         except member_link.Lost as error:
             self._release_link()
             trace.cause = str(error)
+            if self._may_have_run_alone(request, error):
+                return execution.failure_outcome(
+                    statements.ErrorCode.UNKNOWN_OUTCOME, "the transaction may not have begun"
+                )
             return _rolled_back_outcome()
         if reply is None:
             # The group returns the connection to the pool after the late answer, and rolls the
@@ -160,6 +167,7 @@
             self._link = None
             return execution.failure_outcome(statements.ErrorCode.TIMEOUT, "no answer in time")
         self._wrote = self._wrote or request.access is statements.Access.WRITE
+        self._begin_proven = self._begin_proven or reply.failure is None
         if reply.failure is not None:
             if reply.failure.code is statements.ErrorCode.READ_ONLY:
                 self._executor.record_step_down(link)
@@ -167,12 +175,35 @@
             return execution.member_failure_outcome(reply.failure, reply)
         return await self._confirmed_outcome(link, request, reply, trace)
 
+    def _may_have_run_alone(self, request: execution.Request, error: member_link.Lost) -> bool:
+        """Return whether a write may have been committed outside the transaction.
+
+        The answer to BEGIN has no proof. If it was the second copy of an earlier one and the member
+        rejected this BEGIN, the first statement ran by itself, and its connection shows no
+        transaction.
+        """
+        return (
+            request.access is statements.Access.WRITE
+            and not self._begin_proven
+            and isinstance(error, member_link.AnswerMismatch)
+            and error.fault is answers.Fault.STATE
+        )
+
     async def _run_pinned(
-        self, link: member_link.MemberLink, request: execution.Request, trace: execution.Trace
+        self,
+        link: member_link.MemberLink,
+        request: execution.Request,
+        expectation: answers.Expectation,
+        trace: execution.Trace,
     ) -> statements.Reply | None:
         query = self._dialect.encode_query(request.id, request.text)
         return await self._executor.run_pinned(
-            link, query, request.deadline_s, trace, abandoned=lambda: self._rolled_back
+            link,
+            query,
+            expectation,
+            request.deadline_s,
+            trace,
+            abandoned=lambda: self._rolled_back,
         )
 
     async def _confirmed_outcome(
@@ -262,7 +293,7 @@
         query = self._dialect.encode_query(
             self._begin_request.id, self._begin_request.text, requirements.min_position
         )
-        return await self._executor.group.run(link, query, request.route.timeout_s)
+        return await self._executor.group.run(link, query, answers.BEGIN, request.route.timeout_s)
 
     async def commit(self, request: execution.Request, trace: execution.Trace) -> execution.Outcome:
         """Commit the transaction, which is over whatever the outcome is.
@@ -292,7 +323,11 @@
         assert link is not None
         trace.member = link.member.id
         try:
-            reply = await self._run_pinned(link, request, trace)
+            reply = await self._run_pinned(link, request, answers.COMMIT, trace)
+        except member_link.NotSent as error:
+            self._release_link()
+            trace.cause = str(error)
+            return _rolled_back_outcome()
         except member_link.Lost as error:
             self._release_link()
             trace.cause = str(error)
--- a/bilberrystack/pooling/transaction_test.py
+++ b/bilberrystack/pooling/transaction_test.py
@@ -17,6 +17,7 @@
 from bilberrystack.pooling import owner_server
 from bilberrystack.pooling import tasks
 from bilberrystack.pooling import transaction
+from bilberrystack.routing import answers
 from bilberrystack.routing import model
 from bilberrystack.routing import permission
 
@@ -211,19 +212,20 @@
     fixture.group.release(former)
     current = await fixture.group.acquire(requirements)
     with pytest.raises(member_link.Lost):
-        await former.run(wire.encode_query("w1", "WRITE x 1"))
+        await former.run(wire.encode_query("w1", "WRITE x 1"), answers.WRITE)
     former.close()
     fixture.group.release(former)
     assert fixture.member.received == []
     assert current.usable and current.in_use
-    assert (await current.run(wire.encode_query("w2", "WRITE y 2"))).done == b"DONE proof-w2"
+    reply = await current.run(wire.encode_query("w2", "WRITE y 2"), answers.WRITE)
+    assert reply.done == b"DONE proof-w2"
 
 
 async def test_a_connection_is_not_reused_before_its_answer_has_arrived(fixture):
     """Guards against an answer that goes to the connection's next user."""
     link = await fixture.group.acquire(execution.primary_requirements(_request("w1", "WRITE x 1")))
     fixture.member.release.clear()
-    running = asyncio.create_task(link.run(wire.encode_query("w1", "WRITE x 1")))
+    running = asyncio.create_task(link.run(wire.encode_query("w1", "WRITE x 1"), answers.WRITE))
     await _wait_for(lambda: "WRITE x 1" in fixture.member.texts())
     fixture.group.release(link)
     with pytest.raises(member_link.Lost):
--- /dev/null
+++ b/bilberrystack/routing/answers.py
@@ -0,0 +1,206 @@
+"""What the answer to a statement can be, and which answers a member connection has had.
+
+An answer carries no request id, and a member may send one twice, the second time late. A connection
+therefore takes an answer only if it can be the one to the statement that is out.
+"""
+
+import dataclasses
+import enum
+
+from bilberrystack.routing import statements
+
+# A connection is replaced after this many answers, which bounds the memory for their digests to
+# about 0.5 MB. Opening another one takes 12 ms of a member's slot, as long as a statement does.
+MAX_ANSWERS = 2_000
+
+
+class RowCount(enum.Enum):
+    """How many rows a success has."""
+
+    NONE = "none"
+    ANY = "any"
+    ONE = "one"
+
+
+class Fault(enum.Enum):
+    """Why received data can't be the answer to the statement that is out."""
+
+    UNASKED = "unasked"
+    MALFORMED = "malformed"
+    REPEATED = "repeated"
+    PARTLY_REPEATED = "partly_repeated"
+    PROOF_MISSING = "proof_missing"
+    ROW_COUNT = "row_count"
+    STATE = "state"
+    ERROR_UNVERIFIED = "error_unverified"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Expectation:
+    """What the answer to a statement can be.
+
+    Attributes:
+      proven: Whether a success carries a proof.
+      row_count: How many rows a success has.
+      next_state: The state after a success; None if the statement leaves the state as it is.
+      verify_errors: Whether an error that may belong to another statement has to be verified. It
+        has not if the connection is closed after any error, or if the answer is not relied on.
+    """
+
+    proven: bool
+    row_count: RowCount
+    next_state: statements.TransactionState | None
+    verify_errors: bool
+
+
+READ = Expectation(True, RowCount.ANY, None, verify_errors=True)
+WRITE = Expectation(True, RowCount.NONE, None, verify_errors=True)
+COMMIT = Expectation(True, RowCount.NONE, statements.TransactionState.IDLE, verify_errors=True)
+BEGIN = Expectation(
+    False, RowCount.NONE, statements.TransactionState.TRANSACTION, verify_errors=True
+)
+ROLLBACK = Expectation(False, RowCount.NONE, statements.TransactionState.IDLE, verify_errors=False)
+PREPARATION = Expectation(False, RowCount.NONE, None, verify_errors=False)
+STATUS = Expectation(False, RowCount.ONE, None, verify_errors=False)
+
+
+def of_access(access: statements.Access) -> Expectation:
+    """Return what the answer to a read or a write can be."""
+    return READ if access is statements.Access.READ else WRITE
+
+
+class Verdict(enum.Enum):
+    """Whether an error can be taken for the answer to the statement that is out."""
+
+    CERTAIN = "certain"
+    UNVERIFIED = "unverified"
+
+
+class AnswerHistory:
+    """The answers of one connection: proofs, errors and rows that it has had.
+
+    Answers without a proof look alike. After one of them a second copy may have been taken for the
+    answer, and the true one may still arrive; the connection is then not known to be in step.
+    """
+
+    __slots__ = ("_answer_count", "_digests", "_in_step")
+
+    def __init__(self) -> None:
+        self._answer_count = 0
+        # Digests instead of the answers themselves, which may be 1 MiB long.
+        self._digests: set[int] = set()
+        self._in_step = True
+
+    @property
+    def full(self) -> bool:
+        """Whether the connection has had as many answers as it remembers."""
+        return self._answer_count >= MAX_ANSWERS
+
+    def check_success(
+        self,
+        reply: statements.Reply,
+        proof: bytes | None,
+        expectation: Expectation,
+        previous_state: statements.TransactionState,
+    ) -> Fault | None:
+        """Check and record a success.
+
+        Args:
+          reply: The answer.
+          proof: Its proof; None if it has none.
+          expectation: What the answer can be.
+          previous_state: State of the connection before the statement.
+        Returns:
+          Why the answer belongs to another statement; None if it can be the one to this statement.
+        """
+        self._answer_count += 1
+        if proof is not None and self._is_repeated(proof):
+            return Fault.REPEATED
+        if expectation.proven and proof is None:
+            return Fault.PROOF_MISSING
+        if not _row_count_fits(len(reply.rows), expectation.row_count):
+            return Fault.ROW_COUNT
+        if reply.state is not (expectation.next_state or previous_state):
+            return Fault.STATE
+        if reply.rows and self._begins_with_earlier_rows(reply.rows):
+            return Fault.PARTLY_REPEATED
+        self._in_step = expectation.proven
+        return None
+
+    def check_failure(
+        self,
+        reply: statements.Reply,
+        failure: statements.Failure,
+        expectation: Expectation,
+        previous_state: statements.TransactionState,
+    ) -> Fault | Verdict:
+        """Check and record an error.
+
+        An error that the connection has had before may be its second copy. An error that follows
+        an answer without a proof may belong to the statement before.
+
+        Args:
+          reply: The answer.
+          failure: The error.
+          expectation: What the answer can be.
+          previous_state: State of the connection before the statement.
+        Returns:
+          Why the error belongs to another statement, or whether it is certain that it doesn't.
+        """
+        self._answer_count += 1
+        repeated = self._is_repeated(failure.text)
+        if not _state_fits_error(reply.state, expectation, previous_state):
+            return Fault.STATE
+        if not expectation.verify_errors:
+            self._in_step = False
+            return Verdict.CERTAIN
+        if reply.state is statements.TransactionState.FAILED:
+            # Nothing but a rollback follows, whose answer differs from all others that may arrive.
+            return Fault.REPEATED if repeated else Verdict.CERTAIN
+        in_transaction = reply.state is statements.TransactionState.TRANSACTION
+        # The statements before that have no proof take no slot, so that they are never rejected as
+        # busy; most first statements of a transaction would need another round trip otherwise.
+        own_rejection = in_transaction and failure.code is statements.ErrorCode.BUSY
+        if repeated or not (self._in_step or own_rejection):
+            return Verdict.UNVERIFIED
+        return Verdict.CERTAIN
+
+    def _begins_with_earlier_rows(self, rows: tuple[bytes, ...]) -> bool:
+        """Record the rows of a result; return whether they begin with all rows of an earlier one.
+
+        A second copy that was cut off behind its rows leaves them in front of the next result.
+        """
+        begins = any(hash(rows[:count]) in self._digests for count in range(1, len(rows)))
+        self._digests.add(hash(rows))
+        return begins
+
+    def _is_repeated(self, text: bytes | str) -> bool:
+        """Record a proof or an error; return whether the connection has had it before."""
+        digest = hash(text)
+        repeated = digest in self._digests
+        self._digests.add(digest)
+        return repeated
+
+
+def _row_count_fits(row_count: int, expected: RowCount) -> bool:
+    match expected:
+        case RowCount.NONE:
+            return row_count == 0
+        case RowCount.ONE:
+            return row_count == 1
+        case RowCount.ANY:
+            return True
+
+
+def _state_fits_error(
+    state: statements.TransactionState,
+    expectation: Expectation,
+    previous_state: statements.TransactionState,
+) -> bool:
+    """Return whether an error of a statement can lead from one state to another."""
+    if state is statements.TransactionState.FAILED:
+        return True
+    if previous_state is statements.TransactionState.IDLE:
+        return state is statements.TransactionState.IDLE
+    ends_transaction = expectation.next_state is statements.TransactionState.IDLE
+    return ends_transaction or state is statements.TransactionState.TRANSACTION
--- /dev/null
+++ b/bilberrystack/routing/answers_test.py
@@ -0,0 +1,27 @@
+"""Tests which answers a connection takes that look like earlier ones."""
+
+from bilberrystack.routing import answers
+from bilberrystack.routing import statements
+
+IDLE = statements.TransactionState.IDLE
+
+
+def _reply(*rows):
+    return statements.Reply(rows, b"DONE", None, IDLE, None, 0.0, 0.0)
+
+
+def test_rows_that_an_earlier_result_had_are_taken():
+    """Guards against reads that fail since the item has not changed between them."""
+    history = answers.AnswerHistory()
+    for number in range(3):
+        assert history.check_success(_reply(b"ROW a"), b"%d" % number, answers.READ, IDLE) is None
+        reply = _reply(b"ROW c", b"ROW d")
+        assert history.check_success(reply, b"d%d" % number, answers.READ, IDLE) is None
+
+
+def test_rows_in_front_of_a_result_are_noticed():
+    """Guards against rows of a second copy that was cut off, which a read would return as well."""
+    history = answers.AnswerHistory()
+    assert history.check_success(_reply(b"ROW a"), b"1", answers.READ, IDLE) is None
+    fault = history.check_success(_reply(b"ROW a", b"ROW b"), b"2", answers.READ, IDLE)
+    assert fault is answers.Fault.PARTLY_REPEATED
--- /dev/null
+++ b/bilberrystack_standins/scripted_member.py
@@ -0,0 +1,106 @@
+"""A member whose answers a test controls: it can send more data than its answers."""
+
+import asyncio
+import collections
+
+
+class ScriptedMember:
+    """A member that keeps a transaction state per connection and answers each statement.
+
+    Attributes:
+      received: Connection number and text of each query, in the order of arrival.
+      committed: Ids of the requests that committed writes.
+      errors: Errors by the first word of a statement, with which the next ones are rejected.
+      data_before: Data by the first word of a statement, each sent before the answer to one.
+      data_after: The same, sent together with the answer, behind it.
+      held: Events by the first word of a statement, for which its answers wait. The data in
+        `data_before` are sent at once.
+      start_data: Data that follow the answer to START.
+    """
+
+    def __init__(self) -> None:
+        self.received: list[tuple[int, str]] = []
+        self.committed: list[str] = []
+        self.errors: dict[str, list[str]] = collections.defaultdict(list)
+        self.data_before: dict[str, list[bytes]] = collections.defaultdict(list)
+        self.data_after: dict[str, list[bytes]] = collections.defaultdict(list)
+        self.held: dict[str, asyncio.Event] = {}
+        self.start_data = b""
+        self._connections = 0
+        self._position = 1
+        self._writers: list[asyncio.StreamWriter] = []
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> int:
+        """Starts listening and returns the port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port: int = self._server.sockets[0].getsockname()[1]
+        return port
+
+    async def close(self) -> None:
+        """Closes the listener and all connections."""
+        if self._server is not None:
+            self._server.close()
+        for writer in self._writers:
+            writer.close()
+            await asyncio.gather(writer.wait_closed(), return_exceptions=True)
+
+    def texts(self) -> list[str]:
+        """Returns the texts of the received queries."""
+        return [text for _, text in self.received]
+
+    def send(self, data: bytes) -> None:
+        """Sends data on all connections that are open."""
+        for writer in self._writers:
+            if not writer.is_closing():
+                writer.write(data)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._connections += 1
+        self._writers.append(writer)
+        number, state = self._connections, "I"
+        writes: list[str] = []
+        await reader.readline()
+        writer.write(b"READY I 1.1\r\n" + self.start_data)
+        while line := (await reader.readline()).decode().strip():
+            _, request_id, text = line.split(" ", 2)
+            self.received.append((number, text))
+            word = text.split(" ")[0]
+            if self.errors[word]:
+                result = f"ERR {self.errors[word].pop(0)}"
+            else:
+                result, state = self._run(word, request_id, state, writes)
+            data = answer = f"{result}\r\nREADY {state} 1.{self._position}\r\n".encode()
+            if self.data_before[word]:
+                data = self.data_before[word].pop(0) + data
+            if word in self.held:
+                before, data = data[: -len(answer)], answer
+                writer.write(before)
+                await self.held[word].wait()
+            if self.data_after[word]:
+                data += self.data_after[word].pop(0)
+            writer.write(data)
+        writer.close()
+
+    def _run(self, word: str, request_id: str, state: str, writes: list[str]) -> tuple[str, str]:
+        """Runs a statement and returns its result and the new state."""
+        match word:
+            case "BEGIN":
+                return "DONE -", "T"
+            case "ROLLBACK":
+                writes.clear()
+                return "DONE -", "I"
+            case "COMMIT":
+                self.committed += writes
+                writes.clear()
+                return f"DONE proof-{request_id}", "I"
+            case "READ":
+                return f"ROW row-{request_id}\r\nDONE proof-{request_id}", state
+            case "WRITE":
+                self._position += 1
+                (self.committed if state == "I" else writes).append(request_id)
+                return f"DONE proof-{request_id}", state
+            case "STATUS" | "HOLD" | "DEMOTE" | "RESUME":
+                return f"ROW primary 1 1.{self._position} 0 0 0 1\r\nDONE -", state
+            case _:
+                return "DONE -", state
