Ask for a member's status twice and use the second answer

Cause: status reports have no proof and look alike. A second copy of an earlier one was taken for the answer to STATUS, HOLD, DEMOTE or RESUME: an old role or position became the present one, for the choice of a primary, the fence, the confirmation rounds and the freshness of reads. The positions in answers to SET, BEGIN, ROLLBACK and in errors went into the primary's history in the same way. Change: such a statement is sent twice in one write and the second answer counts (answers.STATUS). With one earlier answer in between, the second one read was still given after the statement had arrived; the one that is left over ends the connection. Only answers with a proof and status reports put a position into the history. The service time of a status query is that of one of its copies. The callers were read: confirmation rounds, the search for the primary, sampled positions, fence, hold, resume, the members' views of the coordinator and observe_primary use this answer only. Ruled out: a connection of its own for status queries; it may have late answers, too, and counts toward the members' limit. Figures: none; the cost of the second status query in members' slots was not measured. Conclusion: two late status reports between one query and its answers are still taken.

--- a/bilberrystack/pooling/answer_outcomes_test.py
+++ b/bilberrystack/pooling/answer_outcomes_test.py
@@ -205,3 +205,49 @@
     commit = await current.commit(_request("c1", "COMMIT"), execution.Trace())
     assert commit.failure.code is statements.ErrorCode.ABORTED
     _assert_balanced(fixture)
+
+
+@pytest.mark.parametrize("word", ["STATUS", "HOLD", "DEMOTE", "RESUME"])
+async def test_a_status_report_is_not_an_earlier_one(fixture, word):
+    """Guards against an old role or position that is taken for the present one.
+
+    A primary would count as fenced, or a replica as the one with the longest log.
+    """
+    old = b"ROW replica 7 7.9 0 0 0 1\r\nDONE -\r\nREADY I 7.9\r\n"
+    query = {
+        "STATUS": wire.encode_status_query(),
+        "HOLD": wire.encode_hold(2),
+        "DEMOTE": wire.encode_demote(2),
+        "RESUME": wire.encode_resume(),
+    }[word]
+    fixture.member.data_before[word] = [old]
+    status = await fixture.group.query_member("a", query)
+    assert (status.primary, status.term, str(status.received_position)) == (True, 1, "1/1")
+    async with asyncio.timeout(5):
+        while not fixture.faults:
+            await asyncio.sleep(0.001)
+    assert fixture.faults == [answers.Fault.UNASKED]
+    newest = fixture.group.history.newest_sample()
+    assert newest is None or str(newest.position) == "1/1"
+    assert (await fixture.write("w1")).done == b"DONE proof-w1"
+    _assert_balanced(fixture)
+
+
+async def test_only_answers_to_this_statement_show_a_position(fixture):
+    """Guards against an old position in the answer to a SET or BEGIN, taken for the present one.
+
+    A read of fresh data would then be served by a replica that lacks the last commits.
+    """
+    request = _request("w1", "WRITE x 1")
+    request.values["v"] = "1"
+    current = fixture.transaction()
+    fixture.member.errors["WRITE"] = ["FAILED on purpose"]
+    await current.run(request, execution.Trace())
+    current.roll_back()
+    async with asyncio.timeout(5):
+        while "ROLLBACK" not in fixture.member.texts():
+            await asyncio.sleep(0.001)
+    assert {"SET v 1", "BEGIN", "WRITE x 1"} <= set(fixture.member.texts())
+    assert fixture.group.history.newest_sample() is None
+    await fixture.read("r1")
+    assert str(fixture.group.history.newest_sample().position) == "1/1"
--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -687,8 +687,10 @@
                 member_pool.in_flight -= 1
         if member_pool is not None:
             member_pool.record_reply(reply)
-            member_pool.record_service_time(reply.received_at_s - reply.request_sent_at_s)
-            self._record_primary_position(link, reply)
+            took_s = reply.received_at_s - reply.request_sent_at_s
+            member_pool.record_service_time(took_s / expectation.copies)
+            if reply.failure is None and expectation.shows_position:
+                self._record_primary_position(link, reply)
         return reply
 
     def _record_primary_position(
@@ -726,6 +728,8 @@
     ) -> statements.MemberStatus | None:
         """Send a member a status query, or a command that it answers with its status.
 
+        It is sent twice, and the second answer is used; see answers.STATUS.
+
         Args:
           member_id: The member's id.
           query: The encoded query or command.
--- a/bilberrystack/pooling/member_link.py
+++ b/bilberrystack/pooling/member_link.py
@@ -264,7 +264,7 @@
         self.on_fault(fault)
 
     async def run(self, query: bytes, expectation: answers.Expectation) -> statements.Reply:
-        """Send one statement and wait for its whole answer.
+        """Send one statement, as often as expected of its kind, and wait for the last answer.
 
         Args:
           query: The statement as encoded by the dialect.
@@ -276,7 +276,7 @@
           AnswerMismatch: The data received are not its answer; the statement may have run.
           Lost: The connection ended; the statement may have run.
         """
-        return (await self.run_all([(query, expectation)]))[0]
+        return (await self.run_all([(query, expectation)] * expectation.copies))[-1]
 
     async def run_all(
         self, queries: collections.abc.Sequence[tuple[bytes, answers.Expectation]]
--- a/bilberrystack/routing/answers.py
+++ b/bilberrystack/routing/answers.py
@@ -45,12 +45,24 @@
       next_state: The state after a success; None if the statement leaves the state as it is.
       verify_errors: Whether an error that may belong to another statement has to be verified. It
         has not if the connection is closed after any error, or if the answer is not relied on.
+      copies: How often the statement is sent, in one write. The last answer is used: with one
+        earlier answer in between, the one that is read last was still given after the statement
+        had arrived.
     """
 
     proven: bool
     row_count: RowCount
     next_state: statements.TransactionState | None
     verify_errors: bool
+    copies: int = 1
+
+    @property
+    def shows_position(self) -> bool:
+        """Whether the member had the position in a success after the statement was sent.
+
+        Without a proof and with only one copy sent, the answer may be an earlier one.
+        """
+        return self.proven or self.copies > 1
 
 
 READ = Expectation(True, RowCount.ANY, None, verify_errors=True)
@@ -61,7 +73,9 @@
 )
 ROLLBACK = Expectation(False, RowCount.NONE, statements.TransactionState.IDLE, verify_errors=False)
 PREPARATION = Expectation(False, RowCount.NONE, None, verify_errors=False)
-STATUS = Expectation(False, RowCount.ONE, None, verify_errors=False)
+# Status reports have no proof and look alike. The choice of a primary, the fence and the freshness
+# of reads depend on them. Commands that are answered with one have no further effect if repeated.
+STATUS = Expectation(False, RowCount.ONE, None, verify_errors=False, copies=2)
 
 
 def of_access(access: statements.Access) -> Expectation:
