Count the connections that end because of a member's data

Cause: a member that answers twice costs connections and outcomes, and no metric showed it. Change: bilberrystack_member_answer_faults_total{reason} counts each such connection beside its log line; the reasons are those of answers.Fault. Tests: repeated_answer_test.py; without the counter the new test can't pass, since the metric is missing.

--- a/bilberrystack/pooling/counters.py
+++ b/bilberrystack/pooling/counters.py
@@ -21,6 +21,7 @@
         "confirmations",
         "lease_changes",
         "log_lines_dropped",
+        "member_answer_faults",
         "promotion_calls",
         "reads",
         "request_seconds",
@@ -45,6 +46,10 @@
             "statements_to_leaving_members_total",
             "Connections to leaving members that statements were given.",
         )
+        self.member_answer_faults = self._counter(
+            "member_answer_faults_total",
+            "Connections closed because of a member's data, by reason.",
+        )
         self.store_calls = self._counter("store_calls_total", "Calls to the store, by result.")
         self.store_era = self._gauge(
             "store_era", "Era of the store; it rises when the store returns from an older copy."
--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -29,6 +29,7 @@
 from bilberrystack.pooling import tasks
 from bilberrystack.pooling import transaction
 from bilberrystack.pooling import views
+from bilberrystack.routing import answers
 from bilberrystack.routing import model
 from bilberrystack.routing import owners
 
@@ -488,6 +489,7 @@
             background_tasks=self._tasks,
         )
         served_group.on_member_failure = lambda _: self._fleet.schedule_urgent_heartbeat()
+        served_group.on_answer_fault = self._count_answer_fault
         self._groups[service.name] = served_group
         self._fleet.notify_ownership_change()
         self._forwarders[service.name] = forwarding.Forwarder(
@@ -498,6 +500,9 @@
         )
         return served_group
 
+    def _count_answer_fault(self, fault: answers.Fault) -> None:
+        self.counters.member_answer_faults.inc({"reason": fault.value})
+
     async def _run_housekeeping(self) -> None:
         queried_at_s = float("-inf")
         expected_listed_at_s = self.clock() + MAX_LISTING_DELAY_S
--- a/bilberrystack/pooling/repeated_answer_test.py
+++ b/bilberrystack/pooling/repeated_answer_test.py
@@ -47,3 +47,17 @@
     async with line_site.Site(1, options) as site:
         results = await asyncio.gather(*(_use_session(site, number, 40) for number in range(6)))
         assert [wrong for session in results for wrong in session] == []
+
+
+async def test_connections_that_end_because_of_second_answers_are_counted():
+    """Guards against a member that costs connections and outcomes unnoticed."""
+    options = line_group.GroupOptions(slots=8, repetition_delay_s=0.0)
+    async with line_site.Site(1, options) as site:
+        session = await site.connect("strict")
+        site.group.members["a"].answers_to_repeat = 1
+        await session.query("READ x")
+        metrics = site.instances[0].counters
+        async with asyncio.timeout(5):
+            while b'member_answer_faults_total{reason="unasked"} 1' not in metrics.render():
+                await asyncio.sleep(0.01)
+        assert (await session.query("WRITE x 1", "w1"))[0] == "DONE proof-a-w1"
