Keep a former connection's end from failing requests on the next one

Cause: an OwnerLink had one table of pending requests for all its connections. When a connection was reset, a request could open the next one before the former one's reader had ended, which then failed the new request as unanswered: an unknown outcome for a write that the owner answered. Ruled out: an outcome for another request. Sequence numbers are used once for each link, also over several connections, and a transaction's number is not known on another connection. Change: each connection has its own table of pending requests. Tests: the new test in forwarding_test.py fails without the change (no answer for the later request).

--- a/bilberrystack/pooling/forwarding.py
+++ b/bilberrystack/pooling/forwarding.py
@@ -36,6 +36,8 @@
 class OwnerLink:
     """The link to one owner, which is opened when it is needed.
 
+    A sequence number is used once, also over several connections.
+
     Attributes:
       avoid_until_s: Until when other owners are preferred, in seconds of the clock.
     """
@@ -72,7 +74,7 @@
 
     @property
     def pending_requests(self) -> int:
-        """Number of requests without an outcome."""
+        """Number of requests without an outcome on the present connection."""
         return len(self._pending)
 
     def next_sequence_number(self) -> int:
@@ -98,11 +100,12 @@
                 await self._open()
         assert self._writer is not None
         future: asyncio.Future[frames.ForwardedOutcome] = asyncio.get_running_loop().create_future()
-        self._pending[request.sequence_number] = future
+        pending = self._pending
+        pending[request.sequence_number] = future
         try:
             member_link.write(self._writer, frames.pack(request))
         except member_link.Lost as error:
-            self._pending.pop(request.sequence_number, None)
+            pending.pop(request.sequence_number, None)
             raise OwnerUnavailable(str(self._endpoint)) from error
         try:
             async with asyncio.timeout(timeout_s):
@@ -113,7 +116,7 @@
         except member_link.Lost:
             return None
         finally:
-            self._pending.pop(request.sequence_number, None)
+            pending.pop(request.sequence_number, None)
         if outcome.declined:
             self._avoid("it can't serve the group")
             raise OwnerUnavailable(str(self._endpoint))
@@ -129,7 +132,9 @@
             self._avoid(type(failure).__name__)
             raise OwnerUnavailable(str(self._endpoint)) from failure
         self._writer = writer
-        self._tasks.start(self._receive(reader, writer))
+        # The former connection may still be read; its end must not fail requests on this one.
+        self._pending = {}
+        self._tasks.start(self._receive(reader, writer, self._pending))
 
     def _avoid(self, reason: str) -> None:
         if self._clock() >= self.avoid_until_s:
@@ -140,18 +145,23 @@
             )
         self.avoid_until_s = self._clock() + AVOID_PERIOD_S
 
-    async def _receive(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _receive(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        pending: dict[int, asyncio.Future[frames.ForwardedOutcome]],
+    ) -> None:
         try:
             while True:
                 outcome = frames.unpack_outcome(await frames.read_body(reader))
-                future = self._pending.get(outcome.sequence_number)
+                future = pending.get(outcome.sequence_number)
                 if future is not None and not future.done():
                     future.set_result(outcome)
         except (OSError, EOFError, ValueError, RecursionError, msgspec.MsgspecError) as error:
             self._avoid(type(error).__name__)
         finally:
             writer.close()
-            for future in self._pending.values():
+            for future in pending.values():
                 if not future.done():
                     future.set_exception(member_link.Lost("the link to the owner ended"))
 
--- a/bilberrystack/pooling/forwarding_test.py
+++ b/bilberrystack/pooling/forwarding_test.py
@@ -4,7 +4,14 @@
 
 import pytest
 
+from bilberrystack.pooling import execution
+from bilberrystack.pooling import forwarding
+from bilberrystack.pooling import frames
+from bilberrystack.pooling import member_link
+from bilberrystack.pooling import tasks
 from bilberrystack.pooling import views
+from bilberrystack.routing import model
+from bilberrystack.routing import statements
 from bilberrystack_standins import line_group
 from bilberrystack_standins import line_site
 
@@ -233,3 +240,59 @@
         assert answer[0].startswith("DONE proof")
         for writer in old_connections:
             writer.close()
+
+
+class _Writer:
+    """The sending side of a connection that stores nothing."""
+
+    def __init__(self):
+        self.closing = False
+
+    def is_closing(self):
+        return self.closing
+
+    def write(self, data):
+        pass
+
+    def close(self):
+        self.closing = True
+
+
+def _forwarded(sequence_number):
+    now_s = asyncio.get_running_loop().time()
+    route = model.Route("base", "store", model.Consistency.PRIMARY, 1.0, 1.0, 0, None)
+    request = execution.Request(
+        f"w{sequence_number}", "WRITE x 1", statements.Access.WRITE, None, now_s, route, {}, None
+    )
+    return frames.encode_request(request, sequence_number, "write", now_s)
+
+
+async def test_the_end_of_a_former_connection_ends_no_later_request(monkeypatch):
+    """Guards against an unknown outcome of a write that the owner answers on the new connection.
+
+    After a reset, the former connection is still being read when the next request opens a new one.
+    """
+    connections = []
+
+    async def connect(*_):
+        connections.append((asyncio.StreamReader(), _Writer()))
+        return connections[-1]
+
+    monkeypatch.setattr(member_link, "connect", connect)
+    background_tasks = tasks.Tasks()
+    clock = asyncio.get_running_loop().time
+    link = forwarding.OwnerLink(model.Endpoint("10.0.0.1", 1), clock, background_tasks)
+    former = asyncio.create_task(link.call(_forwarded(1), 5.0))
+    await asyncio.sleep(0.01)
+    connections[0][1].closing = True
+    later = asyncio.create_task(link.call(_forwarded(2), 5.0))
+    await asyncio.sleep(0.01)
+    connections[0][0].feed_eof()
+    assert await former is None
+    outcome = frames.encode_outcome(
+        2, execution.Outcome((), b"DONE proof-w2"), execution.Trace(), clock(), None
+    )
+    connections[1][0].feed_data(frames.pack(outcome))
+    assert (await later).done == b"DONE proof-w2"
+    assert link.pending_requests == 0
+    await background_tasks.close()
