Keep data behind an HTTP response out of it

Cause: a second response in the same read became part of the first: its body was appended, its headers were mixed in, and the status was the second one's. Data behind a response that closes the connection turned a complete response into an unknown outcome. Ruled out: a late second response on a kept connection. The client meant to keep connections, but should_keep_alive() of httptools is always false once a response has been parsed, so that each call has had a connection of its own: a test that counts connections showed it. Change: the response is complete at its own end, and later data don't change it. The code that kept connections never did and is removed, with the close() methods that ended them: on a kept connection a response could not be told from a late earlier one.

--- a/bilberrystack/platform/client.py
+++ b/bilberrystack/platform/client.py
@@ -135,11 +135,6 @@
             self._era = era
             self._metrics.store_era.set({}, era)
 
-    def close(self) -> None:
-        """Close the idle connections."""
-        self._http.close()
-        self._watch_http.close()
-
 
 class ObjectKindClient:
     """Client for the store's objects of one kind. Implements interfaces.ObjectKind.
@@ -436,11 +431,6 @@
             raise interfaces.NotDone(f"status {response.status}")
         raise interfaces.NoAnswer(f"status {response.status}")
 
-    def close(self) -> None:
-        """Close the idle connections."""
-        self._store.close()
-        self._platform_http.close()
-
 
 def _encode_object(
     name: str, spec: msgspec.Struct, revision: int | None = None
--- a/bilberrystack/platform/serving.py
+++ b/bilberrystack/platform/serving.py
@@ -45,6 +45,5 @@
         try:
             await served_instance.run()
         finally:
-            platform.close()
             # Let the event loop complete the closing of the connections.
             await asyncio.sleep(0)
--- a/bilberrystack/pooling/http.py
+++ b/bilberrystack/pooling/http.py
@@ -13,9 +13,6 @@
 # Maximum wait for a connection; round trips to the platform are below 10 ms.
 CONNECT_TIMEOUT_S = 0.5
 
-# Idle connections that are kept open for later calls.
-MAX_IDLE_CONNECTIONS = 3
-
 READ_CHUNK_BYTES = 65_536
 
 # Limit for one request; the request of a probe is a few hundred bytes.
@@ -60,15 +57,33 @@
 
 
 class _ResponseParser:
-    """The receiver of the httptools callbacks for one response."""
+    """The receiver of the httptools callbacks for one response.
+
+    Data behind the response, such as a second one, are no part of it.
+
+    Attributes:
+      response: The complete response; None before.
+    """
 
-    __slots__ = ("_headers", "_parts", "complete", "parser")
+    __slots__ = ("_headers", "_parser", "_parts", "response")
 
     def __init__(self) -> None:
         self._headers: dict[str, str] = {}
         self._parts: list[bytes] = []
-        self.complete = False
-        self.parser = httptools.HttpResponseParser(self)
+        self._parser = httptools.HttpResponseParser(self)
+        self.response: Response | None = None
+
+    def feed(self, data: bytes) -> None:
+        """Parse data as they were received.
+
+        Raises:
+          httptools.HttpParserError: The data are no response.
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            if self.response is None:
+                raise
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header field."""
@@ -79,25 +94,24 @@
         self._parts.append(part)
 
     def on_message_complete(self) -> None:
-        """Mark the response as complete."""
-        self.complete = True
-
-    def response(self) -> Response:
-        """Return the complete response."""
-        return Response(self.parser.get_status_code(), b"".join(self._parts), self._headers)
+        """Store the response, which data behind it can't change any more."""
+        if self.response is None:
+            body = b"".join(self._parts)
+            self.response = Response(self._parser.get_status_code(), body, self._headers)
+        self._headers, self._parts = {}, []
 
 
 class Client:
     """An HTTP client for one address.
 
-    A connection carries one call at a time, and is reused until a call on it fails.
+    Each call has a connection of its own: a response names no call, so that on a kept connection a
+    second response to an earlier call could be taken for the one to the present call.
     """
 
-    __slots__ = ("_endpoint", "_idle_connections")
+    __slots__ = ("_endpoint",)
 
     def __init__(self, endpoint: model.Endpoint) -> None:
         self._endpoint = endpoint
-        self._idle_connections: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
 
     async def call(
         self,
@@ -126,7 +140,7 @@
         """
         ends_at_s = asyncio.get_running_loop().time() + timeout_s
         try:
-            reader, writer = self._take_idle_connection() or await member_link.connect(
+            reader, writer = await member_link.connect(
                 self._endpoint, READ_CHUNK_BYTES, min(CONNECT_TIMEOUT_S, timeout_s)
             )
         except member_link.LinkFailure as error:
@@ -135,11 +149,8 @@
         if not may_send():
             writer.close()
             raise NotSent("permission to send the call has ended")
-        response, reusable = await self._exchange(reader, writer, request, ends_at_s)
-        if reusable and len(self._idle_connections) < MAX_IDLE_CONNECTIONS:
-            self._idle_connections.append((reader, writer))
-        else:
-            writer.close()
+        response = await self._exchange(reader, writer, request, ends_at_s)
+        writer.close()
         return response
 
     async def _exchange(
@@ -148,8 +159,8 @@
         writer: asyncio.StreamWriter,
         request: bytes,
         ends_at_s: float,
-    ) -> tuple[Response, bool]:
-        """Send a request; return the response and whether the connection can be reused."""
+    ) -> Response:
+        """Send a request and return the response."""
         try:
             member_link.write(writer, request)
             async with asyncio.timeout_at(ends_at_s):
@@ -162,14 +173,6 @@
             writer.transport.abort()
             raise
 
-    def _take_idle_connection(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
-        while self._idle_connections:
-            reader, writer = self._idle_connections.pop()
-            if not writer.is_closing() and not reader.at_eof():
-                return reader, writer
-            writer.close()
-        return None
-
     def _encode_request(
         self,
         method: str,
@@ -185,20 +188,14 @@
             lines.append(f"Content-Length: {len(body)}")
         return "\r\n".join([*lines, "", ""]).encode() + body
 
-    async def _read_response(self, reader: asyncio.StreamReader) -> tuple[Response, bool]:
+    async def _read_response(self, reader: asyncio.StreamReader) -> Response:
         response_parser = _ResponseParser()
-        while not response_parser.complete:
+        while response_parser.response is None:
             data = await reader.read(READ_CHUNK_BYTES)
             if not data:
                 raise EOFError("connection closed inside a response")
-            response_parser.parser.feed_data(data)
-        return response_parser.response(), response_parser.parser.should_keep_alive()
-
-    def close(self) -> None:
-        """Close the idle connections."""
-        for _, writer in self._idle_connections:
-            writer.close()
-        self._idle_connections.clear()
+            response_parser.feed(data)
+        return response_parser.response
 
 
 # Returns the status and the body for a request target.
--- a/bilberrystack/pooling/http_test.py
+++ b/bilberrystack/pooling/http_test.py
@@ -1,4 +1,4 @@
-"""Tests HTTP calls whose permission may end while their connection is being opened."""
+"""Tests that an HTTP call is sent only with permission, and gets only its own response."""
 
 import asyncio
 
@@ -26,7 +26,6 @@
         return self
 
     async def __aexit__(self, *_):
-        self.client.close()
         self._server.close()
 
     async def _serve(self, reader, writer):
@@ -64,3 +63,58 @@
         with pytest.raises(http.NoResponse):
             await server.client.call("GET", "/", 0.3)
         assert asyncio.get_running_loop().time() - started_at_s < 0.6
+
+
+class ScriptedServer(Server):
+    """A server whose answers, which name the connection, are followed by other data.
+
+    Attributes:
+      connections: Number of connections that were opened.
+    """
+
+    def __init__(self, answer, extra_data, delay_s=0.0):
+        super().__init__(delay_s)
+        self.connections = 0
+        self._answer = answer
+        self._extra_data = extra_data
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        number = self.connections
+        while data := await reader.read(65_536):
+            self.received.append(data)
+            answer = self._answer.replace(b"?", b"%d" % number)
+            if self._delay_s:
+                writer.write(answer)
+                await asyncio.sleep(self._delay_s)
+                writer.write(self._extra_data)
+            else:
+                writer.write(answer + self._extra_data)
+        writer.close()
+
+
+ANSWER = b"HTTP/1.1 200 -\r\nContent-Length: 1\r\n\r\n?"
+CLOSING_ANSWER = b"HTTP/1.1 200 -\r\nConnection: close\r\nContent-Length: 1\r\n\r\n?"
+SECOND_ANSWER = b"HTTP/1.1 503 -\r\nOther: x\r\nContent-Length: 3\r\n\r\nold"
+
+
+@pytest.mark.parametrize("answer", [ANSWER, CLOSING_ANSWER])
+@pytest.mark.parametrize(
+    "extra_data", [SECOND_ANSWER, SECOND_ANSWER[:5], SECOND_ANSWER[:-1], b"no HTTP\r\n"]
+)
+async def test_data_behind_a_response_are_no_part_of_it_or_of_the_next(answer, extra_data):
+    """Guards against a second response that changes the first, or answers the next call."""
+    async with ScriptedServer(answer, extra_data) as server:
+        for number in (b"1", b"2"):
+            response = await server.client.call("GET", "/", 0.5)
+            assert (response.status, response.body) == (200, number)
+            assert "other" not in response.headers
+
+
+async def test_each_call_has_a_connection_of_its_own():
+    """Guards against a late second response that is taken for the one to the next call."""
+    async with ScriptedServer(ANSWER, SECOND_ANSWER, delay_s=0.02) as server:
+        for number in (b"1", b"2"):
+            response = await server.client.call("GET", "/", 0.5)
+            assert (response.status, response.body) == (200, number)
+        assert server.connections == 2
--- a/bilberrystack/pooling/restored_store_test.py
+++ b/bilberrystack/pooling/restored_store_test.py
@@ -42,11 +42,7 @@
 @contextlib.contextmanager
 def _client(platform):
     endpoint = model.Endpoint("127.0.0.1", platform.port)
-    client = platform_client.Client(endpoint, endpoint, counters.Counters())
-    try:
-        yield client
-    finally:
-        client.close()
+    yield platform_client.Client(endpoint, endpoint, counters.Counters())
 
 
 @contextlib.asynccontextmanager
--- a/bilberrystack_standins/line_site.py
+++ b/bilberrystack_standins/line_site.py
@@ -80,7 +80,6 @@
         self._initial_instance_count = instance_count
         self._instance_tasks: list[asyncio.Task[None]] = []
         self._role_reporter: asyncio.Task[None] | None = None
-        self._platform_clients: list[platform_client.Client] = []
 
     async def __aenter__(self) -> "Site":
         await self.group.start()
@@ -102,8 +101,6 @@
         await asyncio.gather(*self._instance_tasks, return_exceptions=True)
         for started in self.instances:
             await started.terminate()
-        for client in self._platform_clients:
-            client.close()
         await self.platform.stop()
         await self.group.stop()
 
@@ -138,7 +135,6 @@
         instance_counters = counters.Counters()
         client = platform_client.Client(platform_endpoint, platform_endpoint, instance_counters)
         started = instance.Instance(instance_settings, client, wire, instance_counters)
-        self._platform_clients.append(client)
         self.settings.append(instance_settings)
         self.instances.append(started)
         self._instance_tasks.append(asyncio.create_task(started.run()))
