Refuse to encode a field that its message can't carry

Cause: the encoders of the line protocol put any text into a line. A name or a text with CR LF, from another instance or the store, ended the line early, and what followed was a message of its own; a name with a blank became two fields. Ruled out: replacing such characters. A member checks the text, and a changed name is another one. Change: all encoders of platform/wire.py share one function, which raises interfaces.NotEncodable for CR LF, text without a UTF-8 form, an empty field, and a blank before the last field. Callers turn it into an outcome: a connection to a member is not opened (member_link.NotOpened), an owner answers BAD to a forwarded request before it runs, and a result that no line can carry is FAILED, ABORTED or UNSURE. An error text of that kind is replaced by another one. The last field of a client's SET or PREPARE may still be empty.

--- a/bilberrystack/platform/wire.py
+++ b/bilberrystack/platform/wire.py
@@ -3,12 +3,16 @@
 A message is one line that ends in CR LF: a message type, then fields separated by single spaces.
 The last field extends to the end of the line and may contain spaces.
 
-The `encode_` functions return bytes with the line end, ready to be sent.
+The `encode_` functions return bytes with the line end, ready to be sent. They raise NotEncodable
+for a field that its message can't carry: one with CR LF or without a UTF-8 form, one before the
+last with a blank, and an empty one. Only the last field of a client's own text may be empty.
 """
 
+import collections.abc
 import math
 
 from bilberrystack.core import positions
+from bilberrystack.pooling import interfaces
 from bilberrystack.routing import statements
 
 # Maximum length of a message, without its line end, as the protocol specifies.
@@ -20,6 +24,9 @@
 # Request id that the protocol reserves for statements that the proxy itself issues.
 PROXY_REQUEST_ID = "-"
 
+_LINE_END = "\r\n"
+_PROXY_QUERY = ["QUERY", PROXY_REQUEST_ID]
+
 _ERROR_CODES = {
     "BUSY": statements.ErrorCode.BUSY,
     "ABORTED": statements.ErrorCode.ABORTED,
@@ -207,12 +214,12 @@
       state: Transaction state of the session.
       position: Log position after the last statement; None if there is none.
     """
-    return f"READY {_TRANSACTION_STATE_WORDS[state]} {_format_position(position)}\r\n".encode()
+    return _encode_message(["READY", _TRANSACTION_STATE_WORDS[state]], _format_position(position))
 
 
 def encode_done() -> bytes:
     """Encode the success of a statement that the proxy answers without a member."""
-    return b"DONE -\r\n"
+    return _encode_message(["DONE"], "-")
 
 
 def encode_error(code: statements.ErrorCode, text: str) -> bytes:
@@ -221,8 +228,10 @@
     Args:
       code: Reason of the failure.
       text: Explanation for the client.
+    Raises:
+      interfaces.NotEncodable: The message can't carry the text.
     """
-    return f"ERR {_ERROR_WORDS[code]} {text}\r\n".encode()
+    return _encode_message(["ERR", _ERROR_WORDS[code]], text)
 
 
 def encode_result_line(received: bytes) -> bytes:
@@ -230,8 +239,12 @@
 
     Args:
       received: The line as received from the member, without its line end.
+    Raises:
+      interfaces.NotEncodable: It is empty or more than one line.
     """
-    return received + b"\r\n"
+    if not received or _LINE_END.encode() in received:
+        raise interfaces.NotEncodable("the line of the result is not one line")
+    return received + _LINE_END.encode()
 
 
 def encode_member_start(service: str, instance_name: str, member: str) -> bytes:
@@ -243,8 +256,10 @@
       service: Name of the database group.
       instance_name: Name of this instance.
       member: Id of the member.
+    Raises:
+      interfaces.NotEncodable: The message can't carry one of the names.
     """
-    return f"START {service} {instance_name} {member}\r\n".encode()
+    return _encode_message(["START", service, instance_name], member)
 
 
 def encode_query(
@@ -257,9 +272,11 @@
       text: The statement as the client sent it.
       min_position: Log position that the member must have reached to run the statement; None if
         any position will do.
+    Raises:
+      interfaces.NotEncodable: The message can't carry the id or the text.
     """
-    prefix = "" if min_position is None else f"AFTER {_format_position(min_position)} "
-    return f"QUERY {request_id} {prefix}{text}\r\n".encode()
+    prefix = [] if min_position is None else ["AFTER", _format_position(min_position)]
+    return _encode_message(["QUERY", request_id, *prefix], text)
 
 
 def format_execute(name: str, arguments: str) -> str:
@@ -311,8 +328,15 @@
 
 
 def encode_set_value(name: str, value: str) -> bytes:
-    """Encode the statement that sets a session value on a connection to a member."""
-    return _encode_proxy_query(f"SET {name} {value}")
+    """Encode the statement that sets a session value on a connection to a member.
+
+    Args:
+      name: Name of the value.
+      value: The value, which may be empty.
+    Raises:
+      interfaces.NotEncodable: The message can't carry the name or the value.
+    """
+    return _encode_message([*_PROXY_QUERY, "SET", name], value, may_be_empty=True)
 
 
 def encode_prepare(name: str, access: statements.Access, text: str) -> bytes:
@@ -321,13 +345,41 @@
     Args:
       name: Name of the prepared statement at the member.
       access: Whether the prepared statement reads or writes.
-      text: Text of the prepared statement.
+      text: Text of the prepared statement, which may be empty.
+    Raises:
+      interfaces.NotEncodable: The message can't carry the name or the text.
     """
-    return _encode_proxy_query(f"PREPARE {name} {_ACCESS_WORDS[access]} {text}")
+    fields = [*_PROXY_QUERY, "PREPARE", name, _ACCESS_WORDS[access]]
+    return _encode_message(fields, text, may_be_empty=True)
 
 
 def _encode_proxy_query(text: str) -> bytes:
-    return f"QUERY {PROXY_REQUEST_ID} {text}\r\n".encode()
+    return _encode_message(_PROXY_QUERY, text)
+
+
+def _encode_message(
+    fields: collections.abc.Sequence[str], last: str, *, may_be_empty: bool = False
+) -> bytes:
+    """Encode a message.
+
+    Args:
+      fields: The message type and the fields before the last one.
+      last: The last field, which may contain blanks.
+      may_be_empty: Whether the last field may be empty.
+    Raises:
+      interfaces.NotEncodable: The message can't carry one of the fields.
+    """
+    if not all(fields) or not (last or may_be_empty):
+        raise interfaces.NotEncodable("a field is empty")
+    if any(" " in field for field in fields):
+        raise interfaces.NotEncodable("a field before the last one has a blank")
+    text = " ".join([*fields, last])
+    if _LINE_END in text:
+        raise interfaces.NotEncodable("a field has a line end")
+    try:
+        return (text + _LINE_END).encode()
+    except UnicodeEncodeError as error:
+        raise interfaces.NotEncodable("a field has no UTF-8 form") from error
 
 
 def _format_position(position: positions.Position | None) -> str:
--- a/bilberrystack/platform/wire_test.py
+++ b/bilberrystack/platform/wire_test.py
@@ -4,6 +4,7 @@
 
 from bilberrystack.core import positions
 from bilberrystack.platform import wire
+from bilberrystack.pooling import interfaces
 from bilberrystack.routing import statements
 
 
@@ -77,3 +78,61 @@
         wire.encode_query("5c", "READ 1a4", min_position) == b"QUERY 5c AFTER 3.1207 READ 1a4\r\n"
     )
     assert wire.encode_query("5c", "WRITE 1a4 x  y ") == b"QUERY 5c WRITE 1a4 x  y \r\n"
+
+
+# Calls with one field of another process or of a client.
+ENCODERS = {
+    "error text": lambda text: wire.encode_error(statements.ErrorCode.BUSY, text),
+    "result": lambda text: wire.encode_result_line(text.encode()),
+    "service": lambda text: wire.encode_member_start(text, "proxy-0", "a"),
+    "instance name": lambda text: wire.encode_member_start("store-1", text, "a"),
+    "member": lambda text: wire.encode_member_start("store-1", "proxy-0", text),
+    "request id": lambda text: wire.encode_query(text, "READ x"),
+    "statement": lambda text: wire.encode_query("5c", text, positions.Position(1, 2)),
+    "name of a value": lambda text: wire.encode_set_value(text, "1"),
+    "value": lambda text: wire.encode_set_value("v", text),
+    "name of a prepared statement": lambda text: wire.encode_prepare(
+        text, statements.Access.READ, "s"
+    ),
+    "prepared statement": lambda text: wire.encode_prepare("p", statements.Access.READ, text),
+}
+INNER_FIELDS = (
+    *("service", "instance name", "request id", "name of a value"),
+    "name of a prepared statement",
+)
+OWN_TEXTS = ("value", "prepared statement")
+
+
+@pytest.mark.parametrize("encode", ENCODERS.values(), ids=ENCODERS)
+def test_a_field_with_a_line_end_is_not_encoded(encode):
+    """Guards against a line of the system's own with a forged end and a second message."""
+    for text in ("a\r\nQUERY - DEMOTE 9", "\r\n", "a\r\n", "a\r\r\n"):
+        with pytest.raises(interfaces.NotEncodable):
+            encode(text)
+
+
+@pytest.mark.parametrize("encode", ENCODERS.values(), ids=ENCODERS)
+def test_other_separators_don_t_end_a_line(encode):
+    """Guards against data that is refused although its message can carry it."""
+    for text in ("a\nb", "a\rb", "a\r", "\n", "\n\r", "a\tb", "a\u2028\x85\x00", "\N{SNOWMAN}"):
+        line = encode(text)
+        assert line.endswith(b"\r\n") and line.index(b"\r\n") == len(line) - 2
+        assert text.encode() in line
+
+
+@pytest.mark.parametrize("field", ENCODERS)
+def test_a_field_that_would_be_read_as_others_is_not_encoded(field):
+    """Guards against a name whose second word is read as the next field."""
+    encode = ENCODERS[field]
+    for text, refused in (("a b", field in INNER_FIELDS), ("", field not in OWN_TEXTS)):
+        if refused:
+            with pytest.raises(interfaces.NotEncodable):
+                encode(text)
+        else:
+            assert encode(text).endswith(f"{text}\r\n".encode())
+
+
+def test_text_without_a_utf_8_form_is_not_encoded():
+    """Guards against an exception of another type, for which no caller has an outcome."""
+    with pytest.raises(interfaces.NotEncodable):
+        wire.encode_member_start("store-1", "proxy-\udcff", "a")
--- a/bilberrystack/pooling/instance_lines.py
+++ b/bilberrystack/pooling/instance_lines.py
@@ -7,6 +7,7 @@
 
 import asyncio
 
+from bilberrystack.pooling import interfaces
 from bilberrystack.routing import model
 
 LINE_END = b"\n"
@@ -31,21 +32,23 @@
 
 def encode_incarnation_request() -> bytes:
     """Encode the request for the incarnation of the process."""
-    return INCARNATION_REQUEST + LINE_END
+    return _encode(INCARNATION_REQUEST)
 
 
 def encode_incarnation(incarnation: str) -> bytes:
     """Encode the answer to a request for the incarnation.
 
     Args:
-      incarnation: The incarnation, which contains no line feed.
+      incarnation: The incarnation.
+    Raises:
+      interfaces.NotEncodable: It contains a line feed.
     """
-    return incarnation.encode() + LINE_END
+    return _encode(incarnation.encode())
 
 
 def encode_forwarding_request() -> bytes:
     """Encode the announcement of forwarded statements."""
-    return FORWARDING_REQUEST + LINE_END
+    return _encode(FORWARDING_REQUEST)
 
 
 def encode_relay_request(target: model.Endpoint) -> bytes:
@@ -53,5 +56,13 @@
 
     Args:
       target: The member's address.
+    Raises:
+      interfaces.NotEncodable: It contains a line feed.
     """
-    return str(target).encode() + LINE_END
+    return _encode(str(target).encode())
+
+
+def _encode(line: bytes) -> bytes:
+    if LINE_END in line:
+        raise interfaces.NotEncodable("the line has a line end")
+    return line + LINE_END
--- a/bilberrystack/pooling/interfaces.py
+++ b/bilberrystack/pooling/interfaces.py
@@ -15,8 +15,16 @@
 Clock = collections.abc.Callable[[], float]
 
 
+class NotEncodable(ValueError):
+    """A message can't carry a field: it would end early, or its fields would be others."""
+
+
 class Dialect(Protocol):
-    """The line protocol of clients and members; see platform/wire.py."""
+    """The line protocol of clients and members; see platform/wire.py.
+
+    The functions that encode raise NotEncodable instead of returning a message that its receiver
+    would read differently.
+    """
 
     @property
     def MAX_LINE_BYTES(self) -> int: ...
--- a/bilberrystack/pooling/malformed_test.py
+++ b/bilberrystack/pooling/malformed_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import random
+import time
 
 import msgspec
 import pytest
@@ -10,7 +11,9 @@
 from bilberrystack.platform import wire
 from bilberrystack.pooling import execution
 from bilberrystack.pooling import frames
+from bilberrystack.pooling import member_link
 from bilberrystack.pooling import messages
+from bilberrystack.routing import model
 from bilberrystack.routing import statements
 from bilberrystack_standins import line_site
 
@@ -152,6 +155,82 @@
         writer.close()
 
 
+UNENCODABLE_REQUESTS = {
+    "id with a blank": {"id": "a READ x"},
+    "empty id": {"id": ""},
+    "text with a line end": {"text": "READ x\r\nQUERY - DEMOTE 9"},
+    "value with a line end": {"values": {"v": "1\r\nQUERY - DEMOTE 9"}},
+    "name with a blank": {"values": {"v 1": "2"}},
+    "prepared statement with a line end": {"prepared_statement": ("read", "s\r\nQUERY - RESET")},
+    "begin with a line end": {
+        "begin": frames.ForwardedBegin("b", "BEGIN\r\nQUERY - DEMOTE 9", False),
+        "transaction_number": 9,
+        "kind": "run",
+    },
+}
+
+
+@pytest.mark.asyncio
+@pytest.mark.parametrize("odd", UNENCODABLE_REQUESTS.values(), ids=UNENCODABLE_REQUESTS)
+async def test_a_request_that_no_member_can_receive_is_refused(odd):
+    """Guards against text of another instance that becomes a statement of its own at a member.
+
+    The answer says that the request did not run, and the link goes on.
+    """
+    async with line_site.Site(1) as site:
+        endpoint = site.settings[0].peers_endpoint
+        valid = msgspec.structs.replace(
+            frames.rollback_request(0),
+            **{"sequence_number": 7, "kind": "read", "id": "r1", "text": "READ x"},
+            **{"service": line_site.SERVICE, "database": "strict", "timeout_s": 5.0},
+            **{"latency_objective_s": 5.0},
+        )
+        reader, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
+        writer.write(b"forward\n" + frames.pack(msgspec.structs.replace(valid, **odd)))
+        outcome = frames.unpack_outcome(await frames.read_body(reader))
+        assert (outcome.sequence_number, outcome.error_code) == (7, "bad")
+        assert not outcome.declined and not outcome.has_reply
+        writer.write(frames.pack(msgspec.structs.replace(valid, sequence_number=8)))
+        outcome = frames.unpack_outcome(await frames.read_body(reader))
+        assert (outcome.sequence_number, outcome.done) == (8, b"DONE proof-a-r1")
+        assert [run.request_id for run in site.group.executed_statements] == ["r1"]
+        writer.close()
+
+
+@pytest.mark.asyncio
+@pytest.mark.parametrize(
+    ("text", "answer"), [("READ x", "ERR FAILED"), ("WRITE x 1", "ERR UNSURE")]
+)
+async def test_a_result_that_no_line_can_carry_is_a_failure(monkeypatch, text, answer):
+    """Guards against rows of another instance that a client takes for further answers."""
+    odd = execution.Outcome((b"ROW a\r\nDONE x\r\nREADY I -",), b"DONE 1")
+
+    async def run(*_):
+        return odd
+
+    monkeypatch.setattr(execution.Executor, "run_read", run)
+    monkeypatch.setattr(execution.Executor, "run_write", run)
+    async with line_site.Site(1) as site:
+        session = await site.connect("strict")
+        received = await session.query(text)
+        assert received[0].startswith(answer) and received[1:] == ["READY I -"]
+        odd = execution.failure_outcome(statements.ErrorCode.BUSY, "a\r\nREADY I -")
+        received = await session.query(text)
+        assert received[0].startswith("ERR BUSY") and received[1:] == ["READY I -"]
+
+
+@pytest.mark.asyncio
+@pytest.mark.parametrize("relay", [None, model.Endpoint("127.0.0.1", 9)])
+async def test_a_connection_with_an_odd_name_is_not_opened(relay):
+    """Guards against a name that ends the first message to a member, and one of another type."""
+    member = model.Member(
+        *("a", "store-1\r\nQUERY - DEMOTE 9", model.Endpoint("127.0.0.1", 9), "a", 2),
+        *(False, None, 1),
+    )
+    with pytest.raises(member_link.NotOpened):
+        await member_link.open_link(member, relay, "proxy-0", wire, time.monotonic)
+
+
 def test_an_outcome_of_another_version_is_an_error():
     """Guards against a client session that ends because an owner knows more error codes."""
     request = frames.encode_outcome(
--- a/bilberrystack/pooling/member_link.py
+++ b/bilberrystack/pooling/member_link.py
@@ -44,6 +44,10 @@
     """The address did not answer in time, or the connection broke before it was ready."""
 
 
+class NotOpened(LinkFailure):
+    """No connection was opened, because its first messages can't carry a name or an address."""
+
+
 class Rejected(LinkFailure):
     """The member rejected the connection.
 
@@ -352,16 +356,21 @@
     Returns:
       The connection, ready for a statement.
     Raises:
+      NotOpened: A name or an address can't be sent.
       Refused, Unreachable: The member was not reached.
       Rejected: The member rejected the connection.
     """
     target = member.endpoint if relay is None else relay
+    try:
+        first_lines = dialect.encode_member_start(member.service, instance_name, member.id)
+        if relay is not None:
+            first_lines = instance_lines.encode_relay_request(member.endpoint) + first_lines
+    except interfaces.NotEncodable as error:
+        raise NotOpened(str(error)) from error
     reader, writer = await connect(target, dialect.MAX_LINE_BYTES + 2)
     link = MemberLink(member, reader, writer, dialect, clock)
     try:
-        if relay is not None:
-            write(writer, instance_lines.encode_relay_request(member.endpoint))
-        write(writer, dialect.encode_member_start(member.service, instance_name, member.id))
+        write(writer, first_lines)
         async with asyncio.timeout(START_TIMEOUT_S):
             line = await line_stream.read_line(reader)
     except (OSError, EOFError, Lost, asyncio.LimitOverrunError, TimeoutError) as error:
--- a/bilberrystack/pooling/owner_server.py
+++ b/bilberrystack/pooling/owner_server.py
@@ -120,6 +120,11 @@
                 # The transaction is registered before the next frame is read, which may end it.
                 try:
                     accepted = self._accept(request, open_transactions)
+                except interfaces.NotEncodable as error:
+                    _LOG.warning("request that no member can receive refused", error=str(error))
+                    current = open_transactions.get(request.transaction_number)
+                    self._refuse(request, writer, current, str(error))
+                    continue
                 except (ArithmeticError, LookupError, TypeError, ValueError) as error:
                     # Another version's request, for example. The link serves other clients, too.
                     _LOG.warning("request that can't be decoded declined", error=str(error))
@@ -140,15 +145,39 @@
                 abandoned.roll_back()
 
     def _decline(self, request: frames.ForwardedRequest, writer: asyncio.StreamWriter) -> None:
-        outcome = frames.encode_outcome(
+        """Answer that this owner can't serve a request, so that the sender turns to another."""
+        outcome = self._failure(
+            request, statements.ErrorCode.BUSY, "the owner can't serve the group"
+        )
+        with contextlib.suppress(member_link.Lost):
+            member_link.write(writer, frames.pack(msgspec.structs.replace(outcome, declined=True)))
+
+    def _refuse(
+        self,
+        request: frames.ForwardedRequest,
+        writer: asyncio.StreamWriter,
+        current: transaction.Transaction | None,
+        reason: str,
+    ) -> None:
+        """Answer that a request did not run and that no owner can run it."""
+        outcome = self._failure(request, statements.ErrorCode.BAD, reason, current)
+        with contextlib.suppress(member_link.Lost):
+            member_link.write(writer, frames.pack(outcome))
+
+    def _failure(
+        self,
+        request: frames.ForwardedRequest,
+        code: statements.ErrorCode,
+        text: str,
+        current: transaction.Transaction | None = None,
+    ) -> frames.ForwardedOutcome:
+        return frames.encode_outcome(
             request.sequence_number,
-            execution.failure_outcome(statements.ErrorCode.BUSY, "the owner can't serve the group"),
+            execution.failure_outcome(code, text),
             execution.Trace(),
             self._clock(),
-            None,
+            current,
         )
-        with contextlib.suppress(member_link.Lost):
-            member_link.write(writer, frames.pack(msgspec.structs.replace(outcome, declined=True)))
 
     async def _answer(
         self,
@@ -170,8 +199,14 @@
         request: frames.ForwardedRequest,
         open_transactions: dict[int, transaction.Transaction],
     ) -> "AcceptedRequest":
-        """Determine what runs a request; begin its transaction if the request is its first."""
+        """Determine what runs a request; begin its transaction if the request is its first.
+
+        Raises:
+          interfaces.NotEncodable: No member can receive the request.
+          ArithmeticError, LookupError, TypeError, ValueError: The request can't be decoded.
+        """
         decoded = frames.decode_request(request, self._clock())
+        self._check_encodable(request, decoded)
         begun = request.transaction_number in open_transactions
         declined = self.refusing or (self.stopping and not begun)
         executor = None if declined else self._executor_of(request.service)
@@ -189,6 +224,19 @@
             current = self._find_or_begin(request, decoded, executor, open_transactions)
         return AcceptedRequest(request, decoded, executor, superseded, current)
 
+    def _check_encodable(
+        self, request: frames.ForwardedRequest, decoded: execution.Request
+    ) -> None:
+        """Raise NotEncodable if a member can't receive what another instance has sent."""
+        self._dialect.encode_query(decoded.id, decoded.text)
+        for name, value in decoded.values.items():
+            self._dialect.encode_set_value(name, value)
+        prepared = decoded.prepared_statement
+        if prepared is not None:
+            self._dialect.encode_prepare(prepared.name, prepared.access, prepared.text)
+        if request.begin is not None:
+            self._dialect.encode_query(request.begin.id, request.begin.text)
+
     async def _run(
         self,
         accepted: "AcceptedRequest",
--- a/bilberrystack/pooling/session.py
+++ b/bilberrystack/pooling/session.py
@@ -418,13 +418,41 @@
         finally:
             self._request_limit = None
         self._record_position(outcome, wrote)
+        outcome, result = self._encode_result(request, statement, outcome)
         self._log_request(request, statement, outcome, trace)
         if outcome.failure is not None:
             self._reply_error(outcome.failure.code, outcome.failure.text)
         else:
-            assert outcome.done is not None
-            lines = [*outcome.rows, outcome.done]
-            self._reply(b"".join(self._host.dialect.encode_result_line(line) for line in lines))
+            self._reply(result)
+
+    def _encode_result(
+        self,
+        request: execution.Request,
+        statement: statements.Statement,
+        outcome: execution.Outcome,
+    ) -> tuple[execution.Outcome, bytes]:
+        """Encode the result of a statement.
+
+        Returns:
+          The outcome and the lines of its result. A result that no line can carry is a failure; the
+          statement has run then.
+        """
+        if outcome.done is None:
+            return outcome, b""
+        lines = [*outcome.rows, outcome.done]
+        encode = self._host.dialect.encode_result_line
+        try:
+            return outcome, b"".join(encode(line) for line in lines)
+        except interfaces.NotEncodable as error:
+            _LOG.warning("result that can't be sent to the client", error=str(error))
+        code = statements.ErrorCode.FAILED
+        if self._transaction is not None:
+            self._transaction.roll_back()
+            self._transaction.failed = True
+            code = statements.ErrorCode.ABORTED
+        elif isinstance(statement, statements.Commit) or request.access is statements.Access.WRITE:
+            code = statements.ErrorCode.UNKNOWN_OUTCOME
+        return execution.failure_outcome(code, "the result can't be sent", outcome.reply), b""
 
     async def _execute(
         self,
@@ -502,7 +530,13 @@
         )
 
     def _reply_error(self, code: statements.ErrorCode, text: str) -> None:
-        self._reply(self._host.dialect.encode_error(code, text))
+        dialect = self._host.dialect
+        try:
+            line = dialect.encode_error(code, text)
+        except interfaces.NotEncodable:
+            # The text of another instance.
+            line = dialect.encode_error(code, "no explanation")
+        self._reply(line)
 
     def _reply(self, lines: bytes) -> None:
         self._send(lines + self._host.dialect.encode_ready(self.state, self._position))
