Take no address with a scope from the store

Cause: parse_endpoint accepts what ipaddress does, and that is any text after the % of an IPv6 address. An address of the store such as "::1%, line end, text" was written into the first line to a relay and into the Host header of calls. Change: an address with a scope names no endpoint, so that its entry is left out like other odd ones.

--- a/bilberrystack/platform/odd_entries_test.py
+++ b/bilberrystack/platform/odd_entries_test.py
@@ -57,6 +57,8 @@
     "port of many digits": _with(address="127.0.0.1:" + "9" * 6_000),
     "no port": _with(address="127.0.0.1:0"),
     "host name": _with(address="member:7000"),
+    "line end in the address": _with(address="::1%\r\nQUERY - DEMOTE 9:7000"),
+    "scope in the address": _with(address="fe80::1%eth0:7000"),
     "unpaired surrogate": _raw("zone", b'"addis-\\udcff"'),
     "bytes that are not UTF-8": _raw("zone", b'"addis-\xff"'),
     "a control character": _raw("zone", b'"\x00"'),
--- a/bilberrystack/routing/model.py
+++ b/bilberrystack/routing/model.py
@@ -44,8 +44,14 @@
 
 
 def parse_endpoint(text: str) -> Endpoint | None:
-    """Return the endpoint that a text of the form IP:PORT names; None if it names none."""
+    """Return the endpoint that a text of the form IP:PORT names; None if it names none.
+
+    An address with a scope, as in fe80::1%eth0, is none: any text is valid as a scope, also one
+    that ends a line.
+    """
     host, _, port = text.rpartition(":")
+    if "%" in host:
+        return None
     try:
         ipaddress.ip_address(host)
     except ValueError:
