Quote each name in a store path, and send no call with a broken head

Cause: register_instance put the instance's name into the path of its PUT as it is, and the HTTP client wrote targets and header values into a request's head unchecked. A name with CR LF ended a header field, and a lone surrogate was an exception that no caller expects. Change: all paths of objects come from one function, which quotes the name. The HTTP client raises NotSent for a target that isn't visible ASCII, and for a header value with a control character other than a tab; its callers treat that as a call without effect. Conclusion: a name that no head can carry costs the calls that carry it, and nothing else.

--- a/bilberrystack/platform/client.py
+++ b/bilberrystack/platform/client.py
@@ -306,7 +306,9 @@
             await self._store.change("POST", target, body)
         except interfaces.Conflict:
             # An earlier incarnation of this instance has left its registration.
-            await self._store.change("PUT", f"{target}/{instance.name}", body)
+            await self._store.change(
+                "PUT", _object_path(objects.INSTANCE_KIND, instance.name), body
+            )
 
     async def deregister_instance(self, name: str) -> None:
         """Delete an instance's registration, if there is one.
@@ -314,8 +316,7 @@
         Raises:
           interfaces.StoreFailure: The registration may not have been deleted.
         """
-        quoted = urllib.parse.quote(name, safe="")
-        await self._store.change("DELETE", f"/objects/{objects.INSTANCE_KIND}/{quoted}")
+        await self._store.change("DELETE", _object_path(objects.INSTANCE_KIND, name))
 
     @property
     def store_era(self) -> int:
@@ -331,7 +332,7 @@
         Raises:
           interfaces.StoreFailure: The store did not answer with a valid response.
         """
-        response = await self._store.get(f"/objects/{objects.LEASE_KIND}/{objects.LEASE_NAME}")
+        response = await self._store.get(_object_path(objects.LEASE_KIND, objects.LEASE_NAME))
         era = self._store.era_of(response)
         if response.status == 404:
             return interfaces.LeaseRecord(None, 0, interfaces.Revision(era, 0), era)
@@ -377,7 +378,8 @@
         target = f"/objects/{objects.LEASE_KIND}"
         if replaced.exists:
             body = _encode_object(objects.LEASE_NAME, spec, replaced.revision.number)
-            response = await self._store.change("PUT", f"{target}/{objects.LEASE_NAME}", body)
+            path = _object_path(objects.LEASE_KIND, objects.LEASE_NAME)
+            response = await self._store.change("PUT", path, body)
         else:
             response = await self._store.change(
                 "POST", target, _encode_object(objects.LEASE_NAME, spec)
@@ -400,8 +402,7 @@
         Raises:
           interfaces.StoreFailure: The record may not have been deleted.
         """
-        quoted = urllib.parse.quote(name, safe="")
-        await self._store.change("DELETE", f"/objects/{objects.PROMOTION_KIND}/{quoted}")
+        await self._store.change("DELETE", _object_path(objects.PROMOTION_KIND, name))
 
     async def promote(
         self, service: str, member: str, coordinator: str, token: int, *, may_send: http.MaySend
@@ -442,6 +443,11 @@
         self._platform_http.close()
 
 
+def _object_path(kind: str, name: str) -> str:
+    """Return the path of an object, whose name may have any characters."""
+    return f"/objects/{kind}/{urllib.parse.quote(name, safe='')}"
+
+
 def _encode_object(
     name: str, spec: msgspec.Struct, revision: int | None = None
 ) -> dict[str, object]:
--- a/bilberrystack/platform/odd_entries_test.py
+++ b/bilberrystack/platform/odd_entries_test.py
@@ -127,6 +127,30 @@
     assert lease.coordinator is None
 
 
+@pytest.mark.asyncio
+async def test_names_are_quoted_in_each_path(monkeypatch):
+    """Guards against a name of which a part is read as another path, a query or a header."""
+    targets = []
+
+    async def call(_client, method, target, *_args, **_keywords):
+        targets.append((method, target))
+        return http.Response(409 if method == "POST" else 200, b"{}", {})
+
+    monkeypatch.setattr(http.Client, "call", call)
+    platform = client.Client(ENDPOINT, ENDPOINT, counters.Counters())
+    name = "a/b?c\r\nd \xe4"
+    quoted = "a%2Fb%3Fc%0D%0Ad%20%C3%A4"
+    await platform.register_instance(model.Instance(name, "1f", ENDPOINT, "a"))
+    await platform.deregister_instance(name)
+    await platform.remove_promotion_record(name)
+    assert targets == [
+        ("POST", "/objects/bilberrystack-instances"),
+        ("PUT", f"/objects/bilberrystack-instances/{quoted}"),
+        ("DELETE", f"/objects/bilberrystack-instances/{quoted}"),
+        ("DELETE", f"/objects/bilberrystack-promotions/{quoted}"),
+    ]
+
+
 def test_only_the_named_object_is_the_configuration():
     """Guards against a configuration of another writer with a high version."""
     content = b'{"version": 9, "routes": [], "services": [], "limits": {"tx_idle_ms": 500}}'
--- a/bilberrystack/pooling/http.py
+++ b/bilberrystack/pooling/http.py
@@ -4,6 +4,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import re
 
 import httptools
 
@@ -23,6 +24,13 @@
 REQUEST_TIMEOUT_S = 30.0
 
 
+# What the head of a request can carry: a target of visible ASCII characters, and header fields
+# without characters that end a line or a string. Callers quote names in targets.
+_TARGET = re.compile(r"/[!-~]*")
+_HEADER_VALUE = re.compile(r"[^\x00-\x08\x0a-\x1f\x7f]*")
+_TOKEN = re.compile(r"[A-Za-z0-9-]+")
+
+
 class CallFailure(Exception):
     """An HTTP call got no response."""
 
@@ -121,17 +129,18 @@
         Returns:
           The response, with any status.
         Raises:
-          NotSent: The connection failed, or `may_send` returned false.
+          NotSent: The connection failed, `may_send` returned false, or the head of the request
+            can't carry the target or a header field.
           NoResponse: The call may have been executed, or may still be.
         """
         ends_at_s = asyncio.get_running_loop().time() + timeout_s
+        request = self._encode_request(method, target, body, headers or {})
         try:
             reader, writer = self._take_idle_connection() or await member_link.connect(
                 self._endpoint, READ_CHUNK_BYTES, min(CONNECT_TIMEOUT_S, timeout_s)
             )
         except member_link.LinkFailure as error:
             raise NotSent(f"{type(error).__name__} {error}") from error
-        request = self._encode_request(method, target, body, headers or {})
         if not may_send():
             writer.close()
             raise NotSent("permission to send the call has ended")
@@ -177,13 +186,22 @@
         body: bytes,
         headers: collections.abc.Mapping[str, str],
     ) -> bytes:
+        """Encode a request; raise NotSent if its head can't carry a value."""
+        if not (_TOKEN.fullmatch(method) and _TARGET.fullmatch(target)):
+            raise NotSent("the head of the request can't carry the target")
+        for name, value in headers.items():
+            if not (_TOKEN.fullmatch(name) and _HEADER_VALUE.fullmatch(value)):
+                raise NotSent(f"the head of the request can't carry the field {name!r}")
         lines = [f"{method} {target} HTTP/1.1", f"Host: {self._endpoint}"]
         lines += [f"{name}: {value}" for name, value in headers.items()]
         if body:
             lines.append("Content-Type: application/json")
         if body or method != "GET":
             lines.append(f"Content-Length: {len(body)}")
-        return "\r\n".join([*lines, "", ""]).encode() + body
+        try:
+            return "\r\n".join([*lines, "", ""]).encode() + body
+        except UnicodeEncodeError as error:
+            raise NotSent("a header field has no UTF-8 form") from error
 
     async def _read_response(self, reader: asyncio.StreamReader) -> tuple[Response, bool]:
         response_parser = _ResponseParser()
--- a/bilberrystack/pooling/http_test.py
+++ b/bilberrystack/pooling/http_test.py
@@ -1,4 +1,4 @@
-"""Tests HTTP calls whose permission may end while their connection is being opened."""
+"""Tests HTTP calls: the permission to send them, their heads, and their time limits."""
 
 import asyncio
 
@@ -64,3 +64,27 @@
         with pytest.raises(http.NoResponse):
             await server.client.call("GET", "/", 0.3)
         assert asyncio.get_running_loop().time() - started_at_s < 0.6
+
+
+@pytest.mark.parametrize(
+    ("target", "headers"),
+    [
+        ("/objects/a\r\nX: 1", {}),
+        ("/objects/a b", {}),
+        ("/objects/a\nb", {}),
+        ("/objects/\xe4", {}),
+        ("objects", {}),
+        ("/promote", {"Duty-Holder": "a\r\nX: 1"}),
+        ("/promote", {"Duty-Holder": "a\nb"}),
+        ("/promote", {"Duty-Holder": "a\x00"}),
+        ("/promote", {"Duty-Holder": "\udcff"}),
+        ("/promote", {"Duty Holder": "a"}),
+    ],
+)
+async def test_a_call_whose_head_can_t_carry_a_value_is_not_sent(target, headers):
+    """Guards against a name that adds a header field, or a second request, to a call."""
+    async with Server() as server:
+        with pytest.raises(http.NotSent):
+            await server.client.call("POST", target, 0.5, b"{}", headers=headers)
+        await server.client.call("POST", "/objects/a%0Ab", 0.5, headers={"Duty-Holder": "\xe4 b"})
+        assert len(server.received) == 1
