Refuse an instance name that no message can carry

Cause: the name of the settings file is a field of START to members and of a header to the platform. A process with a blank or a line end in its name started, and then could use no connection. Ruled out: replacing such characters, since two instances could get the same name. Change: settings_file reports an empty name, and one with blanks or control characters. Conclusion: the fault shows at the start, with its reason, as other invalid settings do.

--- a/bilberrystack/platform/settings_file.py
+++ b/bilberrystack/platform/settings_file.py
@@ -122,6 +122,9 @@
     readiness_endpoint = _parse_endpoint("listen.ready", file.listen.ready, problems)
     store_endpoint = _parse_endpoint("platform.address", file.platform.address, problems)
     platform_endpoint = _parse_endpoint("cloud.address", file.cloud.address, problems)
+    # Members and the platform receive the name as one field of a message.
+    if not file.node_name or any(char == " " or not char.isprintable() for char in file.node_name):
+        problems.append("node_name: must have neither blanks nor control characters")
     ports = file.internal_ports
     if len(ports) != 2 or ports[1] - ports[0] < _METRICS_PORT_OFFSET:
         problems.append(
--- a/bilberrystack/platform/settings_file_test.py
+++ b/bilberrystack/platform/settings_file_test.py
@@ -2,6 +2,7 @@
 
 import json
 
+import pytest
 from returns import result
 
 from bilberrystack.platform import settings_file
@@ -55,6 +56,12 @@
     ]
 
 
+@pytest.mark.parametrize("name", ["", "front a", "front\r\nQUERY - DEMOTE 9", "front\n", "a\x00"])
+def test_a_name_that_no_message_can_carry_is_reported(name):
+    """Guards against a process that starts, but whose connections and calls are never sent."""
+    assert [problem.split(":")[0] for problem in _problems(node_name=name)] == ["node_name"]
+
+
 def test_file_that_is_not_a_json_object_is_reported():
     """A traceback would not show an operator what to correct."""
     assert isinstance(settings_file.parse(b"{"), result.Failure)
