Cut long request ids in log lines

Cause: a request id is a client's text of up to 1 MiB, and each request logs it. Ruled out: ids with line ends. A line of the log escapes them, for which logs_test.py has a new test that passes before as well. Change: the log line of a request has the first 64 characters of its id. Figures: the new test of instance_test.py fails on the code before and passes after. Conclusion: the id reaches the member unchanged; only the log line is shorter.

--- a/bilberrystack/logs_test.py
+++ b/bilberrystack/logs_test.py
@@ -63,6 +63,17 @@
     assert line["message"] == 'A "quoted" text'
 
 
+@pytest.mark.parametrize("as_json", [False, True])
+def test_a_field_of_any_characters_stays_on_its_line(open_output, as_json):
+    """Guards against a client's request id that ends a line, or can't be logged."""
+    output = open_output(json=as_json)
+    text = "a\r\nb\rc\n\u2028\x85\x0b\x00\t\x1e{}"
+    loguru.logger.bind(id=text).info("request ended")
+    assert len(output.lines) == 1 and output.lines[0].index("\n") == len(output.lines[0]) - 1
+    if as_json:
+        assert json.loads(output.lines[0])["id"] == text
+
+
 def test_repeated_lines_are_counted_and_others_are_not_held_back(open_output):
     """Guards against a frequent message that fills the log or suppresses other messages."""
     output = open_output(json=True)
--- a/bilberrystack/pooling/instance_test.py
+++ b/bilberrystack/pooling/instance_test.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
+import loguru
 import pytest
 
 from bilberrystack.pooling import instance
+from bilberrystack.pooling import session
 from bilberrystack_standins import line_group
 from bilberrystack_standins import line_site
 from bilberrystack_standins import platform_server
@@ -359,6 +361,21 @@
         assert (await other_client.query("READ x"))[0] == "ROW -"
 
 
+async def test_a_long_request_id_leaves_the_log_to_others():
+    """Guards against one request that fills the buffer of the log output."""
+    records = []
+    handler_id = loguru.logger.add(lambda message: records.append(message.record["extra"]))
+    try:
+        async with line_site.Site() as site:
+            client = await site.connect("strict")
+            request_id = "i" * 50_000
+            assert (await client.query("READ x", request_id))[1] == f"DONE proof-a-{request_id}"
+    finally:
+        loguru.logger.remove(handler_id)
+    logged_ids = [extra["id"] for extra in records if "database" in extra]
+    assert logged_ids == ["i" * session.MAX_LOGGED_ID_CHARACTERS]
+
+
 async def test_an_incomplete_line_blocks_only_its_own_connection():
     """A client that stops inside a line must not hold anything but its connection."""
     async with line_site.Site() as site:
--- a/bilberrystack/pooling/session.py
+++ b/bilberrystack/pooling/session.py
@@ -37,6 +37,10 @@
 # A client that leaves more than MAX_UNREAD_BYTES unread for this long loses its session.
 WRITE_TIMEOUT_S = 10.0
 
+# Longer request ids are cut in log lines. A line with an id of 1 MiB exceeds the buffer of the log
+# output, and several shorter ones leave no room for other lines.
+MAX_LOGGED_ID_CHARACTERS = 64
+
 # Values and prepared statements per session, so that a client can't exhaust the memory.
 MAX_SESSION_DEFINITIONS = 512
 
@@ -519,7 +523,7 @@
         self._host.counters.request_seconds.observe({"kind": kind}, took_s)
         _LOG.info(
             "request ended",
-            id=request.id,
+            id=request.id[:MAX_LOGGED_ID_CHARACTERS],
             database=self._database,
             kind=kind,
             consistency=request.route.consistency.value,
