Accept blanks in the last field of READ and FORGET

Cause: parse_statement took READ and FORGET with a blank in their field for no statement, so that a client got BAD for an item or a name that the protocol allows. Ruled out: the reason of the former check, that a client must not hide one statement inside another. A member runs what follows READ as one item, and AFTER and the proxy's commands stay refused. Change: PROTOCOL.md says "The last field extends to the end of the line". The item of READ and the name of FORGET are last fields. wire_test.py expected "READ a b" to be malformed; it is checked to be a READ now, and READ and FORGET with an empty field, and empty fields before the last one of WRITE, SET and EXEC, are checked to be malformed instead.

--- a/bilberrystack/platform/wire.py
+++ b/bilberrystack/platform/wire.py
@@ -107,7 +107,7 @@
             return statements.Commit()
         case ["ROLLBACK"]:
             return statements.Rollback()
-        case ["READ", item] if item:
+        case ["READ", *item] if " ".join(item):
             return statements.DirectStatement(statements.Access.READ)
         case ["WRITE", item, _, *_] if item:
             return statements.DirectStatement(statements.Access.WRITE)
@@ -117,8 +117,8 @@
             return statements.Prepare(name, _ACCESS_MODES[access], " ".join([shape, *rest]))
         case ["EXEC", name, item, *rest] if name and item:
             return statements.Execute(name, " ".join([item, *rest]))
-        case ["FORGET", name] if name:
-            return statements.Forget(name)
+        case ["FORGET", *name] if " ".join(name):
+            return statements.Forget(" ".join(name))
         case _:
             return statements.Malformed("unknown statement")
 
--- a/bilberrystack/platform/wire_test.py
+++ b/bilberrystack/platform/wire_test.py
@@ -11,7 +11,8 @@
 @pytest.mark.parametrize(
     "text",
     [
-        *("", "SELECT 1", "READ", "READ a b", "READ ", "WRITE a", "BEGIN WRITE", "COMMIT now"),
+        *("", "SELECT 1", "READ", "READ ", "READx", "WRITE a", "BEGIN WRITE"),
+        *("COMMIT now", "ROLLBACK now", "WRITE  a", "FORGET ", "SET  a", "EXEC  a"),
         *("SET", "SET a", "PREPARE a b c", "PREPARE a READ", "EXEC", "EXEC a", "FORGET"),
         *("STATUS", "DEMOTE 9", "HOLD 9", "RESET", "AFTER 1.2 READ a", "begin"),
     ],
@@ -27,11 +28,17 @@
         ("BEGIN", statements.Begin(False)),
         ("BEGIN READ", statements.Begin(True)),
         ("READ 1a4", statements.DirectStatement(statements.Access.READ)),
+        ("READ a b", statements.DirectStatement(statements.Access.READ)),
+        ("READ  a", statements.DirectStatement(statements.Access.READ)),
+        ("READ  ", statements.DirectStatement(statements.Access.READ)),
+        ("READ a\nb\t", statements.DirectStatement(statements.Access.READ)),
         ("WRITE 1a4 some data", statements.DirectStatement(statements.Access.WRITE)),
         ("SET zone a b", statements.SetValue("zone", "a b")),
         ("PREPARE s1 WRITE q2c x", statements.Prepare("s1", statements.Access.WRITE, "q2c x")),
         ("EXEC s1 1a4 x y", statements.Execute("s1", "1a4 x y")),
         ("FORGET s1", statements.Forget("s1")),
+        ("FORGET s1 s2", statements.Forget("s1 s2")),
+        ("FORGET  s1", statements.Forget(" s1")),
     ],
 )
 def test_last_field_of_a_statement_may_contain_spaces(text, statement):
