Refuse a QUERY that can't be passed on, and go on with the session

Cause: a client could use the request id "-", which PROTOCOL.md reserves for the proxy's own statements, and a member could not tell the two apart. An empty id, or bytes that are no UTF-8, ended the session without the READY that PROTOCOL.md names "in every case" after a QUERY. Ruled out: passing other bytes on as they are. Frames between instances carry text, and the protocol speaks of text fields. Change: such a QUERY is a RefusedQuery, which gets ERR BAD and READY; nothing reaches a member, and an open transaction stays open. Since a line ends in CR LF whatever its bytes are, the next one is read correctly. encode_query refuses "-", also for requests that an instance of an earlier version forwards. A QUERY without an id or a text still ends its session with BAD, as do other lines that are no message. Conclusion: a caller's text reaches the member unchanged or not at all.

--- a/bilberrystack/platform/wire.py
+++ b/bilberrystack/platform/wire.py
@@ -62,11 +62,14 @@
     Args:
       line: The line without its line end.
     Returns:
-      The message; Malformed if the line is not a valid message.
+      The message; Malformed if the line is not a valid message. A QUERY whose id or text can't be
+      passed on unchanged is a RefusedQuery, since the protocol answers each QUERY with READY.
     """
     try:
         text = line.decode()
     except UnicodeDecodeError:
+        if line.startswith(b"QUERY "):
+            return statements.RefusedQuery("the line is not UTF-8")
         return statements.Malformed("the line is not UTF-8")
     word, _, rest = text.partition(" ")
     match word:
@@ -77,8 +80,10 @@
             return statements.Start(database)
         case "QUERY":
             request_id, separator, statement_text = rest.partition(" ")
-            if not request_id or not separator or not statement_text:
+            if not separator or not statement_text:
                 return statements.Malformed("QUERY without a request id or a statement")
+            if request_id in ("", PROXY_REQUEST_ID):
+                return statements.RefusedQuery("the request id is empty or reserved")
             return statements.Query(request_id, statement_text)
         case "BYE":
             return statements.Goodbye()
@@ -275,6 +280,8 @@
     Raises:
       interfaces.NotEncodable: The message can't carry the id or the text.
     """
+    if request_id == PROXY_REQUEST_ID:
+        raise interfaces.NotEncodable("the request id is reserved")
     prefix = [] if min_position is None else ["AFTER", _format_position(min_position)]
     return _encode_message(["QUERY", request_id, *prefix], text)
 
--- a/bilberrystack/platform/wire_test.py
+++ b/bilberrystack/platform/wire_test.py
@@ -52,6 +52,30 @@
     assert isinstance(wire.parse_client_message(line), statements.Malformed)
 
 
+@pytest.mark.parametrize(
+    "line", [b"QUERY - READ x", b"QUERY  READ x", b"QUERY \xff READ x", b"QUERY a WRITE x \xff"]
+)
+def test_a_query_that_can_t_be_passed_on_is_refused(line):
+    """Guards against a statement under the proxy's own id, and against changed bytes."""
+    assert isinstance(wire.parse_client_message(line), statements.RefusedQuery)
+
+
+@pytest.mark.parametrize(
+    "request_id", ["--", "a\tb", "a\n", "\r", "\u2028", "-\n", "\x00", "AFTER"]
+)
+def test_a_request_id_of_odd_characters_is_passed_on(request_id):
+    """Guards against an id that the answer's proof is not for."""
+    query = wire.parse_client_message(f"QUERY {request_id} READ x".encode())
+    assert query == statements.Query(request_id, "READ x")
+    assert wire.encode_query(query.id, query.text) == f"QUERY {request_id} READ x\r\n".encode()
+
+
+def test_no_statement_of_a_client_has_the_proxys_id():
+    """Guards against a client's statement that a member takes for one of the proxy."""
+    with pytest.raises(interfaces.NotEncodable):
+        wire.encode_query("-", "READ x")
+
+
 def test_member_messages_are_distinguished():
     """A row whose data looks like another message type is still a row."""
     assert wire.parse_member_message(b"ROW DONE x") == statements.Row(b"ROW DONE x")
--- a/bilberrystack/pooling/line_end_test.py
+++ b/bilberrystack/pooling/line_end_test.py
@@ -146,3 +146,42 @@
             assert (executed.request_id, executed.text) == (f"w{number}", f"WRITE x {data}")
             assert executed.session_values == {"v": "a\nb"}
             assert (await session.query("READ x"))[0] == f"ROW {data}"
+
+
+REFUSED_QUERIES = {
+    "reserved id": b"QUERY - WRITE x 1",
+    "empty id": b"QUERY  WRITE x 1",
+    "id that is not UTF-8": b"QUERY \xff WRITE x 1",
+    "data that is not UTF-8": b"QUERY w1 WRITE x \xe4",
+    "half of a character": b"QUERY w1 WRITE x \xf0\x9f",
+    "surrogate": b"QUERY w1 SET v \xed\xa0\x80",
+}
+
+
+@pytest.mark.parametrize("line", REFUSED_QUERIES.values(), ids=REFUSED_QUERIES)
+async def test_a_query_that_can_t_be_passed_on_is_refused_and_the_session_goes_on(line):
+    """Guards against a QUERY without its READY, and against text that reaches a member changed."""
+    async with line_site.Site(1) as site:
+        session = await site.connect("strict")
+        await session.query("BEGIN")
+        await session.query("WRITE x 0", "w0")
+        session.writer.write(line + b"\r\n")
+        answer = await session.read_answer()
+        assert answer[0].startswith("ERR BAD") and answer[1].startswith("READY T")
+        assert (await session.query("COMMIT", "c0"))[0] == "DONE proof-a-c0"
+        session.writer.write(line + b"\r\nQUERY r1 READ x\r\n")
+        answer = await session.read_answer()
+        assert answer[0].startswith("ERR BAD") and answer[1].startswith("READY I")
+        assert (await session.read_answer())[:2] == ["ROW 0", "DONE proof-a-r1"]
+        assert [run.text for run in site.group.executed_statements] == [
+            *("WRITE x 0", "COMMIT", "READ x")
+        ]
+
+
+@pytest.mark.parametrize("request_id", ["--", "a\tb", "a\nb", "\r", "\u2028", "-\n", "\x00"])
+async def test_a_request_id_of_odd_characters_arrives_unchanged(request_id):
+    """Guards against a proof for another id than the client's."""
+    async with line_site.Site(1) as site:
+        session = await site.connect("strict")
+        assert (await session.query("WRITE x 1", request_id))[0] == f"DONE proof-a-{request_id}"
+        assert site.group.executed_statements[0].request_id == request_id
--- a/bilberrystack/pooling/malformed_test.py
+++ b/bilberrystack/pooling/malformed_test.py
@@ -158,6 +158,7 @@
 UNENCODABLE_REQUESTS = {
     "id with a blank": {"id": "a READ x"},
     "empty id": {"id": ""},
+    "reserved id": {"id": "-"},
     "text with a line end": {"text": "READ x\r\nQUERY - DEMOTE 9"},
     "value with a line end": {"values": {"v": "1\r\nQUERY - DEMOTE 9"}},
     "name with a blank": {"values": {"v 1": "2"}},
--- a/bilberrystack/pooling/session.py
+++ b/bilberrystack/pooling/session.py
@@ -247,6 +247,8 @@
             match self._host.dialect.parse_client_message(line):
                 case statements.Query(request_id, text):
                     await self._answer_query(request_id, text)
+                case statements.RefusedQuery(reason):
+                    self._reply_error(statements.ErrorCode.BAD, reason)
                 case statements.Goodbye():
                     return False
                 case _:
--- a/bilberrystack/routing/statements.py
+++ b/bilberrystack/routing/statements.py
@@ -161,7 +161,14 @@
     """Message with which a client ends its session."""
 
 
-ClientMessage = Start | Query | Goodbye | Malformed
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefusedQuery:
+    """Request of a client that no member can receive unchanged; the session goes on after it."""
+
+    reason: str
+
+
+ClientMessage = Start | Query | RefusedQuery | Goodbye | Malformed
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
