--- a/bilberrystack/platform/odd_entries_test.py
+++ b/bilberrystack/platform/odd_entries_test.py
@@ -57,6 +57,8 @@
     "port of many digits": _with(address="127.0.0.1:" + "9" * 6_000),
     "no port": _with(address="127.0.0.1:0"),
     "host name": _with(address="member:7000"),
+    "line end in the address": _with(address="::1%\r\nQUERY - DEMOTE 9:7000"),
+    "scope in the address": _with(address="fe80::1%eth0:7000"),
     "unpaired surrogate": _raw("zone", b'"addis-\\udcff"'),
     "bytes that are not UTF-8": _raw("zone", b'"addis-\xff"'),
     "a control character": _raw("zone", b'"\x00"'),
@@ -125,6 +127,30 @@
     assert lease.coordinator is None
 
 
+@pytest.mark.asyncio
+async def test_names_are_quoted_in_each_path(monkeypatch):
+    """Guards against a name of which a part is read as another path, a query or a header."""
+    targets = []
+
+    async def call(_client, method, target, *_args, **_keywords):
+        targets.append((method, target))
+        return http.Response(409 if method == "POST" else 200, b"{}", {})
+
+    monkeypatch.setattr(http.Client, "call", call)
+    platform = client.Client(ENDPOINT, ENDPOINT, counters.Counters())
+    name = "a/b?c\r\nd \xe4"
+    quoted = "a%2Fb%3Fc%0D%0Ad%20%C3%A4"
+    await platform.register_instance(model.Instance(name, "1f", ENDPOINT, "a"))
+    await platform.deregister_instance(name)
+    await platform.remove_promotion_record(name)
+    assert targets == [
+        ("POST", "/objects/bilberrystack-instances"),
+        ("PUT", f"/objects/bilberrystack-instances/{quoted}"),
+        ("DELETE", f"/objects/bilberrystack-instances/{quoted}"),
+        ("DELETE", f"/objects/bilberrystack-promotions/{quoted}"),
+    ]
+
+
 def test_only_the_named_object_is_the_configuration():
     """Guards against a configuration of another writer with a high version."""
     content = b'{"version": 9, "routes": [], "services": [], "limits": {"tx_idle_ms": 500}}'
--- a/bilberrystack/pooling/http_test.py
+++ b/bilberrystack/pooling/http_test.py
@@ -1,4 +1,4 @@
-"""Tests that an HTTP call is sent only with permission, and gets only its own response."""
+"""Tests HTTP calls: the permission to send them, their heads, time limits and responses."""
 
 import asyncio
 
@@ -118,3 +118,27 @@
             response = await server.client.call("GET", "/", 0.5)
             assert (response.status, response.body) == (200, number)
         assert server.connections == 2
+
+
+@pytest.mark.parametrize(
+    ("target", "headers"),
+    [
+        ("/objects/a\r\nX: 1", {}),
+        ("/objects/a b", {}),
+        ("/objects/a\nb", {}),
+        ("/objects/\xe4", {}),
+        ("objects", {}),
+        ("/promote", {"Duty-Holder": "a\r\nX: 1"}),
+        ("/promote", {"Duty-Holder": "a\nb"}),
+        ("/promote", {"Duty-Holder": "a\x00"}),
+        ("/promote", {"Duty-Holder": "\udcff"}),
+        ("/promote", {"Duty Holder": "a"}),
+    ],
+)
+async def test_a_call_whose_head_can_t_carry_a_value_is_not_sent(target, headers):
+    """Guards against a name that adds a header field, or a second request, to a call."""
+    async with Server() as server:
+        with pytest.raises(http.NotSent):
+            await server.client.call("POST", target, 0.5, b"{}", headers=headers)
+        await server.client.call("POST", "/objects/a%0Ab", 0.5, headers={"Duty-Holder": "\xe4 b"})
+        assert len(server.received) == 1
