Test transactions at members that answer twice

Cause: the site test of second answers ran single statements only. Change: sessions run transactions with prepared writes at two instances while a tenth of the answers come twice and the primary is busy now and then; a transaction that was reported as aborted may not have been committed, and no write may run outside its transaction.

--- a/bilberrystack/pooling/repeated_answer_test.py
+++ b/bilberrystack/pooling/repeated_answer_test.py
@@ -49,6 +49,56 @@
         assert [wrong for session in results for wrong in session] == []
 
 
+async def _use_transactions(site, number, count):
+    """Run transactions of one session; return those with a wrong answer or outcome."""
+    session = await site.connect("strict", number % len(site.instances))
+    await session.query("PREPARE put WRITE q")
+    wrong = []
+    for attempt in range(count):
+        commit_id = f"c{number}-{attempt}"
+        await session.query("BEGIN")
+        write = await session.query(f"EXEC put t{number} {attempt}", f"w{number}-{attempt}")
+        read = await session.query(f"READ t{number}", f"r{number}-{attempt}")
+        commit = await session.query("COMMIT", commit_id)
+        if commit[0].startswith("ERR"):
+            await session.query("ROLLBACK")
+        for answer, request_id in ((write, f"w{number}-{attempt}"), (commit, commit_id)):
+            proven = answer[0] == f"DONE proof-a-{request_id}"
+            if not proven and not answer[0].startswith(
+                ("ERR BUSY", "ERR ABORTED", "ERR UNSURE", "ERR BAD")
+            ):
+                wrong.append(answer)
+        if read[0].startswith("ROW") and read[1] != f"DONE proof-a-r{number}-{attempt}":
+            wrong.append(read)
+        commits = site.group.commit_counts[commit_id]
+        if commits != 1 and commit[0].startswith("DONE"):
+            wrong.append((commit_id, commits, commit))
+        if commits and not commit[0].startswith(("DONE", "ERR UNSURE")):
+            wrong.append((commit_id, commits, commit))
+    return wrong
+
+
+@pytest.mark.parametrize("seed", range(3))
+async def test_second_answers_do_not_change_the_outcome_of_a_transaction(seed):
+    """Guards against transactions that are reported as aborted although they were committed.
+
+    Members are busy now and then, so that rejections are sent twice, too.
+    """
+    options = line_group.GroupOptions(
+        slots=4, repeated_share=0.1, repetition_delay_s=0.05, seed=seed
+    )
+    async with line_site.Site(2, options) as site:
+        running = asyncio.gather(*(_use_transactions(site, number, 20) for number in range(8)))
+        while not running.done():
+            site.group.members["a"].statements_to_reject = 2
+            await asyncio.wait({running}, timeout=0.02)
+        assert [wrong for session in running.result() for wrong in session] == []
+        # All writes were sent inside transactions; one that ran by itself has its own id here.
+        assert not [count for count in site.group.commit_counts.values() if count != 1]
+        assert not [name for name in site.group.commit_counts if not name.startswith("c")]
+        assert sum(site.group.commit_counts.values()) > 10
+
+
 async def test_connections_that_end_because_of_second_answers_are_counted():
     """Guards against a member that costs connections and outcomes unnoticed."""
     options = line_group.GroupOptions(slots=8, repetition_delay_s=0.0)
