Keep each message within 1 MiB

Cause: a statement near the limit became longer at the member than the protocol allows: by AFTER, or by the longer name of a prepared statement. Lines of clients and members were accepted up to two bytes above the limit. A refused line was followed by a close with unread data, which resets the connection and can discard the refusal. Ruled out: sending a read without AFTER to a replica, which may lack the position; and shorter names of prepared statements, since they are digests that all sessions share. Change: encoders raise TooLong, a kind of NotEncodable. A read that has no room for AFTER runs at the primary, whose answer is confirmed. A PREPARE or EXEC that is too long under the member's name, and a BEGIN READ without room for AFTER, get TOOBIG and READY; nothing ran, and an open transaction goes on. After a line above the limit the rest is discarded for up to 1 s, so that the client reads the refusal before the close. The limit is that of the line without its end. Conclusion: a session's values and a result together may still exceed a frame between instances.

--- a/bilberrystack/platform/wire.py
+++ b/bilberrystack/platform/wire.py
@@ -5,7 +5,8 @@
 
 The `encode_` functions return bytes with the line end, ready to be sent. They raise NotEncodable
 for a field that its message can't carry: one with CR LF or without a UTF-8 form, one before the
-last with a blank, and an empty one. Only the last field of a client's own text may be empty.
+last with a blank, and an empty one. Only the last field of a client's own text may be empty. A
+message that would be too long is TooLong, a kind of NotEncodable.
 """
 
 import collections.abc
@@ -18,6 +19,9 @@
 # Maximum length of a message, without its line end, as the protocol specifies.
 MAX_LINE_BYTES = 1_048_576
 
+# Longest text that the proxy adds before a statement: AFTER, a position and two blanks.
+_MAX_POSITION_PREFIX_BYTES = len("AFTER ") + 2 * 18 + len(". ")
+
 # Longest number of a member that the messages between instances can carry.
 MAX_DIGITS = 18
 
@@ -245,8 +249,9 @@
     Args:
       received: The line as received from the member, without its line end.
     Raises:
-      interfaces.NotEncodable: It is empty or more than one line.
+      interfaces.NotEncodable: It is empty, more than one line or too long.
     """
+    _check_length(received)
     if not received or _LINE_END.encode() in received:
         raise interfaces.NotEncodable("the line of the result is not one line")
     return received + _LINE_END.encode()
@@ -286,6 +291,17 @@
     return _encode_message(["QUERY", request_id, *prefix], text)
 
 
+def has_room_for_position(request_id: str, text: str) -> bool:
+    """Return whether a statement can be sent with any position that a member has to have.
+
+    Args:
+      request_id: Request id that the client chose.
+      text: The statement as it is sent to the member.
+    """
+    longest = len(f"QUERY {request_id} {text}{_LINE_END}".encode()) + _MAX_POSITION_PREFIX_BYTES
+    return longest <= MAX_LINE_BYTES
+
+
 def format_execute(name: str, arguments: str) -> str:
     """Return the text of a statement that runs a prepared statement.
 
@@ -384,9 +400,16 @@
     if _LINE_END in text:
         raise interfaces.NotEncodable("a field has a line end")
     try:
-        return (text + _LINE_END).encode()
+        line = text.encode()
     except UnicodeEncodeError as error:
         raise interfaces.NotEncodable("a field has no UTF-8 form") from error
+    _check_length(line)
+    return line + _LINE_END.encode()
+
+
+def _check_length(line: bytes) -> None:
+    if len(line) > MAX_LINE_BYTES:
+        raise interfaces.TooLong("the message would be longer than 1 MiB")
 
 
 def _format_position(position: positions.Position | None) -> str:
--- a/bilberrystack/pooling/execution.py
+++ b/bilberrystack/pooling/execution.py
@@ -344,8 +344,8 @@
     async def read_requirements(self, request: Request, trace: Trace) -> group.Requirements:
         """Return what a read requires of a member, by its route and session.
 
-        If no known position is recent enough, the read goes to the primary, whose answer is
-        confirmed.
+        If no known position is recent enough, or if the statement has no room for one, the read
+        goes to the primary, whose answer is confirmed.
 
         Args:
           request: The read.
@@ -355,6 +355,8 @@
         max_age_s = request.route.max_age_s
         if max_age_s is None or request.route.consistency is model.Consistency.PRIMARY:
             return requirements
+        if not self._dialect.has_room_for_position(request.id, request.text):
+            return requirements
         sample = self._required_sample(request, max_age_s)
         if sample is None and await self.group.confirmation.sample_primary():
             sample = self._required_sample(request, max_age_s)
--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -311,7 +311,7 @@
         _LOG.info("reload ignored: settings take effect only at a restart")
 
     async def _listen(self) -> None:
-        limit = self.dialect.MAX_LINE_BYTES + 2
+        limit = self.dialect.MAX_LINE_BYTES
         peer_server = relay.Relay(
             self._own_instance.incarnation, self._is_member_endpoint, self._owner_server
         )
--- a/bilberrystack/pooling/interfaces.py
+++ b/bilberrystack/pooling/interfaces.py
@@ -19,6 +19,10 @@
     """A message can't carry a field: it would end early, or its fields would be others."""
 
 
+class TooLong(NotEncodable):
+    """A message would be longer than the protocol allows."""
+
+
 class Dialect(Protocol):
     """The line protocol of clients and members; see platform/wire.py.
 
@@ -44,6 +48,7 @@
     def encode_query(
         self, request_id: str, text: str, min_position: positions.Position | None = None
     ) -> bytes: ...
+    def has_room_for_position(self, request_id: str, text: str) -> bool: ...
     def format_execute(self, name: str, arguments: str) -> str: ...
     def encode_status_query(self) -> bytes: ...
     def encode_demote(self, term: int) -> bytes: ...
--- a/bilberrystack/pooling/line_stream.py
+++ b/bilberrystack/pooling/line_stream.py
@@ -14,7 +14,7 @@
 
     Raises:
       EOFError: The connection ended, inside a line or before one.
-      asyncio.LimitOverrunError: The line is longer than the reader's limit.
+      asyncio.LimitOverrunError: The line without its end is longer than the reader's limit.
     """
     line = await reader.readuntil(LINE_END)
     return line[: -len(LINE_END)]
--- a/bilberrystack/pooling/member_link.py
+++ b/bilberrystack/pooling/member_link.py
@@ -367,7 +367,7 @@
             first_lines = instance_lines.encode_relay_request(member.endpoint) + first_lines
     except interfaces.NotEncodable as error:
         raise NotOpened(str(error)) from error
-    reader, writer = await connect(target, dialect.MAX_LINE_BYTES + 2)
+    reader, writer = await connect(target, dialect.MAX_LINE_BYTES)
     link = MemberLink(member, reader, writer, dialect, clock)
     try:
         write(writer, first_lines)
--- a/bilberrystack/pooling/owner_server.py
+++ b/bilberrystack/pooling/owner_server.py
@@ -234,8 +234,11 @@
         prepared = decoded.prepared_statement
         if prepared is not None:
             self._dialect.encode_prepare(prepared.name, prepared.access, prepared.text)
-        if request.begin is not None:
-            self._dialect.encode_query(request.begin.id, request.begin.text)
+        begin = request.begin
+        if begin is not None:
+            self._dialect.encode_query(begin.id, begin.text)
+            if begin.read_only and not self._dialect.has_room_for_position(begin.id, begin.text):
+                raise interfaces.TooLong("the begin has no room for a position")
 
     async def _run(
         self,
--- a/bilberrystack/pooling/session.py
+++ b/bilberrystack/pooling/session.py
@@ -41,6 +41,10 @@
 # output, and several shorter ones leave no room for other lines.
 MAX_LOGGED_ID_CHARACTERS = 64
 
+# How long the rest of a refused line is discarded until the client closes its connection.
+DISCARD_TIMEOUT_S = 1.0
+DISCARD_CHUNK_BYTES = 262_144
+
 # Values and prepared statements per session, so that a client can't exhaust the memory.
 MAX_SESSION_DEFINITIONS = 512
 
@@ -187,17 +191,29 @@
             # The client has disconnected, or became unresponsive inside a message.
             pass
         except asyncio.LimitOverrunError:
-            self._send(
-                self._host.dialect.encode_error(
-                    statements.ErrorCode.TOO_BIG, "the line is too long"
-                )
-            )
+            await self._refuse_long_line()
         finally:
             if self._transaction is not None:
-                self._transaction.roll_back()
-                self._transaction = None
+                self._end_transaction()
             self.close()
 
+    async def _refuse_long_line(self) -> None:
+        """Refuse a line that is too long, after which the session ends.
+
+        What the client still sends is read and discarded. A connection that is closed with unread
+        data is reset, and the reset discards a refusal that the client has not read yet.
+        """
+        if self._transaction is not None:
+            self._end_transaction()
+        self._send(
+            self._host.dialect.encode_error(statements.ErrorCode.TOO_BIG, "the line is too long")
+        )
+        with contextlib.suppress(OSError, RuntimeError, TimeoutError):
+            self._writer.write_eof()
+            async with asyncio.timeout(DISCARD_TIMEOUT_S):
+                while await self._reader.read(DISCARD_CHUNK_BYTES):
+                    pass
+
     async def _start(self) -> bool:
         """Handle the start message; return whether the session is accepted."""
         async with asyncio.timeout(START_TIMEOUT_S):
@@ -313,6 +329,11 @@
                     )
                     return
                 member_text = dialect.format_execute(prepared.name, arguments)
+                try:
+                    dialect.encode_query(request_id, member_text)
+                except interfaces.NotEncodable as error:
+                    self._reply_not_encodable(error)
+                    return
                 request = self._request(
                     request_id, member_text, prepared.access, prepared, arrived_at_s
                 )
@@ -344,6 +365,9 @@
         if self._transaction is not None:
             self._reply_error(statements.ErrorCode.BAD, "already in a transaction")
             return
+        if read_only and not self._host.dialect.has_room_for_position(request_id, text):
+            self._reply_error(statements.ErrorCode.TOO_BIG, "the request id is too long")
+            return
         route = self._route()
         begin_request = transaction.BeginRequest(request_id, text, read_only)
         begun = None if route is None else self._host.begin(begin_request, route)
@@ -365,15 +389,23 @@
                 statements.ErrorCode.TOO_BIG, "too many values and prepared statements"
             )
             return
-        match statement:
-            case statements.SetValue(name, value):
-                self._values[name] = value
-            case statements.Prepare(name, access, text):
-                self._prepared_statements[name] = execution.PreparedStatement(access, text)
-            case statements.Forget(name):
-                self._prepared_statements.pop(name, None)
+        dialect = self._host.dialect
+        try:
+            match statement:
+                case statements.SetValue(name, value):
+                    dialect.encode_set_value(name, value)
+                    self._values[name] = value
+                case statements.Prepare(name, access, text):
+                    prepared = execution.PreparedStatement(access, text)
+                    dialect.encode_prepare(prepared.name, access, text)
+                    self._prepared_statements[name] = prepared
+                case statements.Forget(name):
+                    self._prepared_statements.pop(name, None)
+        except interfaces.NotEncodable as error:
+            self._reply_not_encodable(error)
+            return
         self._operation_expected_since_s = self._host.clock()
-        self._reply(self._host.dialect.encode_done())
+        self._reply(dialect.encode_done())
 
     def _request(
         self,
@@ -544,6 +576,12 @@
             line = dialect.encode_error(code, "no explanation")
         self._reply(line)
 
+    def _reply_not_encodable(self, error: interfaces.NotEncodable) -> None:
+        """Answer a statement that did not run, because no member can receive it."""
+        too_long = isinstance(error, interfaces.TooLong)
+        code = statements.ErrorCode.TOO_BIG if too_long else statements.ErrorCode.BAD
+        self._reply_error(code, str(error))
+
     def _reply(self, lines: bytes) -> None:
         self._send(lines + self._host.dialect.encode_ready(self.state, self._position))
 
