Take grown results and free error texts for what they are

Cause: a result whose first rows were an earlier whole result counted as partly repeated, so that each read of a list that had grown ended a connection and aborted its transaction; an error text of FAILED or TIMEOUT with the name of a message in it counted as malformed. Change: rows are not compared with earlier rows. The text of the two codes that promise nothing is free.

--- a/bilberrystack/platform/wire.py
+++ b/bilberrystack/platform/wire.py
@@ -50,6 +50,9 @@
 _ERROR_WORDS = {code: word for word, code in _ERROR_CODES.items()} | {
     statements.ErrorCode.OTHER: "FAILED"
 }
+# Codes of statements that ran. Their text may be any; taking another message in it for a part of
+# the text promises nothing to the client.
+_FREE_TEXT_CODES = (statements.ErrorCode.FAILED, statements.ErrorCode.TIMEOUT)
 _TRANSACTION_STATES = {
     "I": statements.TransactionState.IDLE,
     "T": statements.TransactionState.TRANSACTION,
@@ -143,16 +146,16 @@
     """
     if line.startswith(b"ROW ") or line == b"ROW":
         return statements.Row(line)
-    if _contains_message(line):
+    words = line.decode(errors="replace").split(" ", 2)
+    code = _ERROR_CODES.get(words[1], statements.ErrorCode.OTHER) if len(words) > 1 else None
+    if _contains_message(line) and not (words[0] == "ERR" and code in _FREE_TEXT_CODES):
         return statements.Malformed("a message that was cut off, and another one")
     if line.startswith(b"DONE "):
         return statements.Done(line)
-    words = line.decode(errors="replace").split(" ", 2)
     match words:
-        case ["ERR", code, *text]:
-            return statements.Failure(
-                _ERROR_CODES.get(code, statements.ErrorCode.OTHER), " ".join([code, *text])
-            )
+        case ["ERR", word, *text]:
+            assert code is not None
+            return statements.Failure(code, " ".join([word, *text]))
         case ["READY", state, position] if state in _TRANSACTION_STATES:
             return statements.Ready(_TRANSACTION_STATES[state], parse_position(position))
         case _:
@@ -163,7 +166,7 @@
     """Return whether another message begins inside a line that is no row.
 
     A member may send an answer a second time and cut it off. What it sends next then continues the
-    line; a proof or an error text with such a word in it is not known.
+    line, and a write that ran could be taken as rejected.
     """
     return (
         line.find(b"DONE ", 1) > 0
--- a/bilberrystack/routing/answers.py
+++ b/bilberrystack/routing/answers.py
@@ -28,7 +28,6 @@
     UNASKED = "unasked"
     MALFORMED = "malformed"
     REPEATED = "repeated"
-    PARTLY_REPEATED = "partly_repeated"
     PROOF_MISSING = "proof_missing"
     ROW_COUNT = "row_count"
     STATE = "state"
@@ -91,7 +90,7 @@
 
 
 class AnswerHistory:
-    """The answers of one connection: proofs, errors and rows that it has had.
+    """The answers of one connection: proofs and errors that it has had.
 
     Answers without a proof look alike. After one of them a second copy may have been taken for the
     answer, and the true one may still arrive; the connection is then not known to be in step.
@@ -136,8 +135,6 @@
             return Fault.ROW_COUNT
         if reply.state is not (expectation.next_state or previous_state):
             return Fault.STATE
-        if reply.rows and self._begins_with_earlier_rows(reply.rows):
-            return Fault.PARTLY_REPEATED
         self._in_step = expectation.proven
         return None
 
@@ -179,15 +176,6 @@
             return Verdict.UNVERIFIED
         return Verdict.CERTAIN
 
-    def _begins_with_earlier_rows(self, rows: tuple[bytes, ...]) -> bool:
-        """Record the rows of a result; return whether they begin with all rows of an earlier one.
-
-        A second copy that was cut off behind its rows leaves them in front of the next result.
-        """
-        begins = any(hash(rows[:count]) in self._digests for count in range(1, len(rows)))
-        self._digests.add(hash(rows))
-        return begins
-
     def _is_repeated(self, text: bytes | str) -> bool:
         """Record a proof or an error; return whether the connection has had it before."""
         digest = hash(text)
