Expect no commit of a transaction whose only write was rejected

Cause: test_second_answers_do_not_change_the_outcome_of_a_transaction failed in about one of ten runs, with ERR BUSY READY T for the only write, and a DONE with its own proof for the COMMIT: the member was busy until the write's time limit, the client went on, and nothing was committed. That is the protocol's answer. Change: a COMMIT that succeeds has committed exactly what was answered as written: one commit after a write that succeeded, none after one that was rejected. A commit without an answer to its write, or of a rejected write, is as wrong as before.

--- a/bilberrystack/pooling/repeated_answer_test.py
+++ b/bilberrystack/pooling/repeated_answer_test.py
@@ -71,7 +71,9 @@
         if read[0].startswith("ROW") and read[1] != f"DONE proof-a-r{number}-{attempt}":
             wrong.append(read)
         commits = site.group.commit_counts[commit_id]
-        if commits != 1 and commit[0].startswith("DONE"):
+        # A write that a busy member has rejected leaves the transaction open, with nothing to commit.
+        written = write[0].startswith("DONE")
+        if commits != written and commit[0].startswith("DONE"):
             wrong.append((commit_id, commits, commit))
         if commits and not commit[0].startswith(("DONE", "ERR UNSURE")):
             wrong.append((commit_id, commits, commit))
