Close a connection whose rollback was answered with an error

Cause: an error in state I, maybe a second copy of an earlier one, counted as a rollback, and the connection went back to the pool with the rollback's own answer still to come. The next statement read it, so that a write had an unknown outcome for nothing. Change: such a connection is closed. The handling of a mismatch in run_all is in a clause of its own. Tests: the new test in answer_outcomes_test.py fails without the change to group.py (unknown outcome).

--- a/bilberrystack/pooling/answer_outcomes_test.py
+++ b/bilberrystack/pooling/answer_outcomes_test.py
@@ -251,3 +251,18 @@
     assert fixture.group.history.newest_sample() is None
     await fixture.read("r1")
     assert str(fixture.group.history.newest_sample().position) == "1/1"
+
+
+async def test_an_error_does_not_count_as_a_rollback(fixture):
+    """Guards against a connection in the pool that still gets the answer to its rollback."""
+    fixture.member.data_before["ROLLBACK"] = [b"ERR BUSY full\r\nREADY I 1.1\r\n"]
+    fixture.member.held["ROLLBACK"] = asyncio.Event()
+    current = fixture.transaction()
+    await current.run(_request("w1", "WRITE x 1"), execution.Trace())
+    current.roll_back()
+    async with asyncio.timeout(5):
+        while any(link.in_use for link in fixture.group.pools["a"]._links):
+            await asyncio.sleep(0.001)
+    asyncio.get_running_loop().call_later(0.05, fixture.member.held["ROLLBACK"].set)
+    assert (await fixture.write("w2")).done == b"DONE proof-w2"
+    assert fixture.member.committed == ["w2"]
--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -584,7 +584,9 @@
     async def _roll_back(self, link: member_link.MemberLink) -> None:
         try:
             async with asyncio.timeout(ROLLBACK_TIMEOUT_S):
-                await link.run(self._dialect.encode_rollback(), answers.ROLLBACK)
+                reply = await link.run(self._dialect.encode_rollback(), answers.ROLLBACK)
+            if reply.failure is not None:
+                link.close()
         except (member_link.Lost, TimeoutError):
             link.close()
         if link.state is not statements.TransactionState.IDLE:
--- a/bilberrystack/pooling/member_link.py
+++ b/bilberrystack/pooling/member_link.py
@@ -305,13 +305,14 @@
             self.answer_outstanding = True
             replies = await self._exchange(queries)
             self.answer_outstanding = False
+        except AnswerMismatch as mismatch:
+            self._end(mismatch.fault)
+            raise
+        except Lost:
+            self.close()
+            raise
         except (OSError, EOFError, ValueError, asyncio.LimitOverrunError) as error:
-            mismatch = error.fault if isinstance(error, AnswerMismatch) else None
-            if mismatch is not None:
-                self._end(mismatch)
             self.close()
-            if isinstance(error, Lost):
-                raise
             raise Lost(f"{type(error).__name__} while a statement was out") from error
         if self._reader.buffered_bytes:
             # The rest of a second copy, or the true answer if a second copy was taken for it.
