Do not count a member as failed for a second copy of an error

Cause: a second copy of an error that was taken for the answer to a SET, PREPARE or ROLLBACK ended the connection as if the member had failed, which sends an urgent heartbeat. Change: an error that the connection has had before is Fault.REPEATED for these statements, too. Tests: the new test in answers_test.py fails without the change.

--- a/bilberrystack/routing/answers.py
+++ b/bilberrystack/routing/answers.py
@@ -167,7 +167,10 @@
             return Fault.STATE
         if not expectation.verify_errors:
             self._in_step = False
-            return Verdict.CERTAIN
+            # A busy member rejects one status query after the other. An error of the others ends
+            # the connection, for which the member is not to blame if it is a second copy.
+            reports_status = expectation.row_count is RowCount.ONE
+            return Fault.REPEATED if repeated and not reports_status else Verdict.CERTAIN
         if reply.state is statements.TransactionState.FAILED:
             # Nothing but a rollback follows, whose answer differs from all others that may arrive.
             return Fault.REPEATED if repeated else Verdict.CERTAIN
--- a/bilberrystack/routing/answers_test.py
+++ b/bilberrystack/routing/answers_test.py
@@ -25,3 +25,16 @@
     assert history.check_success(_reply(b"ROW a"), b"1", answers.READ, IDLE) is None
     fault = history.check_success(_reply(b"ROW a", b"ROW b"), b"2", answers.READ, IDLE)
     assert fault is answers.Fault.PARTLY_REPEATED
+
+
+def test_an_earlier_error_is_no_answer_to_a_preparation():
+    """Guards against a second copy for which the member counts as failed."""
+    history = answers.AnswerHistory()
+    failure = statements.Failure(statements.ErrorCode.BUSY, "BUSY full")
+    reply = statements.Reply((), None, failure, IDLE, None, 0.0, 0.0)
+    assert history.check_failure(reply, failure, answers.READ, IDLE) is answers.Verdict.CERTAIN
+    for expectation in (answers.PREPARATION, answers.ROLLBACK):
+        fault = history.check_failure(reply, failure, expectation, IDLE)
+        assert fault is answers.Fault.REPEATED
+    verdict = history.check_failure(reply, failure, answers.STATUS, IDLE)
+    assert verdict is answers.Verdict.CERTAIN
