Let no session end the link between two instances by long messages

Cause: a forwarded statement carries its session's values and prepared statements, up to 512 of 1 MiB each, and an outcome carries all rows of a result. A frame above 8 MiB ends the link to the owner, and with it the statements of all other sessions on it: their outcomes are unknown. Ruled out: a higher limit of frames, which an instance would have to buffer for each link. Change: the values and prepared statements of a session have 4 MiB together; a SET or PREPARE beyond that gets TOOBIG. An owner answers a statement whose result no frame can carry with FAILED, or UNSURE unless it only reads. Conclusion: a result above 8 MiB can be read through an owner only.

--- a/bilberrystack/pooling/frames.py
+++ b/bilberrystack/pooling/frames.py
@@ -17,7 +17,8 @@
 
 LENGTH_BYTES = 4
 
-# Large enough for a statement of 1 MiB with its session's values.
+# Large enough for a statement of 1 MiB, the begin of its transaction, and its session's values and
+# prepared statements, which have 4 MiB together (session.MAX_DEFINITION_BYTES).
 MAX_FRAME_BYTES = 8_388_608
 
 
--- a/bilberrystack/pooling/message_length_test.py
+++ b/bilberrystack/pooling/message_length_test.py
@@ -2,11 +2,14 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from bilberrystack.core import positions
 from bilberrystack.platform import wire
+from bilberrystack.pooling import frames
 from bilberrystack.pooling import interfaces
+from bilberrystack.pooling import session as client_session
 from bilberrystack.routing import statements
 from bilberrystack_standins import line_group
 from bilberrystack_standins import line_site
@@ -138,3 +141,48 @@
     while not wire.has_room_for_position("r", f"READ {item}"):
         item = item[1:]
     assert len(wire.encode_query("r", f"READ {item}", position)) == MAX_BYTES
+
+
+async def test_definitions_of_a_session_fit_into_a_frame():
+    """Guards against a session that ends the link to an owner on which others are waiting."""
+    longest_frame = client_session.MAX_DEFINITION_BYTES + 2 * MAX_BYTES
+    assert longest_frame + 1_000_000 < frames.MAX_FRAME_BYTES
+    async with line_site.Site(1) as site:
+        session = await _connect(site, "strict")
+        for number in range(3):
+            assert await session.send(_padded(f"QUERY q SET v{number} ")) == ["DONE -", "READY I -"]
+        assert (await session.send(_padded("QUERY q PREPARE p READ \xe4", 900_000)))[0] == "DONE -"
+        for message in ("QUERY q SET v3 ", "QUERY q PREPARE q READ "):
+            answer = await session.send(_padded(message, 200_000))
+            assert answer[0].startswith("ERR TOOBIG") and answer[1] == "READY I -"
+        assert await session.send(_padded("QUERY q SET v2 ")) == ["DONE -", "READY I -"]
+        assert await session.query("FORGET p") == ["DONE -", "READY I -"]
+        assert await session.send(_padded("QUERY q SET v3 ")) == ["DONE -", "READY I -"]
+        assert (await session.query("READ x", "r1"))[:2] == ["ROW -", "DONE proof-a-r1"]
+        assert site.group.executed_statements[0].session_values.keys() == {"v0", "v1", "v2", "v3"}
+
+
+async def test_a_result_that_no_frame_can_carry_is_a_failure(monkeypatch):
+    """Guards against a long result that ends the link to an owner on which others are waiting."""
+    execute = line_group.LineMember._execute
+
+    def answer_many_rows(member, request_id, words, min_position, connection):
+        answer = execute(member, request_id, words, min_position, connection)
+        return (_padded("ROW ") + "\r\n") * 9 + answer if request_id == "q1" else answer
+
+    monkeypatch.setattr(line_group.LineMember, "_execute", answer_many_rows)
+    async with line_site.Site(1) as site:
+        endpoint = site.settings[0].peers_endpoint
+        reader, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
+        writer.write(b"forward\n")
+        for number, code in ((1, "failed"), (2, "")):
+            request = msgspec.structs.replace(
+                frames.rollback_request(0),
+                **{"sequence_number": number, "kind": "read", "id": f"q{number}"},
+                **{"text": "READ x", "service": line_site.SERVICE, "database": "strict"},
+                **{"timeout_s": 10.0, "latency_objective_s": 10.0},
+            )
+            writer.write(frames.pack(request))
+            outcome = frames.unpack_outcome(await frames.read_body(reader))
+            assert (outcome.sequence_number, outcome.error_code) == (number, code)
+        writer.close()
--- a/bilberrystack/pooling/owner_server.py
+++ b/bilberrystack/pooling/owner_server.py
@@ -190,9 +190,23 @@
             outcome = await self._run(accepted, open_transactions)
         finally:
             self._running_requests -= 1
+        frame = frames.pack(outcome)
+        if len(frame) > frames.MAX_FRAME_BYTES:
+            frame = frames.pack(self._without_result(accepted.request, outcome))
         # If the sender has gone, its client can't receive the outcome through this instance.
         with contextlib.suppress(member_link.Lost):
-            member_link.write(writer, frames.pack(outcome))
+            member_link.write(writer, frame)
+
+    def _without_result(
+        self, request: frames.ForwardedRequest, outcome: frames.ForwardedOutcome
+    ) -> frames.ForwardedOutcome:
+        """Return the outcome of a statement that has run, but whose result no frame can carry."""
+        _LOG.warning("result that no frame can carry", rows=len(outcome.rows))
+        reads = request.kind != "commit" and request.access == statements.Access.READ.value
+        code = statements.ErrorCode.FAILED if reads else statements.ErrorCode.UNKNOWN_OUTCOME
+        return msgspec.structs.replace(
+            outcome, rows=[], done=None, error_code=code.value, error_text="the result is too long"
+        )
 
     def _accept(
         self,
--- a/bilberrystack/pooling/session.py
+++ b/bilberrystack/pooling/session.py
@@ -48,6 +48,10 @@
 # Values and prepared statements per session, so that a client can't exhaust the memory.
 MAX_SESSION_DEFINITIONS = 512
 
+# Names, values and texts of these together. A forwarded statement carries them in one frame, and a
+# frame that is too long ends the link on which other sessions wait.
+MAX_DEFINITION_BYTES = 4_194_304
+
 
 class Host(Protocol):
     """The instance that serves a session, as the session uses it."""
@@ -391,6 +395,7 @@
             return
         dialect = self._host.dialect
         try:
+            self._check_definition_bytes(statement)
             match statement:
                 case statements.SetValue(name, value):
                     dialect.encode_set_value(name, value)
@@ -407,6 +412,25 @@
         self._operation_expected_since_s = self._host.clock()
         self._reply(dialect.encode_done())
 
+    def _check_definition_bytes(
+        self, statement: statements.SetValue | statements.Prepare | statements.Forget
+    ) -> None:
+        """Raise TooLong if a definition exceeds what a session may have."""
+        match statement:
+            case statements.SetValue(added, text) | statements.Prepare(added, _, text):
+                pass
+            case _:
+                return
+        values = dict(self._values)
+        prepared = {name: each.text for name, each in self._prepared_statements.items()}
+        (values if isinstance(statement, statements.SetValue) else prepared)[added] = text
+        size = sum(
+            len(name.encode()) + len(definition.encode())
+            for name, definition in [*values.items(), *prepared.items()]
+        )
+        if size > MAX_DEFINITION_BYTES:
+            raise interfaces.TooLong("too long values and prepared statements")
+
     def _request(
         self,
         request_id: str,
