Treat a result without its last line as one that can't be sent

Cause: since a result is encoded before it is logged, one without DONE that another instance sends would have been answered with READY alone. Change: such a result is FAILED, ABORTED or UNSURE, like one with a line end.

--- a/bilberrystack/pooling/malformed_test.py
+++ b/bilberrystack/pooling/malformed_test.py
@@ -199,12 +199,17 @@
 
 
 @pytest.mark.asyncio
+@pytest.mark.parametrize(
+    "result",
+    [((b"ROW a\r\nDONE x\r\nREADY I -",), b"DONE 1"), ((), b"DONE 1\r\n"), ((), None)],
+    ids=["row with a line end", "proof with a line end", "no proof"],
+)
 @pytest.mark.parametrize(
     ("text", "answer"), [("READ x", "ERR FAILED"), ("WRITE x 1", "ERR UNSURE")]
 )
-async def test_a_result_that_no_line_can_carry_is_a_failure(monkeypatch, text, answer):
+async def test_a_result_that_no_line_can_carry_is_a_failure(monkeypatch, text, answer, result):
     """Guards against rows of another instance that a client takes for further answers."""
-    odd = execution.Outcome((b"ROW a\r\nDONE x\r\nREADY I -",), b"DONE 1")
+    odd = execution.Outcome(*result)
 
     async def run(*_):
         return odd
--- a/bilberrystack/pooling/session.py
+++ b/bilberrystack/pooling/session.py
@@ -499,9 +499,10 @@
           The outcome and the lines of its result. A result that no line can carry is a failure; the
           statement has run then.
         """
-        if outcome.done is None:
+        if outcome.failure is not None:
             return outcome, b""
-        lines = [*outcome.rows, outcome.done]
+        # Another instance may send a result without its last line, which can't be encoded either.
+        lines = [*outcome.rows, outcome.done or b""]
         encode = self._host.dialect.encode_result_line
         try:
             return outcome, b"".join(encode(line) for line in lines)
