Let the members' stand-in cut answers off, split them and repeat START's

Cause: the stand-in could send an answer twice, but always whole, in one write and never the answer to START. A member's response may also be cut off before its end. Change: member_answers.py sends the answers of a connection. An answer or its second copy is cut off at any byte, after which nothing more is sent and the connection is closed or kept open; the bytes of an answer arrive in pieces; START's answer comes twice. Each has a share in GroupOptions, drawn from its seed, and a count of the member for directed tests. Answers never interleave. Conclusion: the shares are 0 by default, so no other test sees a difference.

--- a/bilberrystack_standins/line_group.py
+++ b/bilberrystack_standins/line_group.py
@@ -2,9 +2,9 @@
 
 Members replicate asynchronously, run statements in slots, limit their connections and follow the
 promotions of the platform's stand-in. A message ends in CR LF; data may have any other character.
-Tests can make members unresponsive, stop their replication, or let them lose answers or send them
-twice. A real member drops the connection of a client that it cannot reach; here
-the connections simply end.
+Tests can make members unresponsive, stop their replication, or let them lose answers, cut them off,
+send them in pieces or send them twice. A real member drops the connection of a client that it
+cannot reach; here the connections simply end.
 """
 
 import asyncio
@@ -15,6 +15,8 @@
 import itertools
 import random
 
+from bilberrystack_standins import member_answers
+
 # Longest line that a member reads.
 _MAX_LINE_BYTES = 1_048_580
 
@@ -83,7 +85,12 @@
         Until then the group has two primaries.
       repeated_share: Share of the answers that are sent a second time.
       repetition_delay_s: Maximum time until the second copy of an answer is sent.
-      seed: Determines which answers are sent twice, and when.
+      repeated_start_share: Share of the answers to START that are sent a second time.
+      truncated_repetition_share: Share of the second copies that are cut off before their end.
+      truncated_share: Share of the answers that are cut off before their end. The member sends
+        nothing more on the connection then, and closes it or keeps it open.
+      split_share: Share of the answers whose bytes arrive in pieces.
+      seed: Determines which answers are sent in which way, and when.
     """
 
     slots: int = 2
@@ -94,6 +101,10 @@
     step_down_delay_s: float = 1.0
     repeated_share: float = 0.0
     repetition_delay_s: float = 0.4
+    repeated_start_share: float = 0.0
+    truncated_repetition_share: float = 0.0
+    truncated_share: float = 0.0
+    split_share: float = 0.0
     seed: int = 0
 
 
@@ -134,6 +145,10 @@
       statements_to_reject: Number of the next statements that are rejected as if the member were
         busy, a fault.
       answers_to_repeat: Number of the next answers that are sent a second time, a fault.
+      starts_to_repeat: Number of the next answers to START that are sent a second time, a fault.
+      repetitions_to_truncate: Number of the next second copies that are cut off, a fault.
+      answers_to_truncate: Number of the next answers that are cut off, a fault.
+      answers_to_split: Number of the next answers whose bytes arrive in pieces, a fault.
       connection_count: The number of open connections.
       empty_connections: The number of connections so far that the client closed without sending
         a line, or whose first line was empty.
@@ -155,6 +170,10 @@
         self.reads_to_fail = 0
         self.statements_to_reject = 0
         self.answers_to_repeat = 0
+        self.starts_to_repeat = 0
+        self.repetitions_to_truncate = 0
+        self.answers_to_truncate = 0
+        self.answers_to_split = 0
         self.connection_count = 0
         self.empty_connections = 0
         self.active_statements = 0
@@ -212,6 +231,9 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         self.connection_count += 1
+        sender = member_answers.AnswerSender(
+            writer, self._random, self.group.options.repetition_delay_s
+        )
         try:
             try:
                 words = (await read_line(reader)).split(" ")
@@ -222,11 +244,12 @@
             if refusal:
                 writer.write(f"ERR {refusal} {self.id}\r\n".encode())
                 return
-            writer.write(f"READY I {self.position}\r\n".encode())
+            ready = f"READY I {self.position}\r\n".encode()
+            await sender.send(ready, self._draw_delivery(to_start=True))
             connection = _Connection(next(_CONNECTION_NUMBERS))
             while True:
                 text = await read_line(reader)
-                if self.unresponsive or not await self._answer(text, connection, writer):
+                if self.unresponsive or not await self._answer(text, connection, sender):
                     # The member sends nothing more on this connection, but keeps it open until the
                     # client closes it.
                     await reader.read()
@@ -236,6 +259,7 @@
         finally:
             self.connection_count -= 1
             self._writers.discard(writer)
+            sender.close()
             with contextlib.suppress(OSError):
                 writer.close()
 
@@ -249,9 +273,9 @@
         return ""
 
     async def _answer(
-        self, line: str, connection: _Connection, writer: asyncio.StreamWriter
+        self, line: str, connection: _Connection, sender: member_answers.AnswerSender
     ) -> bool:
-        """Runs a statement and sends the answer; returns False if the answer is lost."""
+        """Runs a statement and sends the answer; returns False if it is lost or cut off."""
         _, request_id, text = line.split(" ", 2)
         words = text.split(" ")
         min_position = ""
@@ -278,18 +302,31 @@
         else:
             answer = self._execute(request_id, words, min_position, connection)
         data = f"{answer}\r\nREADY {connection.transaction_state} {self.position}\r\n".encode()
-        writer.write(data)
-        self._repeat_if_due(data, writer)
-        return True
+        await sender.send(data, self._draw_delivery(to_start=False))
+        return not sender.ended
 
-    def _repeat_if_due(self, data: bytes, writer: asyncio.StreamWriter) -> None:
+    def _draw_delivery(self, to_start: bool) -> member_answers.Delivery:
+        """Chooses how the next answer is sent: as a test has asked for, or by the shares."""
         options = self.group.options
-        if self.answers_to_repeat > 0:
-            self.answers_to_repeat -= 1
-        elif self._random.random() >= options.repeated_share:
-            return
-        delay_s = self._random.uniform(0, options.repetition_delay_s)
-        asyncio.get_running_loop().call_later(delay_s, _write_if_open, writer, data)
+        repeated_share, counter = options.repeated_share, "answers_to_repeat"
+        if to_start:
+            repeated_share, counter = options.repeated_start_share, "starts_to_repeat"
+        repeated = self._is_due(counter, repeated_share)
+        return member_answers.Delivery(
+            truncated=self._is_due("answers_to_truncate", options.truncated_share),
+            split=self._is_due("answers_to_split", options.split_share),
+            repeated=repeated,
+            repetition_truncated=repeated
+            and self._is_due("repetitions_to_truncate", options.truncated_repetition_share),
+        )
+
+    def _is_due(self, counter: str, share: float) -> bool:
+        """Counts a fault down if a test has asked for it, and draws it otherwise."""
+        remaining = getattr(self, counter)
+        if remaining > 0:
+            setattr(self, counter, remaining - 1)
+            return True
+        return self._random.random() < share
 
     def _execute(
         self, request_id: str, words: list[str], min_position: str, connection: _Connection
@@ -545,11 +582,6 @@
     return (await reader.readuntil(b"\r\n"))[:-2].decode()
 
 
-def _write_if_open(writer: asyncio.StreamWriter, data: bytes) -> None:
-    if not writer.is_closing():
-        writer.write(data)
-
-
 def _parse_position(position: str) -> tuple[int, int]:
     term, _, index = position.partition(".")
     return int(term), int(index)
