Make the members' and the store's stand-ins as strict as the protocol

Cause: besides line ends and second answers, the stand-ins were kinder than the protocol in other ways, so a fault of the proxy that they would have shown stayed hidden. Change: members leave a transaction in state E after a failed statement and then answer BAD to everything but its end. Statements of a plain transaction fail once the member has lost the lead, also reads. STATUS waits for a slot and can be BUSY, as can all statements when too many wait; a new connection occupies a slot. A message has 1 MiB at most. AFTER precedes reads and BEGIN only; COMMIT needs a transaction; FORGET and BYE exist. A HOLD needs a newer term, and ends with a restart or a promotion; a rolled-back replica is busy for a while; a former primary can be promoted again. Errors have a text, which options can set. Bytes that are no UTF-8 are kept. The record of an executed statement has the shape of the prepared one. The store compares the revision of DELETE, and the one in the query. COMMIT of a failed transaction answers FAILED, since the protocol leaves its answer open.

--- a/bilberrystack_standins/line_group.py
+++ b/bilberrystack_standins/line_group.py
@@ -13,12 +13,20 @@
 import dataclasses
 import errno
 import itertools
+import math
 import random
 
 from bilberrystack_standins import member_answers
 
-# Longest line that a member reads.
-_MAX_LINE_BYTES = 1_048_580
+# Longest message that a member reads, without its line end.
+MAX_MESSAGE_BYTES = 1_048_576
+
+# Statements that occupy a slot, and those that a member rejects if too many wait for one.
+_SLOT_STATEMENTS = ("READ", "WRITE", "EXEC", "COMMIT", "STATUS")
+_REJECTED_IF_BUSY = (*_SLOT_STATEMENTS, "BEGIN")
+
+# Statements that may carry the prefix AFTER. An EXEC may run a prepared read.
+_READ_AFTER_POSITION = ("READ", "EXEC", "BEGIN")
 
 # Delay before a member tries again to listen on a port that is in use.
 _PORT_RETRY_S = 0.05
@@ -58,6 +66,7 @@
       log: The member's log, of which the first `applied_count` entries were visible.
       applied_count: The number of applied entries.
       executed_at_s: The time of the execution, on the event loop's clock.
+      shape: The shape of the prepared statement that was executed; empty if it was none.
     """
 
     member_id: str
@@ -69,6 +78,7 @@
     log: list[CommittedEntry]
     applied_count: int
     executed_at_s: float
+    shape: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -77,9 +87,15 @@
 
     Attributes:
       slots: Maximum number of concurrent statements of a member.
+      max_waiting: Maximum number of statements that run or wait for a slot; a member rejects others
+        with BUSY.
       max_connections: Maximum number of connections of a member.
       apply_lag_s: Time between a commit and its application at replicas.
       service_time_s: Duration of a read, a write or a commit.
+      connection_time_s: Time for which a new connection occupies a slot.
+      rollback_time_s: Time for which a replica rejects statements with BUSY after a promotion has
+        rolled entries of its log back.
+      error_text: Text of the members' errors; empty for the id of the member.
       promotion_delay_s: Time between a promotion request and its effect.
       step_down_delay_s: Time until a former primary that still runs steps down after a promotion.
         Until then the group has two primaries.
@@ -94,9 +110,13 @@
     """
 
     slots: int = 2
+    max_waiting: int = 1000
     max_connections: int = 16
     apply_lag_s: float = 0.02
     service_time_s: float = 0.002
+    connection_time_s: float = 0.012
+    rollback_time_s: float = 0.1
+    error_text: str = ""
     promotion_delay_s: float = 0.05
     step_down_delay_s: float = 1.0
     repeated_share: float = 0.0
@@ -143,7 +163,8 @@
       answers_to_lose: Number of the next executed statements whose answers are lost, a fault.
       reads_to_fail: Number of the next reads that fail, a fault.
       statements_to_reject: Number of the next statements that are rejected as if the member were
-        busy, a fault.
+        busy, a fault. It does not count STATUS.
+      statuses_to_reject: The same for STATUS.
       answers_to_repeat: Number of the next answers that are sent a second time, a fault.
       starts_to_repeat: Number of the next answers to START that are sent a second time, a fault.
       repetitions_to_truncate: Number of the next second copies that are cut off, a fault.
@@ -152,6 +173,8 @@
       connection_count: The number of open connections.
       empty_connections: The number of connections so far that the client closed without sending
         a line, or whose first line was empty.
+      oversized_messages: The number of messages so far that were longer than the protocol allows;
+        each ended its connection.
       active_statements: The number of statements that run or wait for a slot.
       port: The port that the member listens on; 0 before the first start.
     """
@@ -169,6 +192,7 @@
         self.answers_to_lose = 0
         self.reads_to_fail = 0
         self.statements_to_reject = 0
+        self.statuses_to_reject = 0
         self.answers_to_repeat = 0
         self.starts_to_repeat = 0
         self.repetitions_to_truncate = 0
@@ -176,8 +200,10 @@
         self.answers_to_split = 0
         self.connection_count = 0
         self.empty_connections = 0
+        self.oversized_messages = 0
         self.active_statements = 0
         self.port = 0
+        self._busy_until_s = -math.inf
         self._slots = asyncio.Semaphore(group.options.slots)
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -203,7 +229,7 @@
         while self._server is None:
             try:
                 self._server = await asyncio.start_server(
-                    self._serve, "127.0.0.1", self.port, limit=_MAX_LINE_BYTES
+                    self._serve, "127.0.0.1", self.port, limit=MAX_MESSAGE_BYTES
                 )
             except OSError as error:
                 # A connection of another process may occupy the former port for a short time.
@@ -211,6 +237,7 @@
                     raise
                 await asyncio.sleep(_PORT_RETRY_S)
         self.port = self._server.sockets[0].getsockname()[1]
+        self.held_term = 0
         for primary in self.group.primaries:
             self.step_down(primary)
 
@@ -242,13 +269,17 @@
                 return
             refusal = self._refusal(words)
             if refusal:
-                writer.write(f"ERR {refusal} {self.id}\r\n".encode())
+                writer.write(encode(f"{self._error(refusal)}\r\n"))
                 return
+            async with self._slots:
+                await asyncio.sleep(self.group.options.connection_time_s)
             ready = f"READY I {self.position}\r\n".encode()
             await sender.send(ready, self._draw_delivery(to_start=True))
             connection = _Connection(next(_CONNECTION_NUMBERS))
             while True:
                 text = await read_line(reader)
+                if text == "BYE":
+                    return
                 if self.unresponsive or not await self._answer(text, connection, sender):
                     # The member sends nothing more on this connection, but keeps it open until the
                     # client closes it.
@@ -256,6 +287,8 @@
         except (OSError, asyncio.IncompleteReadError):
             # The client has disconnected; its open transaction is rolled back.
             pass
+        except asyncio.LimitOverrunError:
+            self.oversized_messages += 1
         finally:
             self.connection_count -= 1
             self._writers.discard(writer)
@@ -276,32 +309,29 @@
         self, line: str, connection: _Connection, sender: member_answers.AnswerSender
     ) -> bool:
         """Runs a statement and sends the answer; returns False if it is lost or cut off."""
-        _, request_id, text = line.split(" ", 2)
+        message_type, _, rest = line.partition(" ")
+        request_id, _, text = rest.partition(" ")
         words = text.split(" ")
         min_position = ""
-        if words[0] == "AFTER":
+        if words[0] == "AFTER" and words[2:3] and words[2] in _READ_AFTER_POSITION:
             min_position, words = words[1], words[2:]
-        if self.statements_to_reject > 0 and words[0] in (
-            "READ",
-            "WRITE",
-            "EXEC",
-            "COMMIT",
-            "BEGIN",
-        ):
-            self.statements_to_reject -= 1
-            answer = f"ERR BUSY {self.id}"
-        elif words[0] in ("READ", "WRITE", "EXEC", "COMMIT"):
-            self.active_statements += 1
+        if message_type != "QUERY":
+            answer = self._error("BAD")
+        elif self._rejects(words[0]):
+            answer = self._error("BUSY")
+        elif words[0] in _SLOT_STATEMENTS:
+            self.active_statements += words[0] != "STATUS"
             async with self._slots:
-                await asyncio.sleep(self.group.options.service_time_s)
+                if words[0] != "STATUS":
+                    await asyncio.sleep(self.group.options.service_time_s)
                 answer = self._execute(request_id, words, min_position, connection)
-            self.active_statements -= 1
-            if self.answers_to_lose > 0:
+            self.active_statements -= words[0] != "STATUS"
+            if words[0] != "STATUS" and self.answers_to_lose > 0:
                 self.answers_to_lose -= 1
                 return False
         else:
             answer = self._execute(request_id, words, min_position, connection)
-        data = f"{answer}\r\nREADY {connection.transaction_state} {self.position}\r\n".encode()
+        data = encode(f"{answer}\r\nREADY {connection.transaction_state} {self.position}\r\n")
         await sender.send(data, self._draw_delivery(to_start=False))
         return not sender.ended
 
@@ -328,57 +358,102 @@
             return True
         return self._random.random() < share
 
+    def _rejects(self, statement: str) -> bool:
+        """Returns whether the member rejects a statement as busy."""
+        if statement not in _REJECTED_IF_BUSY:
+            return False
+        counter = "statuses_to_reject" if statement == "STATUS" else "statements_to_reject"
+        return (
+            self._is_due(counter, 0.0)
+            or asyncio.get_running_loop().time() < self._busy_until_s
+            or self.active_statements >= self.group.options.max_waiting
+        )
+
+    def _error(self, code: str) -> str:
+        return f"ERR {code} {self.group.options.error_text or self.id}"
+
+    def _fail(self, code: str, connection: _Connection) -> str:
+        """Returns the answer to a failed statement, after which a transaction can only be ended."""
+        if connection.transaction_state == "T":
+            connection.transaction_state = "E"
+        return self._error(code)
+
+    def _has_lost_the_lead(self, statement: str, connection: _Connection) -> bool:
+        """Returns whether the statement is in a transaction that began at a primary no longer one.
+
+        A transaction that wrote nothing can still be committed.
+        """
+        return (
+            connection.transaction_kind == "PLAIN"
+            and not self.is_primary
+            and statement != "ROLLBACK"
+            and (statement != "COMMIT" or bool(connection.writes))
+        )
+
     def _execute(
         self, request_id: str, words: list[str], min_position: str, connection: _Connection
     ) -> str:
+        if connection.transaction_state == "E" and words not in (["COMMIT"], ["ROLLBACK"]):
+            return self._error("BAD")
+        if self._has_lost_the_lead(words[0], connection):
+            if words == ["COMMIT"]:
+                self._end_transaction(connection)
+            return self._fail("READONLY", connection)
         if min_position and _parse_position(min_position) > _parse_position(self.position):
-            return "ERR BEHIND"
+            return self._fail("BEHIND", connection)
         match words:
-            case ["BEGIN", *rest]:
-                if not rest and not self.is_primary:
-                    return "ERR READONLY"
-                connection.transaction_state, connection.transaction_kind = (
-                    "T",
-                    "READ" if rest else "PLAIN",
-                )
-                return "DONE -"
+            case ["BEGIN"] | ["BEGIN", "READ"] if connection.transaction_state == "I":
+                return self._begin_transaction("READ" if words[1:] else "PLAIN", connection)
             case ["ROLLBACK"]:
                 self._end_transaction(connection)
                 return "DONE -"
-            case ["COMMIT"]:
+            case ["COMMIT"] if connection.transaction_state == "E":
+                self._end_transaction(connection)
+                return self._error("FAILED")
+            case ["COMMIT"] if connection.transaction_state == "T":
                 return self._commit_transaction(request_id, connection)
             case ["READ" | "WRITE", *_]:
                 return self._read_or_write(request_id, words[0], words, connection)
             case ["EXEC", name, *rest]:
                 if name not in connection.prepared:
-                    return "ERR NOSTMT"
-                access = connection.prepared[name][0]
-                return self._read_or_write(request_id, access, [access, *rest], connection)
+                    return self._fail("NOSTMT", connection)
+                access, shape = connection.prepared[name]
+                return self._read_or_write(request_id, access, [access, *rest], connection, shape)
             case ["SET", name, *value]:
                 connection.values[name] = " ".join(value)
                 return "DONE -"
             case ["PREPARE", name, access, *statement]:
                 connection.prepared[name] = (access, " ".join(statement))
                 return "DONE -"
+            case ["FORGET", name]:
+                if connection.prepared.pop(name, None) is None:
+                    return self._fail("NOSTMT", connection)
+                return "DONE -"
             case ["RESET"]:
                 connection.values.clear()
                 connection.prepared.clear()
                 return "DONE -"
+            case ["STATUS" | "DEMOTE" | "HOLD" | "RESUME", *_]:
+                return self._control(words)
+            case _:
+                return self._error("BAD")
+
+    def _control(self, words: list[str]) -> str:
+        match words:
             case ["STATUS"]:
-                return self._status()
+                pass
             case ["DEMOTE", term]:
                 if self.is_primary and int(term) > self.term:
                     self.is_primary, self.term = False, int(term)
                     self.group.notify_role_change()
-                return self._status()
             case ["HOLD", term]:
-                self.held_term = int(term)
-                return self._status()
+                if not self.is_primary and int(term) > self.term:
+                    self.held_term = int(term)
             case ["RESUME"]:
                 self.held_term = 0
-                return self._status()
             case _:
-                return "ERR BAD"
+                return self._error("BAD")
+        return self._status()
 
     def _status(self) -> str:
         role = "primary" if self.is_primary else "replica"
@@ -389,17 +464,21 @@
         )
 
     def _read_or_write(
-        self, request_id: str, access: str, words: list[str], connection: _Connection
+        self,
+        request_id: str,
+        access: str,
+        words: list[str],
+        connection: _Connection,
+        shape: str = "",
     ) -> str:
         if access == "WRITE" and not self.is_primary:
-            connection.transaction_state = "E" if connection.transaction_state == "T" else "I"
-            return "ERR READONLY"
+            return self._fail("READONLY", connection)
         text = " ".join(words)
-        self._record_statement(request_id, text, connection)
+        self._record_statement(request_id, text, connection, shape)
         if access == "READ":
             if self.reads_to_fail > 0:
                 self.reads_to_fail -= 1
-                return "ERR FAILED on purpose"
+                return self._fail("FAILED", connection)
             return f"ROW {self.value(words[1])}\r\nDONE proof-{self.id}-{request_id}"
         write = (words[1], " ".join(words[2:]))
         if connection.transaction_state == "T":
@@ -408,7 +487,9 @@
             self._commit(request_id, (write,))
         return f"DONE proof-{self.id}-{request_id}"
 
-    def _record_statement(self, request_id: str, text: str, connection: _Connection) -> None:
+    def _record_statement(
+        self, request_id: str, text: str, connection: _Connection, shape: str = ""
+    ) -> None:
         self.group.executed_statements.append(
             ExecutedStatement(
                 member_id=self.id,
@@ -420,20 +501,24 @@
                 log=self.log,
                 applied_count=self.applied_count,
                 executed_at_s=asyncio.get_running_loop().time(),
+                shape=shape,
             )
         )
 
     def _commit_transaction(self, request_id: str, connection: _Connection) -> str:
         writes = tuple(connection.writes)
-        if writes and not self.is_primary:
-            self._end_transaction(connection)
-            return "ERR READONLY"
         self._record_statement(request_id, "COMMIT", connection)
         self._end_transaction(connection)
         if writes:
             self._commit(request_id, writes)
         return f"DONE proof-{self.id}-{request_id}"
 
+    def _begin_transaction(self, kind: str, connection: _Connection) -> str:
+        if kind == "PLAIN" and not self.is_primary:
+            return self._error("READONLY")
+        connection.transaction_state, connection.transaction_kind = "T", kind
+        return "DONE -"
+
     def _end_transaction(self, connection: _Connection) -> None:
         connection.transaction_state, connection.transaction_kind = "I", ""
         connection.writes.clear()
@@ -458,6 +543,11 @@
             or primary.term < self.term
         ):
             return
+        if self.log and self.log[-1] not in primary.log[len(self.log) - 1 : len(self.log)]:
+            # Entries are rolled back.
+            self._busy_until_s = (
+                asyncio.get_running_loop().time() + self.group.options.rollback_time_s
+            )
         self.log = list(primary.log)
         self.applied_count = min(self.applied_count, len(self.log))
         loop = asyncio.get_running_loop()
@@ -548,7 +638,7 @@
         member = self.members.get(member_id)
         if member is None or not member.is_running:
             return False
-        if not member.is_primary:
+        if not member.is_primary or self.has_newer_primary(member.term):
             loop = asyncio.get_running_loop()
             loop.call_later(self.options.promotion_delay_s, self._complete_promotion, member)
         return True
@@ -561,9 +651,10 @@
         if not promoted.is_running:
             return
         promoted.term = max(member.term for member in self.members.values()) + 1
-        promoted.is_primary, promoted.held_term = True, 0
+        promoted.is_primary = True
         promoted.applied_count = len(promoted.log)
         for member in self.members.values():
+            member.held_term = 0
             if member is not promoted and not member.is_primary and not member.replication_stopped:
                 member.term = promoted.term
                 member.receive_log(promoted)
@@ -576,10 +667,18 @@
 async def read_line(reader: asyncio.StreamReader) -> str:
     """Reads a line up to CR LF and returns it without its end.
 
+    Bytes that are no UTF-8 are kept as surrogates.
+
     Raises:
+      asyncio.LimitOverrunError: The line is longer than the reader's limit.
       asyncio.IncompleteReadError: The connection ended, inside a line or before one.
     """
-    return (await reader.readuntil(b"\r\n"))[:-2].decode()
+    return (await reader.readuntil(b"\r\n"))[:-2].decode(errors="surrogateescape")
+
+
+def encode(text: str) -> bytes:
+    """Encodes what `read_line` has returned to the bytes that were read."""
+    return text.encode(errors="surrogateescape")
 
 
 def _parse_position(position: str) -> tuple[int, int]:
--- a/bilberrystack_standins/line_site.py
+++ b/bilberrystack_standins/line_site.py
@@ -42,7 +42,7 @@
 
     async def send(self, line: str) -> list[str]:
         """Sends a line and returns the lines of the answer, up to READY or the connection's end."""
-        self.writer.write(f"{line}\r\n".encode())
+        self.writer.write(line_group.encode(f"{line}\r\n"))
         return await self.read_answer()
 
     async def read_answer(self) -> list[str]:
@@ -154,7 +154,9 @@
     async def open_connection(self, instance_number: int = 0) -> Client:
         """Opens a connection to an instance without starting a session."""
         endpoint = self.settings[instance_number].sessions_endpoint
-        reader, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
+        reader, writer = await asyncio.open_connection(
+            endpoint.host, endpoint.port, limit=line_group.MAX_MESSAGE_BYTES
+        )
         return Client(reader, writer)
 
     async def wait_until_stopped(self, instance_number: int = 0) -> None:
--- a/bilberrystack_standins/platform_server.py
+++ b/bilberrystack_standins/platform_server.py
@@ -280,6 +280,8 @@
         if request.method == "GET":
             return web.json_response(stored_object)
         if request.method == "DELETE":
+            if not self._matches(stored_object, request.query.get("rev")):
+                return web.json_response(stored_object, status=409)
             await self.remove(kind, name)
             return await self._respond(request, web.json_response(stored_object))
         body = json.loads(await request.read())
@@ -290,20 +292,20 @@
             assert request.transport is not None
             request.transport.abort()
             return web.Response()
-        if not self._matches(stored_object, body):
+        revision = body["meta"].get("rev") or request.query.get("rev")
+        if not self._matches(stored_object, revision):
             return web.json_response(stored_object, status=409)
         updated_object = self._store(kind, name, body["spec"])
         await self._notify_watches()
         return await self._respond(request, web.json_response(updated_object))
 
-    def _matches(self, stored_object: dict[str, Any], body: dict[str, Any]) -> bool:
-        revision = body["meta"].get("rev")
-        return revision is None or bool(revision == stored_object["meta"]["rev"])
+    def _matches(self, stored_object: dict[str, Any], revision: int | str | None) -> bool:
+        return revision is None or str(revision) == str(stored_object["meta"]["rev"])
 
     def _execute_delayed_update(self, kind: str, name: str, body: dict[str, Any]) -> None:
         """Executes an update after its connection was closed, if its revision still matches."""
         stored_object = self._objects[kind].get(name)
-        if stored_object is not None and self._matches(stored_object, body):
+        if stored_object is not None and self._matches(stored_object, body["meta"].get("rev")):
             self._store(kind, name, body["spec"])
 
     async def _handle_promotion(self, request: web.Request) -> web.Response:
