Let the soak's clients send any characters and its members answer falsely

Change: soak/conditions.py draws two conditions for a seed, apart from its series of faults: data, values, shapes and texts of errors have any characters that the protocol permits; members answer twice, late, in pieces or in part, also to START.

--- a/soak/account.py
+++ b/soak/account.py
@@ -94,6 +94,7 @@
         executed_by_request[executed.request_id].append(executed)
     violations: list[Violation] = []
     violations += _check_statements(trace, executed_by_request)
+    violations += _check_executions(trace)
     violations += _check_transactions(trace, executed_by_request)
     violations += _check_freshness(trace, executed_by_request)
     violations += _check_promotion_requests(trace)
@@ -108,7 +109,7 @@
     trace: Trace,
     executed_by_request: collections.abc.Mapping[str, list[line_group.ExecutedStatement]],
 ) -> list[Violation]:
-    """Checks single statements.
+    """Checks the replies to single statements.
 
     Writes are committed at most once, rejected statements not at all, and a reply is the one that
     the member gave.
@@ -117,10 +118,8 @@
     committed_by_old_primary = {
         entry.request_id for entry in trace.committed_entries if entry.newer_primary_existed
     }
-    sent = {}
     for operation in trace.operations:
         for statement in operation.statements:
-            sent[statement.id] = statement
             location = f"{statement.id} {statement.text} at {operation.instance}"
             if trace.commit_counts.get(statement.id, 0) > 1:
                 violations.append(Violation("a write is committed at most once", location))
@@ -139,8 +138,23 @@
                         "a reply matches the member's execution", f"{location}: {statement.proof}"
                     )
                 )
+            if statement.error_code == "NOSTMT":
+                violations.append(
+                    Violation("an acknowledged prepared statement is known", location)
+                )
             if statement.succeeded and statement.id in committed_by_old_primary:
                 violations.append(Violation("a replaced primary acknowledges no write", location))
+    return violations
+
+
+def _check_executions(trace: Trace) -> list[Violation]:
+    """Checks that members execute only statements that clients sent, with unchanged text."""
+    violations = []
+    sent = {
+        statement.id: statement
+        for operation in trace.operations
+        for statement in operation.statements
+    }
     for executed in trace.executed_statements:
         sent_statement = sent.get(executed.request_id)
         if sent_statement is None or sent_statement.expected_text != executed.text:
@@ -150,6 +164,13 @@
                     f"{executed.request_id} {executed.text}",
                 )
             )
+        elif sent_statement.expected_shape != executed.shape:
+            violations.append(
+                Violation(
+                    "a prepared statement keeps its shape",
+                    f"{executed.request_id} {executed.shape}",
+                )
+            )
     return violations
 
 
@@ -158,9 +179,7 @@
 ) -> bool:
     return any(
         statement.proof == _expected_proof(statement, executed)
-        and (
-            not statement.text.startswith(("READ", "EXEC")) or _rows_match_log(statement, executed)
-        )
+        and _rows_match_log(statement, executed)
         for executed in executed_statements
     )
 
--- a/soak/account_test.py
+++ b/soak/account_test.py
@@ -125,6 +125,17 @@
         disturbances={"proxy-1": [(10.0, 19.0)]},
     ),
     "members execute only what clients sent": _trace([], [_executed(1, READ)]),
+    "an acknowledged prepared statement is known": _trace(
+        [_operation(_statement(1, "EXEC p x", proof="", error_code="NOSTMT"))], []
+    ),
+    "a prepared statement keeps its shape": _trace(
+        [
+            _operation(
+                _statement(1, "EXEC p x", expected_text=READ, rows=("-",), expected_shape="s")
+            )
+        ],
+        [_executed(1, READ, shape="other")],
+    ),
     "a session keeps its values": _trace(
         [_operation(_statement(1, READ, rows=("-",)))],
         [_executed(1, READ, session_values={"v": "other"})],
@@ -180,3 +191,85 @@
     assert guarantee in {
         violation.guarantee for violation in account.check(VIOLATING_TRACES[guarantee])
     }
+
+
+def _trace_of_read(rows, written="w1\nROW w2"):
+    """Return a trace with a write of the data and a read with these rows."""
+    entry = line_group.CommittedEntry(1, 1, (("x", written),), "q1")
+    read = _statement(2, READ, rows=rows)
+    executed_statements = [
+        _executed(1, f"WRITE x {written}"),
+        _executed(2, READ, log=[entry], applied_count=1),
+    ]
+    return _trace(
+        [_operation(_statement(1, f"WRITE x {written}")), _operation(read, started_at_s=2.0)],
+        executed_statements,
+        commit_counts={"q1": 1},
+        committed_entries=[entry],
+        final_log=[entry],
+    )
+
+
+def test_data_with_line_feeds_violate_no_guarantee():
+    """Guards against checks that take a line feed in data for the end of a line."""
+    assert account.check(_trace_of_read(("w1\nROW w2",))) == []
+
+
+SENT = "WRITE x w1\nQUERY q2 WRITE y 2"
+REPLY, STATEMENT = (
+    "a reply matches the member's execution",
+    "members execute only what clients sent",
+)
+
+# Traces in which an answer was changed or belongs to another statement, or in which a statement
+# nobody sent was executed, with the only guarantee that each violates.
+WRONG_ANSWERS_AND_STATEMENTS = {
+    "row cut at a line feed": (REPLY, _trace_of_read(("w1",))),
+    "row taken for two": (REPLY, _trace_of_read(("w1", "w2"))),
+    "row without its carriage return": (REPLY, _trace_of_read(("w1",), "w1\r")),
+    "no row": (REPLY, _trace_of_read(())),
+    "row sent twice": (REPLY, _trace_of_read(("w1\nROW w2", "w1\nROW w2"))),
+    "row of a write": (
+        REPLY,
+        _trace([_operation(_statement(1, WRITE, rows=("1",)))], [_executed(1, WRITE)]),
+    ),
+    "row of a commit": (
+        REPLY,
+        _trace(
+            [_operation(_statement(1, "COMMIT", rows=("1",)), is_transaction=True)],
+            [_executed(1, "COMMIT", in_transaction=True)],
+        ),
+    ),
+    "success without a proof": (
+        REPLY,
+        _trace([_operation(_statement(1, WRITE, proof="-"))], [_executed(1, WRITE)]),
+    ),
+    "proof of another statement": (
+        REPLY,
+        _trace([_operation(_statement(1, WRITE, proof="proof-a-q0"))], [_executed(1, WRITE)]),
+    ),
+    "proof of another member": (
+        REPLY,
+        _trace([_operation(_statement(1, WRITE, proof="proof-b-q1"))], [_executed(1, WRITE)]),
+    ),
+    "success without an execution": (REPLY, _trace([_operation(_statement(1, WRITE))], [])),
+    "statement cut at a line feed": (
+        STATEMENT,
+        _trace([_operation(_statement(1, SENT))], [_executed(1, "WRITE x w1")]),
+    ),
+    "statement hidden in data": (
+        STATEMENT,
+        _trace([_operation(_statement(1, SENT))], [_executed(1, SENT), _executed(2, "WRITE y 2")]),
+    ),
+    "statement without its carriage return": (
+        STATEMENT,
+        _trace([_operation(_statement(1, "WRITE x w1\r"))], [_executed(1, "WRITE x w1")]),
+    ),
+}
+
+
+@pytest.mark.parametrize("name", WRONG_ANSWERS_AND_STATEMENTS)
+def test_wrong_answers_and_statements_nobody_sent_are_found(name):
+    """Guards against a check that passes over a changed answer or a changed statement."""
+    guarantee, trace = WRONG_ANSWERS_AND_STATEMENTS[name]
+    assert {violation.guarantee for violation in account.check(trace)} == {guarantee}
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,10 +1,12 @@
 """Clients of the soak: each runs sessions on random instances and records its operations."""
 
 import asyncio
+import contextlib
 import itertools
 import random
 
 from bilberrystack_standins import line_site
+from soak import conditions
 from soak import history
 
 DATABASES = ("strict", "aged", "own")
@@ -15,6 +17,9 @@
 
 MAX_OPERATIONS_PER_SESSION = 30
 
+# Maximum length of data without a request that is shown in a violation.
+MAX_UNREAD_BYTES = 1000
+
 # Maximum pause between two operations of a session.
 MAX_OPERATION_PAUSE_S = 0.03
 
@@ -32,16 +37,35 @@
     """The connection of the session ended, or a reply did not arrive in time."""
 
 
+class WrongReply(Exception):
+    """The client received what can't be the reply to its request, or data without a request."""
+
+
 class Session:
     """One session of a client."""
 
-    def __init__(self, client: line_site.Client, database: str, instance: str) -> None:
+    def __init__(
+        self,
+        client: line_site.Client,
+        database: str,
+        instance: str,
+        data_rng: random.Random | None,
+    ) -> None:
+        """Creates a session on a connection that has been answered READY.
+
+        Args:
+          client: The connection.
+          database: Name of the database.
+          instance: Name of the instance.
+          data_rng: Source of data with any characters; None for data of letters and digits.
+        """
+        self._data_rng = data_rng
         self._client = client
         self._database = database
         self._instance = instance
         self._number = next(_SESSION_NUMBERS)
         self._values: dict[str, str] = {}
-        self._prepared: dict[str, str] = {}
+        self._prepared: dict[str, tuple[str, str]] = {}
 
     async def prepare(self, rng: random.Random) -> None:
         """Sets a value and prepares a statement, each at random.
@@ -55,16 +79,22 @@
           SessionEnded: The connection ended, or a reply did not arrive in time.
         """
         if rng.random() < 0.5:
-            name, value = f"v{rng.randrange(2)}", f"s{self._number}"
+            name, value = f"v{rng.randrange(2)}", self._draw_data(f"s{self._number}")
             if await self._send_unrecorded(f"SET {name} {value}"):
                 self._values[name] = value
         if rng.random() < 0.5:
             access = rng.choice(("READ", "WRITE"))
-            if await self._send_unrecorded(f"PREPARE p {access} shape{access}"):
-                self._prepared["p"] = access
+            shape = self._draw_data(f"shape{access}{self._number}")
+            if await self._send_unrecorded(f"PREPARE p {access} {shape}"):
+                self._prepared["p"] = access, shape
+
+    def _draw_data(self, text: str) -> str:
+        return text if self._data_rng is None else conditions.draw_text(text, self._data_rng)
 
     async def _send_unrecorded(self, text: str) -> bool:
         reply = await self._request(f"r{next(_REQUEST_NUMBERS)}", text)
+        if len(reply) != 2 or (reply[0] != "DONE -" and not reply[0].startswith("ERR ")):
+            raise WrongReply(text, reply)
         return reply[0] == "DONE -"
 
     async def run_operation(self, rng: random.Random, record: list[history.Operation]) -> None:
@@ -103,23 +133,24 @@
             case _:
                 await self._run_statement(operation, "COMMIT", "COMMIT")
 
-    def _draw_statement(self, rng: random.Random) -> tuple[str, str]:
-        """Returns the text to send, and the text that a member has to execute for it."""
+    def _draw_statement(self, rng: random.Random) -> tuple[str, str, str]:
+        """Returns the text to send, and the text and the shape that a member has to execute."""
         item = rng.choice(ITEMS)
         access = "WRITE" if rng.random() < 0.4 else "READ"
         expected_text = f"{access} {item}" + (
-            f" w{next(_REQUEST_NUMBERS)}" if access == "WRITE" else ""
+            f" {self._draw_data(f'w{next(_REQUEST_NUMBERS)}')}" if access == "WRITE" else ""
         )
-        if self._prepared.get("p") == access and rng.random() < 0.5:
-            return expected_text.replace(access, "EXEC p"), expected_text
-        return expected_text, expected_text
+        prepared_access, shape = self._prepared.get("p", ("", ""))
+        if prepared_access == access and rng.random() < 0.5:
+            return expected_text.replace(access, "EXEC p", 1), expected_text, shape
+        return expected_text, expected_text, ""
 
     async def _run_statement(
-        self, operation: history.Operation, text: str, expected_text: str
+        self, operation: history.Operation, text: str, expected_text: str, shape: str = ""
     ) -> history.Statement:
         loop = asyncio.get_running_loop()
         statement = history.Statement(
-            f"q{next(_REQUEST_NUMBERS)}", text, expected_text, loop.time()
+            f"q{next(_REQUEST_NUMBERS)}", text, expected_text, loop.time(), shape
         )
         operation.statements.append(statement)
         try:
@@ -137,6 +168,7 @@
         return statement
 
     async def _request(self, request_id: str, text: str) -> list[str]:
+        await self._check_silence()
         try:
             async with asyncio.timeout(REPLY_TIMEOUT_S):
                 reply = await self._client.query(text, request_id)
@@ -146,6 +178,17 @@
             raise SessionEnded
         return reply
 
+    async def _check_silence(self) -> None:
+        """Checks that nothing arrived without a request; an ERR may announce a close."""
+        data = b""
+        with contextlib.suppress(TimeoutError, OSError):
+            async with asyncio.timeout(0):
+                data = await self._client.reader.read(MAX_UNREAD_BYTES)
+        if data.startswith(b"ERR "):
+            raise SessionEnded
+        if data:
+            raise WrongReply("data without a request", data)
+
     def close(self) -> None:
         """Closes the connection, which ends the session."""
         self._client.close()
@@ -157,7 +200,10 @@
 
 
 async def run_client(
-    instances: dict[str, str], rng: random.Random, record: list[history.Operation]
+    instances: dict[str, str],
+    rng: random.Random,
+    record: list[history.Operation],
+    data_rng: random.Random | None = None,
 ) -> None:
     """Opens one session after the other until cancelled.
 
@@ -165,13 +211,17 @@
       instances: Addresses of the ready instances by name, read anew for each session.
       rng: Source of all random choices.
       record: List to which the operations are added.
+      data_rng: Source of data with any characters; None for data of letters and digits.
+
+    Raises:
+      WrongReply: The client received what can't be the reply to its request.
     """
     while True:
         await asyncio.sleep(rng.uniform(0, MAX_RECONNECT_PAUSE_S))
         if not instances:
             continue
         name = rng.choice(sorted(instances))
-        session = await _open_session(name, instances[name], rng.choice(DATABASES))
+        session = await _open_session(name, instances[name], rng.choice(DATABASES), data_rng)
         if session is None:
             continue
         try:
@@ -186,7 +236,9 @@
             session.close()
 
 
-async def _open_session(name: str, address: str, database: str) -> Session | None:
+async def _open_session(
+    name: str, address: str, database: str, data_rng: random.Random | None
+) -> Session | None:
     host, _, port = address.rpartition(":")
     try:
         async with asyncio.timeout(2.0):
@@ -198,4 +250,4 @@
     if reply != ["READY I -"]:
         writer.close()
         return None
-    return Session(client, database, name)
+    return Session(client, database, name, data_rng)
--- a/soak/history.py
+++ b/soak/history.py
@@ -25,6 +25,7 @@
       expected_text: Text that a member has to execute for it; for an execution of a prepared
         statement, the text of the prepared statement.
       sent_at_s: When the client began to send the statement.
+      expected_shape: Shape of the prepared statement that a member has to execute; empty for none.
       answered_at_s: When the complete reply had arrived; None if the connection ended first.
       disconnected_at_s: When the connection ended before the reply; None if it did not.
       rows: Rows of the reply.
@@ -36,6 +37,7 @@
     text: str
     expected_text: str
     sent_at_s: float
+    expected_shape: str = ""
     answered_at_s: float | None = None
     disconnected_at_s: float | None = None
     rows: tuple[str, ...] = ()
--- a/soak/site.py
+++ b/soak/site.py
@@ -22,6 +22,7 @@
 
 SERVICE = "store-1"
 MEMBERS = ("a", "b", "c")
+GROUP_OPTIONS = line_group.GroupOptions(slots=4, max_connections=24, promotion_delay_s=0.15)
 
 # Time for which a leaving member serves after its record says that it drains.
 DRAIN_S = 2.5
@@ -205,18 +206,20 @@
       departures: Notice and end of each departure of a member.
     """
 
-    def __init__(self, instance_count: int, folder: pathlib.Path | None = None) -> None:
+    def __init__(
+        self,
+        instance_count: int,
+        folder: pathlib.Path | None = None,
+        options: line_group.GroupOptions = GROUP_OPTIONS,
+    ) -> None:
         """Prepares a site without starting it.
 
         Args:
           instance_count: Number of instances to start.
           folder: Folder for the settings and logs of the instances; None for a temporary folder.
+          options: Options of the group.
         """
-        self.group = line_group.LineGroup(
-            SERVICE,
-            MEMBERS,
-            line_group.GroupOptions(slots=4, max_connections=24, promotion_delay_s=0.15),
-        )
+        self.group = line_group.LineGroup(SERVICE, MEMBERS, options)
         self.platform = platform_server.PlatformServer({SERVICE: self.group})
         self.processes: list[InstanceProcess] = []
         self.links: dict[str, links.Link] = {}
--- a/soak/soaking.py
+++ b/soak/soaking.py
@@ -8,6 +8,7 @@
 from bilberrystack_standins import line_site
 from soak import account
 from soak import callers
+from soak import conditions as play_conditions
 from soak import faults
 from soak import history
 from soak import site
@@ -60,6 +61,7 @@
     *,
     restores: bool = False,
     departures: bool = False,
+    conditions: play_conditions.Conditions | None = None,
 ) -> Report:
     """Runs the series of faults of a seed under load and checks the guarantees.
 
@@ -69,6 +71,8 @@
       restores: Whether the store also returns from older copies.
       departures: Whether the series has a departure of the primary while the coordinator fails, in
         place of the other faults.
+      conditions: The clients' data and the members' answers; None for those of the seed, or the
+        usual ones in a series with restores or departures.
 
     Raises:
       RuntimeError: Not all instances became ready within START_TIMEOUT_S.
@@ -77,16 +81,25 @@
     series = faults.draw_departures(seed) if departures else faults.draw_series(seed, planned_only)
     if restores:
         series = faults.add_restores(series, seed)
+    if conditions is None:
+        usual = restores or departures
+        conditions = play_conditions.Conditions() if usual else play_conditions.draw(seed)
+    options = play_conditions.group_options(conditions, seed)
     record: list[history.Operation] = []
     started_at_s = asyncio.get_running_loop().time()
-    async with site.Site(INSTANCE_COUNT, folder) as soak_site:
+    async with site.Site(INSTANCE_COUNT, folder, options) as soak_site:
         if not await soak_site.wait_until(
             lambda: len(soak_site.in_rotation) == INSTANCE_COUNT, START_TIMEOUT_S
         ):
             raise RuntimeError("not all instances became ready in time")
         client_tasks = [
             asyncio.create_task(
-                callers.run_client(soak_site.in_rotation, random.Random(f"{seed} {number}"), record)
+                callers.run_client(
+                    soak_site.in_rotation,
+                    random.Random(f"{seed} {number}"),
+                    record,
+                    random.Random(f"data {seed} {number}") if conditions.any_characters else None,
+                )
             )
             for number in range(CLIENT_COUNT)
         ]
--- a/soak/soaking_test.py
+++ b/soak/soaking_test.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from soak import conditions
 from soak import soaking
 
 pytestmark = pytest.mark.asyncio
@@ -19,6 +20,9 @@
 # The coordinator is suspended, killed, and cut off from the store in two ways.
 DEPARTURE_SEEDS = (9, 7, 1, 2)
 
+# Seeds with data of any characters and with members that answer twice, late, in pieces or in part.
+BOTH_CONDITIONS_SEEDS = (13, 18)
+
 
 @pytest.mark.parametrize("seed", SEEDS + FAILED_SEEDS)
 async def test_series_of_faults_violates_no_guarantee(seed):
@@ -31,6 +35,15 @@
     assert report.succeeded_statements > 100
 
 
+@pytest.mark.parametrize("seed", BOTH_CONDITIONS_SEEDS)
+async def test_any_characters_and_faulty_answers_violate_no_guarantee(seed):
+    """Guards against answers of other requests and statements that nobody sent."""
+    assert conditions.draw(seed) == conditions.Conditions(any_characters=True, faulty_answers=True)
+    report = await soaking.run_seed(seed)
+    assert report.violations == []
+    assert report.succeeded_statements > 100
+
+
 @pytest.mark.parametrize("seed", [2, 6])
 async def test_a_store_that_returns_from_an_older_copy_violates_no_guarantee(seed):
     """Guards against older records, unbounded calls and a second coordinator after its return."""
