Let commits of the stand-in wait for a replica, and replicas receive them late

Cause: replicas of the stand-in received each commit in the moment of the commit, so that any of them could be promoted without a loss, and sync_replicas was declared but not kept. Change: receive_lag_s delays the receipt by a random time, and with sync_replicas a commit is answered once a replica has received it. Figures: the case of account_test.py fails without its check. The two new tests of line_group_test.py need the new options.

--- a/bilberrystack_standins/line_group_test.py
+++ b/bilberrystack_standins/line_group_test.py
@@ -231,3 +231,32 @@
         assert (await client.query("READ x"))[0] == "ERR BUSY a"
         await asyncio.sleep(group.options.rollback_time_s)
         assert (await client.query("READ x"))[0] == "ROW -"
+
+
+async def test_a_commit_waits_for_a_replica():
+    """Guards against an acknowledged commit that only the primary has."""
+    async with _group(sync_replicas=1) as group:
+        primary, replica = group.members["a"], group.members["b"]
+        replica.replication_stopped = True
+        client = await _start(primary)
+        write = asyncio.create_task(client.query("WRITE x 1", "w1"))
+        await _wait_until(lambda: primary.log)
+        assert not (await asyncio.wait({write}, timeout=0.1))[0]
+        replica.replication_stopped = False
+        assert (await write)[0] == "DONE proof-a-w1"
+        assert replica.log == primary.log
+
+
+async def test_replicas_receive_commits_at_different_times():
+    """Guards against replicas that never differ, so that any of them can be promoted."""
+    async with _group(receive_lag_s=0.1, apply_lag_s=0.0) as group:
+        primary, replica = group.members["a"], group.members["b"]
+        client = await _start(primary)
+        lags = []
+        for number in range(20):
+            assert (await client.query(f"WRITE x {number}"))[0].startswith("DONE")
+            lags.append(len(primary.log) - len(replica.log))
+        assert 0 < max(lags) < 20
+        await _wait_until(lambda: replica.log == primary.log)
+        await asyncio.sleep(0.1)
+        assert replica.log == primary.log
--- a/bilberrystack_standins/line_site.py
+++ b/bilberrystack_standins/line_site.py
@@ -75,6 +75,7 @@
     ) -> None:
         self.group = line_group.LineGroup(SERVICE, ("a", "b", "c"), options)
         self.platform = platform_server.PlatformServer({SERVICE: self.group})
+        self.platform.sync_replicas = self.group.options.sync_replicas
         self.instances: list[instance.Instance] = []
         self.settings: list[settings.Settings] = []
         self._initial_instance_count = instance_count
--- a/soak/account.py
+++ b/soak/account.py
@@ -68,6 +68,7 @@
       final_log: Log of the group's last primary at the end of the run.
       promotion_requests: Promotion requests in the order of their arrival.
       leaving_since_s: When each member that leaves announced it, on the event loop's clock.
+      synchronous: Whether a commit is acknowledged once a replica has received it.
       planned_only: Whether the run had planned work only and no failures.
       departures: Departures of members.
       disturbances: Start and end of the faults of each instance, by its name.
@@ -80,6 +81,7 @@
     final_log: list[line_group.CommittedEntry]
     promotion_requests: list[platform_server.PromotionRequest]
     leaving_since_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    synchronous: bool = False
     planned_only: bool = False
     departures: list[Departure] = dataclasses.field(default_factory=list)
     disturbances: dict[str, list[tuple[float, float]]] = dataclasses.field(default_factory=dict)
@@ -99,6 +101,8 @@
     violations += _check_freshness(trace, executed_by_request)
     violations += _check_promotion_requests(trace)
     violations += _check_departures(trace)
+    if trace.synchronous:
+        violations += _check_lost_commits(trace)
     if trace.planned_only:
         violations += _check_leaving_members(trace)
         violations += _check_interruptions(trace, executed_by_request)
@@ -302,6 +306,18 @@
     return violations
 
 
+def _check_lost_commits(trace: Trace) -> list[Violation]:
+    """Checks that the last primary has each acknowledged commit."""
+    committed = {entry.request_id for entry in trace.committed_entries}
+    surviving = {entry.request_id for entry in trace.final_log}
+    return [
+        Violation("an acknowledged commit survives a promotion", statement.id)
+        for operation in trace.operations
+        for statement in operation.statements
+        if statement.succeeded and statement.id in committed - surviving
+    ]
+
+
 def _check_promotion_requests(trace: Trace) -> list[Violation]:
     """Checks that each fencing token has one coordinator and that tokens never decrease."""
     violations = []
--- a/soak/account_test.py
+++ b/soak/account_test.py
@@ -125,6 +125,12 @@
         disturbances={"proxy-1": [(10.0, 19.0)]},
     ),
     "members execute only what clients sent": _trace([], [_executed(1, READ)]),
+    "an acknowledged commit survives a promotion": _trace(
+        [_operation(_statement(1, WRITE))],
+        [_executed(1, WRITE)],
+        committed_entries=[_commit(1)],
+        synchronous=True,
+    ),
     "an acknowledged prepared statement is known": _trace(
         [_operation(_statement(1, "EXEC p x", proof="", error_code="NOSTMT"))], []
     ),
