End the running statements of a member of the stand-in with its crash

Cause: a statement that waited for a slot or ran when its member was stopped was executed afterwards, committed, and sent to the replicas by a member that no longer ran. Change: line_group.py drops these statements; their answers are lost with the connections. Figures: the new test of line_group_test.py fails without the change: the replica has the commit. The tests that stop members (instance_test.py, graceful_stop_test.py, whole_site_test.py) pass. Conclusion: none of them relied on it.

--- a/bilberrystack_standins/line_group.py
+++ b/bilberrystack_standins/line_group.py
@@ -211,6 +211,7 @@
         self.active_statements = 0
         self.port = 0
         self._busy_until_s = -math.inf
+        self._stop_count = 0
         self._slots = asyncio.Semaphore(group.options.slots)
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -258,6 +259,7 @@
         if self._server is not None:
             self._server.close()
             self._server = None
+        self._stop_count += 1
         for writer in list(self._writers):
             writer.transport.abort()
         await asyncio.sleep(0)
@@ -326,28 +328,44 @@
             answer = self._error("BAD")
         elif self._rejects(words[0]):
             answer = self._error("BUSY")
-        elif words[0] in _SLOT_STATEMENTS:
-            self.active_statements += words[0] != "STATUS"
-            committed: list[CommittedEntry] = []
+        elif words[0] == "STATUS":
             async with self._slots:
-                if words[0] != "STATUS":
-                    await asyncio.sleep(self.group.options.service_time_s)
-                entry_count = len(self.log)
                 answer = self._execute(request_id, words, min_position, connection)
-                committed = self.log[entry_count:]
-            if committed and not await self._wait_until_received(committed[0]):
+        elif words[0] in _SLOT_STATEMENTS:
+            self.active_statements += 1
+            try:
+                result = await self._run_in_slot(request_id, words, min_position, connection)
+            finally:
                 self.active_statements -= 1
+            if result is None:
                 return False
-            self.active_statements -= words[0] != "STATUS"
-            if words[0] != "STATUS" and self.answers_to_lose > 0:
-                self.answers_to_lose -= 1
-                return False
+            answer = result
         else:
             answer = self._execute(request_id, words, min_position, connection)
         data = encode(f"{answer}\r\nREADY {connection.transaction_state} {self.position}\r\n")
         await sender.send(data, self._draw_delivery(to_start=False))
         return not sender.ended
 
+    async def _run_in_slot(
+        self, request_id: str, words: list[str], min_position: str, connection: _Connection
+    ) -> str | None:
+        """Runs a read, a write or a commit; returns None if it or its answer is lost."""
+        stop_count = self._stop_count
+        async with self._slots:
+            await asyncio.sleep(self.group.options.service_time_s)
+            if self._stop_count > stop_count:
+                # The member has crashed, and the statement with it.
+                return None
+            entry_count = len(self.log)
+            answer = self._execute(request_id, words, min_position, connection)
+            committed = self.log[entry_count:]
+        if committed and not await self._wait_until_received(committed[0]):
+            return None
+        if self.answers_to_lose > 0:
+            self.answers_to_lose -= 1
+            return None
+        return answer
+
     def _draw_delivery(self, to_start: bool) -> member_answers.Delivery:
         """Chooses how the next answer is sent: as a test has asked for, or by the shares."""
         options = self.group.options
--- a/bilberrystack_standins/line_group_test.py
+++ b/bilberrystack_standins/line_group_test.py
@@ -260,3 +260,18 @@
         await _wait_until(lambda: replica.log == primary.log)
         await asyncio.sleep(0.1)
         assert replica.log == primary.log
+
+
+async def test_a_crash_ends_the_running_statements():
+    """Guards against a member that commits after its crash, and sends the commit to replicas."""
+    async with _group(slots=1, service_time_s=0.05) as group:
+        primary, replica = group.members["a"], group.members["b"]
+        clients = [await _start(primary) for _ in range(2)]
+        writes = [asyncio.create_task(client.query("WRITE x 1")) for client in clients]
+        await _wait_until(lambda: primary.active_statements == 2)
+        await primary.stop()
+        await primary.start()
+        assert await asyncio.gather(*writes) == [[], []]
+        await _wait_until(lambda: not primary.active_statements)
+        assert (primary.log, replica.log) == ([], [])
+        assert (await (await _start(primary)).query("WRITE x 2", "w2"))[0] == "DONE proof-a-w2"
