Ask for a status again only if the connection has had an equal report

Cause: each status query was sent twice, so that a late second copy of an earlier report can't be taken for the present one. Change: a connection remembers the reports that it has had. A new one can't be a second copy and counts at once; an equal one is asked for again, and the second answer counts, which was given after the first query had arrived in either case. Tests: the four cases of test_a_status_report_is_not_an_earlier_one now repeat a report that the member has given before, since a second copy is of an earlier answer on the same connection; they and the new test fail if no report is asked for again.

--- a/bilberrystack/pooling/answer_outcomes_test.py
+++ b/bilberrystack/pooling/answer_outcomes_test.py
@@ -213,14 +213,17 @@
 
     A primary would count as fenced, or a replica as the one with the longest log.
     """
-    old = b"ROW replica 7 7.9 0 0 0 1\r\nDONE -\r\nREADY I 7.9\r\n"
     query = {
         "STATUS": wire.encode_status_query(),
         "HOLD": wire.encode_hold(2),
         "DEMOTE": wire.encode_demote(2),
         "RESUME": wire.encode_resume(),
     }[word]
-    fixture.member.data_before[word] = [old]
+    fixture.member.role_and_term = "replica 7"
+    earlier = await fixture.group.query_member("a", query)
+    assert (earlier.primary, earlier.term) == (False, 7)
+    fixture.member.role_and_term = "primary 1"
+    fixture.member.data_before[word] = [b"ROW replica 7 1.1 0 0 0 1\r\nDONE -\r\nREADY I 1.1\r\n"]
     status = await fixture.group.query_member("a", query)
     assert (status.primary, status.term, str(status.received_position)) == (True, 1, "1/1")
     async with asyncio.timeout(5):
@@ -233,6 +236,19 @@
     _assert_balanced(fixture)
 
 
+async def test_an_unchanged_status_report_is_asked_for_again(fixture):
+    """Guards against a report that may be an earlier one, and against needless queries."""
+    query = wire.encode_status_query()
+    for _ in range(2):
+        assert (await fixture.group.query_member("a", query)).primary
+    assert fixture.member.texts() == ["STATUS"] * 3
+    await fixture.write("w1")
+    assert str((await fixture.group.query_member("a", query)).received_position) == "1/2"
+    assert fixture.member.texts()[3:] == ["WRITE x 1", "STATUS"]
+    assert fixture.faults == []
+    _assert_balanced(fixture)
+
+
 async def test_only_answers_to_this_statement_show_a_position(fixture):
     """Guards against an old position in the answer to a SET or BEGIN, taken for the present one.
 
--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -689,8 +689,7 @@
                 member_pool.in_flight -= 1
         if member_pool is not None:
             member_pool.record_reply(reply)
-            took_s = reply.received_at_s - reply.request_sent_at_s
-            member_pool.record_service_time(took_s / expectation.copies)
+            member_pool.record_service_time(reply.received_at_s - reply.request_sent_at_s)
             if reply.failure is None and expectation.shows_position:
                 self._record_primary_position(link, reply)
         return reply
@@ -730,7 +729,7 @@
     ) -> statements.MemberStatus | None:
         """Send a member a status query, or a command that it answers with its status.
 
-        It is sent twice, and the second answer is used; see answers.STATUS.
+        It is sent again if its answer may be a second copy of an earlier one.
 
         Args:
           member_id: The member's id.
--- a/bilberrystack/pooling/member_link.py
+++ b/bilberrystack/pooling/member_link.py
@@ -270,7 +270,7 @@
         self.on_fault(fault)
 
     async def run(self, query: bytes, expectation: answers.Expectation) -> statements.Reply:
-        """Send one statement, as often as expected of its kind, and wait for the last answer.
+        """Send one statement and wait for its whole answer.
 
         Args:
           query: The statement as encoded by the dialect.
@@ -282,7 +282,7 @@
           AnswerMismatch: The data received are not its answer; the statement may have run.
           Lost: The connection ended; the statement may have run.
         """
-        return (await self.run_all([(query, expectation)] * expectation.copies))[-1]
+        return (await self.run_all([(query, expectation)]))[0]
 
     async def run_all(
         self, queries: collections.abc.Sequence[tuple[bytes, answers.Expectation]]
@@ -330,7 +330,12 @@
     async def _exchange(
         self, queries: collections.abc.Sequence[tuple[bytes, answers.Expectation]]
     ) -> list[statements.Reply]:
-        """Send statements, read their answers, and verify the last one if that is necessary."""
+        """Send statements, read their answers, and verify the last one if that is necessary.
+
+        A status report that is not certain is asked for again. If it was a second copy, the next
+        answer is the one to the first query; otherwise it is newer. Both were given after the first
+        query had arrived.
+        """
         sent_at_s = self._clock()
         write(self._writer, b"".join(query for query, _ in queries))
         replies = []
@@ -341,8 +346,14 @@
             replies.append(reply)
             if expectation is answers.PREPARATION:
                 self._last_preparation = query
-        if not verified:
+        if verified:
+            return replies
+        if replies[-1].failure is not None:
             await self._verify_error()
+        else:
+            write(self._writer, queries[-1][0])
+            replies[-1] = await self._read_reply(sent_at_s)
+            self._accept(replies[-1], queries[-1][1])
         return replies
 
     async def _verify_error(self) -> None:
@@ -361,6 +372,7 @@
             reply.done is None
             or self._dialect.parse_proof(reply.done) is not None
             or self._answers.check_success(reply, None, answers.PREPARATION, self.state)
+            is not answers.Verdict.CERTAIN
         ):
             raise AnswerMismatch(answers.Fault.ERROR_UNVERIFIED)
 
@@ -370,7 +382,7 @@
         Raises:
           AnswerMismatch: The answer belongs to another statement.
         """
-        result: answers.Fault | answers.Verdict | None
+        result: answers.Fault | answers.Verdict
         if reply.failure is not None:
             result = self._answers.check_failure(reply, reply.failure, expectation, self.state)
         else:
--- a/bilberrystack/routing/answers.py
+++ b/bilberrystack/routing/answers.py
@@ -44,24 +44,20 @@
       next_state: The state after a success; None if the statement leaves the state as it is.
       verify_errors: Whether an error that may belong to another statement has to be verified. It
         has not if the connection is closed after any error, or if the answer is not relied on.
-      copies: How often the statement is sent, in one write. The last answer is used: with one
-        earlier answer in between, the one that is read last was still given after the statement
-        had arrived.
     """
 
     proven: bool
     row_count: RowCount
     next_state: statements.TransactionState | None
     verify_errors: bool
-    copies: int = 1
 
     @property
     def shows_position(self) -> bool:
         """Whether the member had the position in a success after the statement was sent.
 
-        Without a proof and with only one copy sent, the answer may be an earlier one.
+        The answer to a preparation or to BEGIN may be an earlier one.
         """
-        return self.proven or self.copies > 1
+        return self.proven or self.row_count is RowCount.ONE
 
 
 READ = Expectation(True, RowCount.ANY, None, verify_errors=True)
@@ -72,9 +68,9 @@
 )
 ROLLBACK = Expectation(False, RowCount.NONE, statements.TransactionState.IDLE, verify_errors=False)
 PREPARATION = Expectation(False, RowCount.NONE, None, verify_errors=False)
-# Status reports have no proof and look alike. The choice of a primary, the fence and the freshness
-# of reads depend on them. Commands that are answered with one have no further effect if repeated.
-STATUS = Expectation(False, RowCount.ONE, None, verify_errors=False, copies=2)
+# The choice of a primary, the fence and the freshness of reads depend on status reports, which have
+# no proof. Commands that are answered with one have no further effect if they are sent again.
+STATUS = Expectation(False, RowCount.ONE, None, verify_errors=False)
 
 
 def of_access(access: statements.Access) -> Expectation:
@@ -83,7 +79,7 @@
 
 
 class Verdict(enum.Enum):
-    """Whether an error can be taken for the answer to the statement that is out."""
+    """Whether an answer is known to be the one to the statement that is out."""
 
     CERTAIN = "certain"
     UNVERIFIED = "unverified"
@@ -115,7 +111,7 @@
         proof: bytes | None,
         expectation: Expectation,
         previous_state: statements.TransactionState,
-    ) -> Fault | None:
+    ) -> Fault | Verdict:
         """Check and record a success.
 
         Args:
@@ -124,7 +120,10 @@
           expectation: What the answer can be.
           previous_state: State of the connection before the statement.
         Returns:
-          Why the answer belongs to another statement; None if it can be the one to this statement.
+          Why the answer belongs to another statement, or whether it is certain that it doesn't. A
+          status report that the connection has had before is not certain. Answers to preparations
+          and to BEGIN count as certain, because the answer to the next statement shows it if they
+          were not.
         """
         self._answer_count += 1
         if proof is not None and self._is_repeated(proof):
@@ -136,7 +135,9 @@
         if reply.state is not (expectation.next_state or previous_state):
             return Fault.STATE
         self._in_step = expectation.proven
-        return None
+        if expectation.row_count is RowCount.ONE and self._is_repeated(reply.rows[0]):
+            return Verdict.UNVERIFIED
+        return Verdict.CERTAIN
 
     def check_failure(
         self,
@@ -180,7 +181,7 @@
         return Verdict.CERTAIN
 
     def _is_repeated(self, text: bytes | str) -> bool:
-        """Record a proof or an error; return whether the connection has had it before."""
+        """Record a proof, an error or a status report; return whether there was an equal one."""
         digest = hash(text)
         repeated = digest in self._digests
         self._digests.add(digest)
--- a/bilberrystack/routing/answers_test.py
+++ b/bilberrystack/routing/answers_test.py
@@ -14,16 +14,19 @@
     """Guards against reads that fail since the item has not changed between them."""
     history = answers.AnswerHistory()
     for number in range(3):
-        assert history.check_success(_reply(b"ROW a"), b"%d" % number, answers.READ, IDLE) is None
+        verdict = history.check_success(_reply(b"ROW a"), b"%d" % number, answers.READ, IDLE)
+        assert verdict is answers.Verdict.CERTAIN
         reply = _reply(b"ROW c", b"ROW d")
-        assert history.check_success(reply, b"d%d" % number, answers.READ, IDLE) is None
+        verdict = history.check_success(reply, b"d%d" % number, answers.READ, IDLE)
+        assert verdict is answers.Verdict.CERTAIN
 
 
 def test_a_result_that_has_grown_is_taken():
     """Guards against a lost connection for each read of rows that were appended to."""
     history = answers.AnswerHistory()
-    assert history.check_success(_reply(b"ROW a"), b"1", answers.READ, IDLE) is None
-    assert history.check_success(_reply(b"ROW a", b"ROW b"), b"2", answers.READ, IDLE) is None
+    for number, rows in enumerate(((b"ROW a",), (b"ROW a", b"ROW b"))):
+        verdict = history.check_success(_reply(*rows), b"%d" % number, answers.READ, IDLE)
+        assert verdict is answers.Verdict.CERTAIN
 
 
 def test_an_earlier_error_is_no_answer_to_a_preparation():
--- a/bilberrystack_standins/scripted_member.py
+++ b/bilberrystack_standins/scripted_member.py
@@ -16,6 +16,7 @@
       held: Events by the first word of a statement, for which its answers wait. The data in
         `data_before` are sent at once.
       start_data: Data that follow the answer to START.
+      role_and_term: The role and the term in its status reports.
     """
 
     def __init__(self) -> None:
@@ -26,6 +27,7 @@
         self.data_after: dict[str, list[bytes]] = collections.defaultdict(list)
         self.held: dict[str, asyncio.Event] = {}
         self.start_data = b""
+        self.role_and_term = "primary 1"
         self._connections = 0
         self._position = 1
         self._writers: list[asyncio.StreamWriter] = []
@@ -101,6 +103,6 @@
                 (self.committed if state == "I" else writes).append(request_id)
                 return f"DONE proof-{request_id}", state
             case "STATUS" | "HOLD" | "DEMOTE" | "RESUME":
-                return f"ROW primary 1 1.{self._position} 0 0 0 1\r\nDONE -", state
+                return f"ROW {self.role_and_term} 1.{self._position} 0 0 0 1\r\nDONE -", state
             case _:
                 return "DONE -", state
