Measure the time in which the event loop runs

Cause: nothing told a process that its event loop had stood still, so that every age of what was heard included time in which nobody could be heard. Ruled out: a second clock, silence counted from the end of the last stall, and a query after each stall; docs/platform.md says why. Change: routing/running_time.py turns two instants into the time in which others could be heard; pooling/loop_monitor.py measures it, shows the loop's delay as a metric and logs each stall of more than 0.15 s. Nothing uses it for decisions yet. The tests of the two modules pass; a test with a clock that jumps 1.4 s counts at most 0.2 s of it.

--- a/bilberrystack/pooling/counters.py
+++ b/bilberrystack/pooling/counters.py
@@ -21,6 +21,8 @@
         "confirmations",
         "lease_changes",
         "log_lines_dropped",
+        "loop_delay_seconds",
+        "loop_stalls",
         "promotion_calls",
         "reads",
         "request_seconds",
@@ -54,6 +56,12 @@
         self.log_lines_dropped = self._counter(
             "log_lines_dropped_total", "Log lines that standard output did not take."
         )
+        self.loop_delay_seconds = self._histogram(
+            "loop_delay_seconds", "How late the event loop ran a timer, measured every 0.04 s."
+        )
+        self.loop_stalls = self._counter(
+            "loop_stalls_total", "Stalls of the event loop of more than 0.15 s."
+        )
         self.sessions = self._gauge("sessions", "Client sessions that are open.")
         self.request_seconds = self._histogram(
             "request_seconds", "From a request's arrival to its answer, by kind."
--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -21,6 +21,7 @@
 from bilberrystack.pooling import group
 from bilberrystack.pooling import http
 from bilberrystack.pooling import interfaces
+from bilberrystack.pooling import loop_monitor
 from bilberrystack.pooling import member_link
 from bilberrystack.pooling import owner_server
 from bilberrystack.pooling import relay
@@ -31,6 +32,7 @@
 from bilberrystack.pooling import views
 from bilberrystack.routing import model
 from bilberrystack.routing import owners
+from bilberrystack.routing import running_time
 
 _LOG = loguru.logger.bind(component="instance")
 
@@ -85,12 +87,14 @@
         "_graceful_stop",
         "_groups",
         "_lease",
+        "_loop_monitor",
         "_own_instance",
         "_owner_links",
         "_owner_server",
         "_platform",
         "_readiness_logged",
         "_registration_lost",
+        "_running_time",
         "_servers",
         "_sessions",
         "_settings",
@@ -125,6 +129,8 @@
             loaded_settings.cores,
         )
         self._tasks = tasks.Tasks()
+        self._running_time = running_time.RunningTime()
+        self._loop_monitor = loop_monitor.LoopMonitor(clock, self._running_time, metrics)
         self._groups: dict[str, group.Group] = {}
         self._forwarders: dict[str, forwarding.Forwarder] = {}
         self._owner_links: dict[model.Endpoint, forwarding.OwnerLink] = {}
@@ -273,6 +279,7 @@
         await self._listen()
         _LOG.info("started", name=self._own_instance.name, lifetime=self._own_instance.incarnation)
         for factory in (
+            self._loop_monitor.run,
             *self._directory.background_work(),
             self._maintain_registration,
             self._run_housekeeping,
