Measure the silence of a primary in time in which the coordinator ran

Ruled out: reading the arrived answers first. The coordinator sends the status queries itself, so that a primary has answered nothing while it stood still. Change: in PrimaryChange, silence of members, the time without a primary or without its record, and the waits for first reports, positions and a promotion's effect count in running time; so do overdue status queries and the age of heartbeats with reports in Coordinator. Ends of grants, of requests and of rejections stay on the clock.

--- a/bilberrystack/pooling/coordinator.py
+++ b/bilberrystack/pooling/coordinator.py
@@ -21,6 +21,7 @@
 from bilberrystack.routing import pending_promotions
 from bilberrystack.routing import permission
 from bilberrystack.routing import primary_change
+from bilberrystack.routing import running_time
 
 _LOG = loguru.logger.bind(component="supervisor")
 
@@ -151,6 +152,7 @@
         "_promotion_records",
         "_promotions_loaded_for",
         "_promotions_task",
+        "_running_time",
         "_status_pending",
         "_status_queried_at_s",
         "_tasks",
@@ -170,6 +172,7 @@
         clock: interfaces.Clock,
         background_tasks: tasks.Tasks,
         metrics: counters.Counters,
+        running: running_time.RunningTime | None = None,
     ) -> None:
         self._own_instance = own_instance
         self._lease = lease
@@ -179,6 +182,7 @@
         self._clock = clock
         self._tasks = background_tasks
         self._metrics = metrics
+        self._running_time = running_time.RunningTime() if running is None else running
         self._token: int | None = None
         self._majority_heard_at_s = 0.0
         self._token_since_s = 0.0
@@ -302,6 +306,7 @@
                     self._lease.settled_at_s,
                     self._lease.leaving_replaceable_at_s,
                     self._pending_of(service),
+                    self._running_time,
                 )
                 number = self._change_numbers.get(service, 0)
                 state = self._group_states[service] = _GroupState(change, number)
@@ -426,7 +431,7 @@
                 self._status_queried_at_s[member] = now_s
                 self._status_pending.add(member)
                 self._tasks.start(self._query_status(served_group, member))
-            if may_lead and _is_status_overdue(
+            if may_lead and self._is_status_overdue(
                 member_pool.observations.contact_at_s, queried_at_s, now_s
             ):
                 self._probe_suspect(service, served_group, member, now_s)
@@ -442,6 +447,14 @@
         finally:
             self._status_pending.discard(member)
 
+    def _is_status_overdue(self, contact_at_s: float, queried_at_s: float, now_s: float) -> bool:
+        """Return whether a member is unresponsive and owes the answer to a status query."""
+        return (
+            self._running_time.elapsed_s(contact_at_s, now_s) >= PRIMARY_PROBE_AFTER_S
+            and queried_at_s > contact_at_s
+            and self._running_time.elapsed_s(queried_at_s, now_s) >= STATUS_OVERDUE_S
+        )
+
     def _probe_suspect(
         self, service: str, served_group: group.Group, member: str, now_s: float
     ) -> None:
@@ -466,7 +479,8 @@
         received = None if status is None else status.received_position
         for peer in self._peers.values():
             report = peer.reports.get(member_pool.member.id)
-            if report is None or now_s - peer.heard_at_s > HEARTBEAT_MAX_AGE_S:
+            heartbeat_age_s = self._running_time.elapsed_s(peer.heard_at_s, now_s)
+            if report is None or heartbeat_age_s > HEARTBEAT_MAX_AGE_S:
                 continue
             contact_at_s = max(contact_at_s, peer.heard_at_s - report.contact_age_s)
             reported_status_at_s = peer.heard_at_s - report.status_age_s
@@ -814,14 +828,5 @@
             self.send(message, peer.endpoint)
 
 
-def _is_status_overdue(contact_at_s: float, queried_at_s: float, now_s: float) -> bool:
-    """Return whether a member is unresponsive and owes the answer to a status query."""
-    return (
-        now_s - contact_at_s >= PRIMARY_PROBE_AFTER_S
-        and queried_at_s > contact_at_s
-        and now_s - queried_at_s >= STATUS_OVERDUE_S
-    )
-
-
 def _to_position(received: messages.Position | None) -> positions.Position | None:
     return None if received is None else positions.Position(received.term, received.index)
--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -160,6 +160,7 @@
             clock=clock,
             background_tasks=self._tasks,
             metrics=metrics,
+            running=self._running_time,
         )
         self._fleet = fleet.FleetProtocol(
             own_instance=self._own_instance,
--- a/bilberrystack/routing/primary_change.py
+++ b/bilberrystack/routing/primary_change.py
@@ -2,8 +2,10 @@
 
 The coordinator runs one `PrimaryChange` for each group. The state machine takes the observed state
 of the members and returns the next action. The caller carries out the action and reports its
-result. The state machine never requests a promotion while a grant of the group may be in use, nor
-while an earlier promotion request may still take effect; no grants are given in that time either.
+result. The silence of members and each wait for them count in running time; ends of grants and of
+earlier requests count all time. The state machine never requests a promotion while a grant of the
+group may be in use, nor while an earlier promotion request may still take effect; no grants are
+given in that time either.
 """
 
 import collections.abc
@@ -15,6 +17,7 @@
 from bilberrystack.routing import member_view
 from bilberrystack.routing import pending_promotions
 from bilberrystack.routing import permission
+from bilberrystack.routing import running_time
 
 # A primary that no instance has reached for this long is unresponsive and is replaced. The target
 # is an outage below 1 s, including 0.3 to 1 s for the promotion itself; round trips to members are
@@ -128,6 +131,7 @@
         "_rejected_at_s",
         "_requested_at_s",
         "_resumed_at_s",
+        "_running_time",
         "_settled_at_s",
         "_started_at_s",
     )
@@ -137,6 +141,7 @@
         settled_at_s: float,
         leaving_replaceable_at_s: float | None = None,
         pending: pending_promotions.PendingPromotions | None = None,
+        running: running_time.RunningTime | None = None,
     ) -> None:
         """Starts to observe a group.
 
@@ -147,7 +152,9 @@
             effect, so that a primary that leaves can be replaced; None for `settled_at_s`. If a
             promotion request of the previous coordinator still takes effect, no grant suffers.
           pending: Promotion requests of earlier coordinators; None for none.
+          running: Time in which this process ran; None if it always runs.
         """
+        self._running_time = running_time.RunningTime() if running is None else running
         self._pending = pending_promotions.PendingPromotions() if pending is None else pending
         self._newer_term_seen = False
         self._phase = Phase.STEADY
@@ -278,6 +285,10 @@
                     self._phase = Phase.STEADY
         return None
 
+    def _silent_s(self, view: member_view.MemberView, now_s: float) -> float:
+        """Returns for how long a member could have been heard and was not."""
+        return self._running_time.elapsed_s(view.last_contact_at_s, now_s)
+
     def _newest_primary(
         self, views: collections.abc.Sequence[member_view.MemberView]
     ) -> member_view.MemberView | None:
@@ -317,7 +328,7 @@
     ) -> Resume | None:
         """Returns the order for a replica that an earlier change has held and that answers."""
         for view in views:
-            answers = now_s - view.last_contact_at_s < UNRESPONSIVE_TIMEOUT_S
+            answers = self._silent_s(view, now_s) < UNRESPONSIVE_TIMEOUT_S
             due_s = self._resumed_at_s.get(view.id, permission.NEVER_S) + RESUME_RETRY_INTERVAL_S
             if view.held and not view.primary and answers and now_s >= due_s:
                 self._resumed_at_s[view.id] = now_s
@@ -335,7 +346,7 @@
     ) -> bool:
         """Returns whether a member that has not reported yet may turn out to be the primary."""
         assert self._observed_since_s is not None
-        observed_s = now_s - self._observed_since_s
+        observed_s = self._running_time.elapsed_s(self._observed_since_s, now_s)
         awaits_contact = any(
             view.last_contact_at_s == permission.NEVER_S and view.refusing_since_s is None
             for view in views
@@ -350,7 +361,8 @@
         if leader is None:
             if self._no_primary_since_s is None:
                 self._no_primary_since_s = now_s
-            return "no primary" if now_s - self._no_primary_since_s >= NO_PRIMARY_TIMEOUT_S else ""
+            without_s = self._running_time.elapsed_s(self._no_primary_since_s, now_s)
+            return "no primary" if without_s >= NO_PRIMARY_TIMEOUT_S else ""
         self._no_primary_since_s = None
         if leader.in_store:
             self._missing_since_s = None
@@ -360,11 +372,14 @@
             return _LEAVING_REASON
         if (
             self._missing_since_s is not None
-            and now_s - self._missing_since_s >= MISSING_RECORD_TIMEOUT_S
+            and self._running_time.elapsed_s(self._missing_since_s, now_s)
+            >= MISSING_RECORD_TIMEOUT_S
         ):
             return "primary left the store"
         assert self._observed_since_s is not None
-        unresponsive_s = now_s - max(leader.last_contact_at_s, self._observed_since_s)
+        unresponsive_s = self._running_time.elapsed_s(
+            max(leader.last_contact_at_s, self._observed_since_s), now_s
+        )
         if isolated and unresponsive_s < ISOLATED_TIMEOUT_S:
             return ""
         if leader.refusing_since_s is not None and unresponsive_s >= REFUSED_TIMEOUT_S:
@@ -383,7 +398,7 @@
         excluded = {
             view.id
             for view in views
-            if now_s - view.last_contact_at_s >= UNRESPONSIVE_TIMEOUT_S
+            if self._silent_s(view, now_s) >= UNRESPONSIVE_TIMEOUT_S
             or now_s - self._rejected_at_s.get(view.id, permission.NEVER_S)
             < pending_promotions.PROMOTION_EFFECT_S
         }
@@ -398,7 +413,8 @@
             sync_replicas=sync_replicas,
             excluded=frozenset(excluded),
         )
-        return candidates.choose(situation, now_s - self._started_at_s >= CATCH_UP_TIMEOUT_S)
+        waited_s = self._running_time.elapsed_s(self._started_at_s, now_s)
+        return candidates.choose(situation, waited_s >= CATCH_UP_TIMEOUT_S)
 
     def _step_fencing(
         self,
@@ -411,11 +427,11 @@
             view
             for view in views
             if view.primary
-            and now_s - view.last_contact_at_s < UNRESPONSIVE_TIMEOUT_S
+            and self._silent_s(view, now_s) < UNRESPONSIVE_TIMEOUT_S
             and not self._fenced
         ]
         newest = max((view.term for view in views), default=0)
-        waited_s = now_s - self._started_at_s
+        waited_s = self._running_time.elapsed_s(self._started_at_s, now_s)
         if reachable and waited_s < UNRESPONSIVE_TIMEOUT_S:
             return Fence(reachable[0].id, newest + 1)
         if now_s <= grants_end_at_s:
@@ -460,7 +476,8 @@
             return None
         if (
             self._requested_at_s is not None
-            and now_s - self._requested_at_s > pending_promotions.PROMOTION_EFFECT_S
+            and self._running_time.elapsed_s(self._requested_at_s, now_s)
+            > pending_promotions.PROMOTION_EFFECT_S
         ):
             self._abort(now_s)
         return None
--- a/bilberrystack/routing/primary_change_test.py
+++ b/bilberrystack/routing/primary_change_test.py
@@ -7,6 +7,7 @@
 from bilberrystack.routing import pending_promotions
 from bilberrystack.routing import permission
 from bilberrystack.routing import primary_change
+from bilberrystack.routing import running_time
 
 NO_GRANTS = float("-inf")
 
@@ -422,3 +423,54 @@
     assert group.step(1.1, unresponsive=("a", "c")) is None
     group.set("c", last_contact_at_s=1.5)
     assert group.step(1.5, unresponsive=("a", "c")) == primary_change.Promote("b")
+
+
+def _group_that_stalls(counted_until_s):
+    """Return a group whose coordinator has run until now, and its running time."""
+    group = _Group()
+    running = running_time.RunningTime()
+    running.count_until(counted_until_s)
+    group.change = primary_change.PrimaryChange(0.0, running=running)
+    return group, running
+
+
+def test_a_coordinator_that_stood_still_keeps_a_healthy_primary():
+    """It found a primary silent that had answered until it stood still, and replaced it."""
+    group, running = _group_that_stalls(1.0)
+    group.step(1.0)
+    assert group.step(2.4, unresponsive="a") is None
+    running.record_stall(1.15, 2.4)
+    running.count_until(2.5)
+    assert group.step(2.5, unresponsive="a") is None
+    group.step(2.51)
+    running.count_until(3.2)
+    assert group.step(3.2, unresponsive="a") is None
+
+
+def test_a_dead_primary_is_replaced_in_the_usual_time_after_a_stall():
+    """Guards against a coordinator that waits for good after a stall."""
+    group, running = _group_that_stalls(1.0)
+    group.step(1.0)
+    running.record_stall(1.15, 2.4)
+    group.step(2.4)
+    usual_s = 2.4 + primary_change.UNRESPONSIVE_TIMEOUT_S
+    running.count_until(usual_s - 0.01)
+    assert group.step(usual_s, unresponsive="a") is None
+    running.count_until(usual_s + 0.01)
+    action = group.step(usual_s + 0.01, unresponsive="a")
+    assert isinstance(action, primary_change.Withdraw)
+
+
+def test_a_stall_does_not_shorten_the_wait_for_the_replicas_positions():
+    """The replica with the newer log was passed over because its answer had not been read."""
+    group, running = _group_that_stalls(0.0)
+    group.step(0.0)
+    running.count_until(1.0)
+    assert isinstance(group.step(1.0, unresponsive="a"), primary_change.Withdraw)
+    group.set("b", last_contact_at_s=1.05, polled_at_s=1.05)
+    group.set("c", polled_at_s=0.9)
+    views = list(group.views.values())
+    running.count_until(1.1)
+    running.record_stall(1.25, 1.7)
+    assert group.change.step(views, NO_GRANTS, 1.7) is None
+    assert group.step(1.75, unresponsive="a") == primary_change.Promote("c")
