Keep the lease of a coordinator that stood still

Cause: the coordinator took the other owners for unheard while it stood still itself, found itself in a minority and released its lease. Change: the windows within which owners count as heard and as active, and the time without a majority, count in running time. Figures: without the change soak/stall_test.py::test_a_coordinator_that_stood_still_keeps_its_lease fails (another token after suspensions of 1.4 s) and so does the new test of coordinator_test.py that a stall makes nobody resign; both pass with it. A coordinator that hears nobody after a stall of 5 s still resigns within 2 s (test). Conclusion: a stall that outlasts the lease still ends it, on the present clock.

--- a/bilberrystack/pooling/coordinator.py
+++ b/bilberrystack/pooling/coordinator.py
@@ -294,7 +294,8 @@
         if token is None:
             return
         if self._lacks_majority():
-            if self._clock() - self._majority_heard_at_s > MINORITY_TIMEOUT_S:
+            unheard_s = self._running_time.elapsed_s(self._majority_heard_at_s, self._clock())
+            if unheard_s > MINORITY_TIMEOUT_S:
                 self._majority_heard_at_s = self._clock()
                 self._tasks.start(self._lease.resign("less than half of the owners are heard"))
         else:
@@ -320,14 +321,14 @@
         Instances that own no group don't count: they have no connections to members to report, and
         send heartbeats seldom.
         """
-        now_s = self._clock()
-        active = [
-            peer
-            for peer in self._peers.values()
-            if peer.is_owner and now_s - peer.heard_at_s < MAJORITY_WINDOW_S
-        ]
-        heard = [peer for peer in active if now_s - peer.heard_at_s < HEARD_WINDOW_S]
-        return 2 * (len(heard) + 1) < len(active) + 1
+        silences_s = [self._silent_s(peer) for peer in self._peers.values() if peer.is_owner]
+        active_count = sum(silent_s < MAJORITY_WINDOW_S for silent_s in silences_s)
+        heard_count = sum(silent_s < HEARD_WINDOW_S for silent_s in silences_s)
+        return 2 * (heard_count + 1) < active_count + 1
+
+    def _silent_s(self, peer: _PeerState) -> float:
+        """Return for how long an instance could have been heard and was not."""
+        return self._running_time.elapsed_s(peer.heard_at_s, self._clock())
 
     def expired_instances(
         self, registered: collections.abc.Collection[model.Instance]
@@ -479,8 +480,7 @@
         received = None if status is None else status.received_position
         for peer in self._peers.values():
             report = peer.reports.get(member_pool.member.id)
-            heartbeat_age_s = self._running_time.elapsed_s(peer.heard_at_s, now_s)
-            if report is None or heartbeat_age_s > HEARTBEAT_MAX_AGE_S:
+            if report is None or self._silent_s(peer) > HEARTBEAT_MAX_AGE_S:
                 continue
             contact_at_s = max(contact_at_s, peer.heard_at_s - report.contact_age_s)
             reported_status_at_s = peer.heard_at_s - report.status_age_s
--- a/bilberrystack/pooling/coordinator_test.py
+++ b/bilberrystack/pooling/coordinator_test.py
@@ -1,5 +1,9 @@
 """Tests which registrations the coordinator finds expired, and what its lease rests on."""
 
+import asyncio
+
+import pytest
+
 from bilberrystack.platform import wire
 from bilberrystack.pooling import coordinator
 from bilberrystack.pooling import counters
@@ -8,6 +12,7 @@
 from bilberrystack.pooling import tasks
 from bilberrystack.routing import lease_terms
 from bilberrystack.routing import model
+from bilberrystack.routing import running_time
 
 SERVICE = model.Service("store", max_connections=16, sync_replicas=0)
 ENDPOINT = model.Endpoint("127.0.0.1", 1)
@@ -25,6 +30,10 @@
 
     def __init__(self):
         self.supporters = lease_terms.Supporters()
+        self.resignations = []
+
+    async def resign(self, reason):
+        self.resignations.append(reason)
 
 
 class ClockedCoordinator:
@@ -33,6 +42,7 @@
     def __init__(self, with_group=False):
         self.now_s = 100.0
         self.lease = FakeLease()
+        self.running = running_time.RunningTime()
         self.groups = {}
         if with_group:
             self.groups["store"] = group.Group(
@@ -52,6 +62,7 @@
             clock=lambda: self.now_s,
             background_tasks=tasks.Tasks(),
             metrics=counters.Counters(),
+            running=self.running,
         )
         self.coordinator.step()
 
@@ -65,6 +76,12 @@
                 )
                 self.coordinator.receive(heartbeat, ENDPOINT)
 
+    def stall(self, seconds):
+        """Advance the clock while the coordinator's event loop stands still."""
+        self.running.count_until(self.now_s)
+        self.running.record_stall(self.now_s, self.now_s + seconds)
+        self.now_s += seconds
+
     def withdraw(self):
         """Withdraw the grants of the group, as at the begin of a primary change."""
         state = self.coordinator._group_states["store"]
@@ -167,3 +184,35 @@
     clocked.lease.token = 7
     clocked.coordinator.step()
     assert clocked.change_number() == 2
+
+
+async def _resigns(clocked):
+    clocked.coordinator.step()
+    await asyncio.sleep(0)
+    return bool(clocked.lease.resignations)
+
+
+@pytest.mark.asyncio
+async def test_a_coordinator_that_stood_still_does_not_resign():
+    """It heard no owner while it stood still, and gave up a lease that nobody else needed."""
+    clocked = ClockedCoordinator()
+    clocked.advance(4.0, heard=(1, 2, 3, 4, 5))
+    assert not await _resigns(clocked)
+    clocked.stall(5.0)
+    assert not await _resigns(clocked)
+    clocked.running.count_until(clocked.now_s)
+    assert not await _resigns(clocked)
+
+
+@pytest.mark.asyncio
+async def test_a_coordinator_that_hears_too_few_owners_resigns_after_a_stall_too():
+    """Guards against a cut-off coordinator that keeps its lease because it once stood still."""
+    clocked = ClockedCoordinator()
+    clocked.advance(4.0, heard=(1, 2, 3, 4, 5))
+    clocked.stall(5.0)
+    clocked.running.count_until(clocked.now_s)
+    for _ in range(20):
+        clocked.now_s += 0.1
+        clocked.running.count_until(clocked.now_s)
+        await _resigns(clocked)
+    assert clocked.lease.resignations
--- a/soak/stall_test.py
+++ b/soak/stall_test.py
@@ -48,3 +48,12 @@
         await _stall_coordinator(running)
         assert not running.platform.promotion_requests
         assert running.group.members["a"].is_primary
+
+
+async def test_a_coordinator_that_stood_still_keeps_its_lease(tmp_path):
+    """It found that it heard no other owner and gave the lease up, which costs 2 s of grants."""
+    async with _running_site(4, tmp_path) as running:
+        token = running.platform.get(site.LEASE_KIND, site.LEASE_NAME)["token"]
+        await _stall_coordinator(running)
+        assert running.platform.get(site.LEASE_KIND, site.LEASE_NAME)["token"] == token
+        assert not running.platform.promotion_requests
