Keep registrations of instances that a stalled coordinator did not hear

Cause: the 20 s without a heartbeat after which a registration is removed included the coordinator's own stall, so that one stall made live instances look ended once their number stayed below a third. Change: the coordinator's time in office and the silence of instances count in running time here too. Figures: the new test of coordinator_test.py fails without the change and passes with it. Conclusion: an instance that has ended is removed later by the length of the stall.

--- a/bilberrystack/pooling/coordinator.py
+++ b/bilberrystack/pooling/coordinator.py
@@ -338,10 +338,12 @@
         Args:
           registered: The instances that are registered in the store.
         """
-        oldest_s = self._clock() - INSTANCE_EXPIRY_S
-        if self._token is None or self._token_since_s > oldest_s or self._lacks_majority():
+        held_s = self._running_time.elapsed_s(self._token_since_s, self._clock())
+        if self._token is None or held_s < INSTANCE_EXPIRY_S or self._lacks_majority():
             return []
-        heard = {peer.name for peer in self._peers.values() if peer.heard_at_s > oldest_s}
+        heard = {
+            peer.name for peer in self._peers.values() if self._silent_s(peer) < INSTANCE_EXPIRY_S
+        }
         unheard = [
             instance.name
             for instance in registered
--- a/bilberrystack/pooling/coordinator_test.py
+++ b/bilberrystack/pooling/coordinator_test.py
@@ -136,6 +136,20 @@
     assert clocked.expired() == []
 
 
+def test_a_coordinator_that_stood_still_finds_no_instance_expired():
+    """An instance that it had not heard for some seconds before counted as ended after a stall."""
+    clocked = ClockedCoordinator()
+    clocked.advance(21.0, heard=(1, 2, 3, 4, 5))
+    clocked.advance(8.0, heard=(1, 2, 3, 4))
+    clocked.stall(13.0)
+    clocked.advance(1.0, heard=(1, 2, 3, 4))
+    clocked.running.count_until(clocked.now_s)
+    assert clocked.expired() == []
+    clocked.advance(12.0, heard=(1, 2, 3, 4))
+    clocked.running.count_until(clocked.now_s)
+    assert clocked.expired() == ["proxy-5"]
+
+
 def _heartbeat(clocked, number, incarnation, **fields):
     return messages.Heartbeat(
         f"proxy-{number}", incarnation, clocked.now_s, [], 0, ["store"], **fields
