Keep a promotion pending while the coordinator stands still

Cause: a promotion request is void once its member's record has been missing for 10 s. A stall counted, although the process did not see the record return; the group's old primary was granted again while the promotion could still take effect. Change: the time without the record counts in running time. The time in which an answering member has not led needs no change: a gap between its reports begins it anew. Conclusion: a stall delays the end of such a request by its own length.

--- a/bilberrystack/pooling/coordinator.py
+++ b/bilberrystack/pooling/coordinator.py
@@ -249,7 +249,9 @@
         self._promotions_loaded_for = token
 
     def _pending_of(self, service: str) -> pending_promotions.PendingPromotions:
-        return self._pending_promotions.setdefault(service, pending_promotions.PendingPromotions())
+        return self._pending_promotions.setdefault(
+            service, pending_promotions.PendingPromotions(self._running_time)
+        )
 
     def _grantable_primary(self, state: _GroupState, now_s: float) -> permission.Leader | None:
         """Return the primary that grants may name; None while requests may be unknown."""
--- a/bilberrystack/routing/pending_promotions.py
+++ b/bilberrystack/routing/pending_promotions.py
@@ -10,6 +10,7 @@
 import enum
 
 from bilberrystack.routing import member_view
+from bilberrystack.routing import running_time
 
 # Time within which a promotion takes effect at a member that answers. A promotion takes effect
 # within about 1 s of its request; a request without an answer may also be executed late.
@@ -19,7 +20,8 @@
 MAX_REPORT_GAP_S = 0.8
 
 # A member whose record has been missing from the store for this long is gone, and a request that
-# named it is void. Records of members that are silent for some seconds leave the store as well.
+# named it is void. Records of members that are silent for some seconds leave the store as well. It
+# counts in running time: a process that stands still does not see a record return.
 MEMBER_GONE_S = 10.0
 
 
@@ -54,9 +56,15 @@
 class PendingPromotions:
     """The pending promotion requests of one group."""
 
-    __slots__ = ("_requests", "_resolved")
+    __slots__ = ("_requests", "_resolved", "_running_time")
 
-    def __init__(self) -> None:
+    def __init__(self, running: running_time.RunningTime | None = None) -> None:
+        """Create a group's collection without requests.
+
+        Args:
+          running: Time in which this process ran; None if it always runs.
+        """
+        self._running_time = running_time.RunningTime() if running is None else running
         self._requests: dict[str, _Request] = {}
         self._resolved: dict[str, Resolution] = {}
 
@@ -93,7 +101,7 @@
         resolved = {
             member: resolution
             for member, request in self._requests.items()
-            if (resolution := _resolution(request, by_id.get(member), now_s)) is not None
+            if (resolution := self._resolution(request, by_id.get(member), now_s)) is not None
         }
         for member in resolved:
             del self._requests[member]
@@ -104,24 +112,23 @@
         resolved, self._resolved = self._resolved, {}
         return resolved
 
-
-def _resolution(
-    request: _Request, view: member_view.MemberView | None, now_s: float
-) -> Resolution | None:
-    """Update a request from its member's state; return why it is no longer pending, if so."""
-    if view is not None and view.primary and view.term > request.replaced_term:
-        return Resolution.IN_EFFECT
-    if view is not None and view.in_store:
-        request.missing_since_s = None
-    elif request.missing_since_s is None:
-        request.missing_since_s = now_s
-    elif now_s - request.missing_since_s >= MEMBER_GONE_S:
-        return Resolution.MEMBER_GONE
-    if view is None or view.polled_at_s <= max(request.requested_at_s, request.answered_at_s):
-        return None
-    interrupted = view.polled_at_s - request.answered_at_s > MAX_REPORT_GAP_S
-    if request.answering_since_s is None or interrupted:
-        request.answering_since_s = view.polled_at_s
-    request.answered_at_s = view.polled_at_s
-    answered_s = request.answered_at_s - request.answering_since_s
-    return Resolution.NO_EFFECT if answered_s >= PROMOTION_EFFECT_S else None
+    def _resolution(
+        self, request: _Request, view: member_view.MemberView | None, now_s: float
+    ) -> Resolution | None:
+        """Update a request from its member's state; return why it is no longer pending, if so."""
+        if view is not None and view.primary and view.term > request.replaced_term:
+            return Resolution.IN_EFFECT
+        if view is not None and view.in_store:
+            request.missing_since_s = None
+        elif request.missing_since_s is None:
+            request.missing_since_s = now_s
+        elif self._running_time.elapsed_s(request.missing_since_s, now_s) >= MEMBER_GONE_S:
+            return Resolution.MEMBER_GONE
+        if view is None or view.polled_at_s <= max(request.requested_at_s, request.answered_at_s):
+            return None
+        interrupted = view.polled_at_s - request.answered_at_s > MAX_REPORT_GAP_S
+        if request.answering_since_s is None or interrupted:
+            request.answering_since_s = view.polled_at_s
+        request.answered_at_s = view.polled_at_s
+        answered_s = request.answered_at_s - request.answering_since_s
+        return Resolution.NO_EFFECT if answered_s >= PROMOTION_EFFECT_S else None
--- a/bilberrystack/routing/pending_promotions_test.py
+++ b/bilberrystack/routing/pending_promotions_test.py
@@ -3,6 +3,7 @@
 from bilberrystack.core import positions
 from bilberrystack.routing import member_view
 from bilberrystack.routing import pending_promotions
+from bilberrystack.routing import running_time
 from bilberrystack.routing.pending_promotions import Resolution
 
 STEP_S = 0.05
@@ -13,7 +14,8 @@
 
     def __init__(self):
         self.now_s = 100.0
-        self.pending = pending_promotions.PendingPromotions()
+        self.running = running_time.RunningTime()
+        self.pending = pending_promotions.PendingPromotions(self.running)
         self.pending.add("b", 1, self.now_s)
         self.polled_at_s = self.now_s
         self.primary, self.term, self.in_store = False, 1, True
@@ -84,3 +86,19 @@
     observed.primary = True
     assert observed.advance(1.0) is None
     assert observed.pending.members == {"b"}
+
+
+def test_a_process_that_stood_still_does_not_find_the_member_gone():
+    """The record was back in the store before the process read it again, and the request void."""
+    observed = Observed()
+    observed.in_store = False
+    observed.advance(1.0, answering=False)
+    observed.running.count_until(observed.now_s)
+    observed.now_s += pending_promotions.MEMBER_GONE_S
+    assert observed.advance(STEP_S, answering=False) is None
+    observed.running.record_stall(observed.now_s - pending_promotions.MEMBER_GONE_S, observed.now_s)
+    observed.running.count_until(observed.now_s)
+    assert observed.advance(STEP_S, answering=False) is None
+    observed.running.count_until(observed.now_s + pending_promotions.MEMBER_GONE_S)
+    gone = observed.advance(pending_promotions.MEMBER_GONE_S, answering=False)
+    assert gone is Resolution.MEMBER_GONE
