Retain members whose records left the store before a stall

Cause: a member is removed 4 s after its record has left the store. A stall counted, although the process could not see the record return; a group without its primary gets another one. Ruled out: counting only running time, since 7 s after it has left a member may get no more requests. The present clock ends the retention after 6 s. Change: MemberRecords counts the 4 s in running time, which Directory passes on. Conclusion: a stall of more than 6 s still removes a member whose record was missing before it.

--- a/bilberrystack/pooling/directory.py
+++ b/bilberrystack/pooling/directory.py
@@ -10,6 +10,7 @@
 from bilberrystack.pooling import tasks
 from bilberrystack.pooling import views
 from bilberrystack.routing import model
+from bilberrystack.routing import running_time
 
 _LOG = loguru.logger.bind(component="directory")
 
@@ -46,6 +47,7 @@
         clock: interfaces.Clock,
         on_change: collections.abc.Callable[[], None],
         history_s: float,
+        running: running_time.RunningTime | None = None,
     ) -> None:
         """Create an empty directory.
 
@@ -54,6 +56,7 @@
           clock: Returns the current time in seconds.
           on_change: Called after each change of a cache.
           history_s: How long the store keeps its history, in seconds.
+          running: Time in which this process ran; None if it always runs.
         """
         self.configurations = views.ObjectCache(
             platform.configurations,
@@ -66,7 +69,7 @@
         )
         self.instances = views.ObjectCache(platform.instances, on_change)
         self._configuration: model.Configuration | None = None
-        self._member_records = member_records.MemberRecords(self.members, clock)
+        self._member_records = member_records.MemberRecords(self.members, clock, running)
         self._registrations = registrations.Registrations(self.instances, clock)
 
     @property
--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -145,7 +145,11 @@
         self._was_listed = False
         self._readiness_logged = False
         self._directory = directory.Directory(
-            platform, clock, self._apply_store_change, loaded_settings.store_history_s
+            platform,
+            clock,
+            self._apply_store_change,
+            loaded_settings.store_history_s,
+            self._running_time,
         )
         self._lease = coordinator_lease.CoordinatorLease(
             self._own_instance, platform, clock, metrics, first_start=loaded_settings.first_start
--- a/bilberrystack/pooling/member_records.py
+++ b/bilberrystack/pooling/member_records.py
@@ -7,14 +7,19 @@
 from bilberrystack.pooling import interfaces
 from bilberrystack.pooling import views
 from bilberrystack.routing import model
+from bilberrystack.routing import running_time
 
 _LOG = loguru.logger.bind(component="directory")
 
 # A member whose record has left the store is retained for this long, counted only while the store
-# is available: records that expired during an outage are back within 2 s of its end. The upper
-# limit is the 7 s after which a member that has left may get no more requests.
+# is available and this process runs: records that expired during an outage are back within 2 s of
+# its end.
 MISSING_MEMBER_RETENTION_S = 4.0
 
+# While the store is available the member is retained no longer than this, also if this process
+# stood still: 7 s after it has left, a member may get no more requests.
+MISSING_MEMBER_LIMIT_S = 6.0
+
 # A store that returns from an older copy holds older records until the members have written theirs
 # again, which takes a few heartbeats. Within this time after its return, a record is ignored if it
 # is older than a known one. The records of removed members are remembered for as long.
@@ -36,17 +41,25 @@
         "_missing_since_s",
         "_removed",
         "_retained",
+        "_running_time",
     )
 
-    def __init__(self, cache: views.ObjectCache, clock: interfaces.Clock) -> None:
+    def __init__(
+        self,
+        cache: views.ObjectCache,
+        clock: interfaces.Clock,
+        running: running_time.RunningTime | None = None,
+    ) -> None:
         """Create an empty collection.
 
         Args:
           cache: The cache of the members' records.
           clock: Returns the current time in seconds.
+          running: Time in which this process ran; None if it always runs.
         """
         self._cache = cache
         self._clock = clock
+        self._running_time = running_time.RunningTime() if running is None else running
         self._retained: dict[str, model.Member] = {}
         self._missing_since_s: dict[str, float] = {}
         # The last record of each member that was removed recently, and when.
@@ -132,7 +145,10 @@
         for name, since_s in list(self._missing_since_s.items()):
             if self._cache.store_lost:
                 self._missing_since_s[name] = now_s
-            elif now_s - since_s >= MISSING_MEMBER_RETENTION_S:
+            elif (
+                self._running_time.elapsed_s(since_s, now_s) >= MISSING_MEMBER_RETENTION_S
+                or now_s - since_s >= MISSING_MEMBER_LIMIT_S
+            ):
                 del self._missing_since_s[name]
                 member = self._retained.pop(name, None)
                 if member is not None:
