Keep lost registrations known while the process stands still

Cause: instances whose registrations were lost with the store's return stay known for 15 s. A stall counted, so that a process could take itself for the only owner of every group and fill the members' connections. Change: Registrations counts that time in running time.

--- a/bilberrystack/pooling/directory.py
+++ b/bilberrystack/pooling/directory.py
@@ -70,7 +70,7 @@
         self.instances = views.ObjectCache(platform.instances, on_change)
         self._configuration: model.Configuration | None = None
         self._member_records = member_records.MemberRecords(self.members, clock, running)
-        self._registrations = registrations.Registrations(self.instances, clock)
+        self._registrations = registrations.Registrations(self.instances, clock, running)
 
     @property
     def loaded(self) -> bool:
--- a/bilberrystack/pooling/registrations.py
+++ b/bilberrystack/pooling/registrations.py
@@ -5,9 +5,10 @@
 from bilberrystack.pooling import interfaces
 from bilberrystack.pooling import views
 from bilberrystack.routing import model
+from bilberrystack.routing import running_time
 
 # Instances whose registrations the store has lost register again within seconds. They stay known
-# for this long after its return.
+# for this long after its return, while this process runs and can see them register.
 LOST_REGISTRATION_RETENTION_S = 15.0
 
 # A process whose registration has left the store is remembered as ended for this long, since an
@@ -26,26 +27,34 @@
         "_awaited",
         "_cache",
         "_clock",
-        "_copy_guard_until_s",
         "_ended_at_s",
         "_era",
         "_known",
+        "_restored_at_s",
+        "_running_time",
     )
 
-    def __init__(self, cache: views.ObjectCache, clock: interfaces.Clock) -> None:
+    def __init__(
+        self,
+        cache: views.ObjectCache,
+        clock: interfaces.Clock,
+        running: running_time.RunningTime | None = None,
+    ) -> None:
         """Create an empty collection.
 
         Args:
           cache: The cache of the registrations.
           clock: Returns the current time in seconds.
+          running: Time in which this process ran; None if it always runs.
         """
         self._cache = cache
         self._clock = clock
+        self._running_time = running_time.RunningTime() if running is None else running
         self._known: dict[str, model.Instance] = {}
         # Instances whose registrations may have been lost with the store's return.
         self._awaited: dict[str, model.Instance] = {}
         self._era = 0
-        self._copy_guard_until_s = float("-inf")
+        self._restored_at_s = float("-inf")
         # When the registration of each recently ended process left the store, by incarnation.
         self._ended_at_s: dict[str, float] = {}
 
@@ -66,9 +75,10 @@
         if self._cache.era != self._era:
             if self._era:
                 self._awaited = dict(previous)
-                self._copy_guard_until_s = now_s + LOST_REGISTRATION_RETENTION_S
+                self._restored_at_s = now_s
             self._era = self._cache.era
-        guarded = now_s < self._copy_guard_until_s
+        restored_since_s = self._running_time.elapsed_s(self._restored_at_s, now_s)
+        guarded = restored_since_s < LOST_REGISTRATION_RETENTION_S
         if not guarded:
             self._awaited.clear()
         listed = {
