Take no coordinator lease for expired because of an own stall

Cause: a standby that had stood still counted that time as time without a renewal. It tried to acquire a lease that was renewed meanwhile, and stopped to acknowledge a coordinator that renews in time. Ruled out: two coordinators at once. The write that acquires the lease is conditional, and the holder's own end stays on the present clock; the fault only cost attempts, and support for up to 1.5 s. Change: the time for which a standby has to see the record unchanged, and the age of a renewal that it was told of, count in running time. This only delays an acquisition. Conclusion: a standby that stood still acquires an expired lease later by the length of its stall; other standbys do not wait for it.

--- a/bilberrystack/pooling/coordinator_lease.py
+++ b/bilberrystack/pooling/coordinator_lease.py
@@ -26,6 +26,7 @@
 from bilberrystack.routing import model
 from bilberrystack.routing import pending_promotions
 from bilberrystack.routing import permission
+from bilberrystack.routing import running_time
 
 _LOG = loguru.logger.bind(component="duty")
 
@@ -147,6 +148,7 @@
         "_read_in_era",
         "_released",
         "_renewed_at_s",
+        "_running_time",
         "_told_renewal",
         "_unchanged_since_s",
         "acknowledgement",
@@ -166,6 +168,7 @@
         metrics: counters.Counters,
         *,
         first_start: bool = False,
+        running: running_time.RunningTime | None = None,
     ) -> None:
         """Create a view of the lease before the first reading.
 
@@ -176,7 +179,9 @@
           metrics: Counts changes of the lease.
           first_start: Whether the whole system starts for the first time, so that a missing record
             means that there was never a coordinator.
+          running: Time in which this process ran; None if it always runs.
         """
+        self._running_time = running_time.RunningTime() if running is None else running
         self._own_instance = own_instance
         self._platform = platform
         self._clock = clock
@@ -375,7 +380,7 @@
             if previous is None or record.revision != previous.revision:
                 self._log_wait(record)
             delay_s = random.uniform(CHECK_JITTER_S, 3 * CHECK_JITTER_S)
-            left_s = self._acquirable_at_s(record) - self._clock()
+            left_s = self._time_until_acquirable_s(record)
             await asyncio.sleep(min(delay_s, max(left_s, MIN_CHECK_DELAY_S)))
 
     def _is_standby(self, record: interfaces.LeaseRecord) -> bool:
@@ -388,10 +393,17 @@
             record.standbys, self._own_instance.incarnation
         )
 
-    def _acquirable_at_s(self, record: interfaces.LeaseRecord) -> float:
-        return lease_terms.acquirable_at_s(
+    def _time_until_acquirable_s(self, record: interfaces.LeaseRecord) -> float:
+        """Return how long this instance has to see the record unchanged before it may acquire it.
+
+        Time in which this process stood still does not count, since it saw no renewal then. That
+        only delays the acquisition.
+        """
+        acquirable_at_s = lease_terms.acquirable_at_s(
             self._unchanged_since_s, self._is_standby(record), self._acknowledged_at_s
         )
+        seen_s = self._running_time.elapsed_s(self._unchanged_since_s, self._clock())
+        return acquirable_at_s - self._unchanged_since_s - seen_s
 
     def _is_takeover_needed(self) -> bool:
         """Return whether this standby should replace a coordinator that it hears.
@@ -402,7 +414,8 @@
         return (
             told is not None
             and told.names_receiver
-            and self._clock() - told.sent_before_s >= lease_terms.CONTACT_DURATION_S
+            and self._running_time.elapsed_s(told.sent_before_s, self._clock())
+            >= lease_terms.CONTACT_DURATION_S
             and self.is_primary_leaving()
         )
 
@@ -428,7 +441,7 @@
 
     async def _reason_to_acquire(self, record: interfaces.LeaseRecord) -> str:
         """Return why the lease is free, for the log; an empty string if it is or may be held."""
-        if self._clock() >= self._acquirable_at_s(record):
+        if self._time_until_acquirable_s(record) <= 0.0:
             return _EXPIRED
         if not record.exists and self._first_start and record.revision.era == self._first_era:
             return _NEVER_HELD
@@ -438,7 +451,7 @@
             return "released"
         if record.coordinator.name == self._own_instance.name:
             return "held by an earlier incarnation of this instance"
-        if self._acquirable_at_s(record) - self._clock() < PROBE_TIMEOUT_S:
+        if self._time_until_acquirable_s(record) < PROBE_TIMEOUT_S:
             return ""
         match await probe(record.coordinator):
             case ProcessState.ENDED:
--- /dev/null
+++ b/bilberrystack/pooling/coordinator_lease_test.py
@@ -0,0 +1,106 @@
+"""Tests what a standby that stood still concludes about the coordinator lease."""
+
+import asyncio
+
+import pytest
+
+from bilberrystack.pooling import coordinator_lease
+from bilberrystack.pooling import counters
+from bilberrystack.pooling import interfaces
+from bilberrystack.routing import lease_terms
+from bilberrystack.routing import model
+from bilberrystack.routing import running_time
+
+pytestmark = [pytest.mark.asyncio, pytest.mark.looptime]
+
+OWN = model.Instance("proxy-1", "process-1", model.Endpoint("127.0.0.1", 2), "a")
+HOLDER = model.Instance("proxy-0", "process-0", model.Endpoint("127.0.0.1", 1), "a")
+RECORD = interfaces.LeaseRecord(HOLDER, 7, interfaces.Revision(1, 5), 1, (OWN.incarnation,))
+
+STALL_S = 20.0
+
+
+class Standby:
+    """A standby's lease; its process can stand still while an answer of the store is under way.
+
+    Attributes:
+      stalls: Whether the process stands still during the next reading.
+      acquisitions: Number of attempts to acquire the lease.
+    """
+
+    store_era = 1
+
+    def __init__(self):
+        self.jumped_s = 0.0
+        self.stalls = False
+        self.acquisitions = 0
+        self.running = running_time.RunningTime()
+        self.running.count_until(self.now_s())
+        self.lease = coordinator_lease.CoordinatorLease(
+            OWN, self, self.now_s, counters.Counters(), running=self.running
+        )
+
+    def now_s(self):
+        return asyncio.get_running_loop().time() + self.jumped_s
+
+    def stall(self):
+        began_at_s = self.now_s()
+        self.jumped_s += STALL_S
+        self.running.record_stall(began_at_s, self.now_s())
+
+    async def read_coordinator_lease(self):
+        if self.stalls:
+            self.stall()
+        return RECORD
+
+    async def write_coordinator_lease(self, replaced, coordinator, token, standbys=()):
+        self.acquisitions += 1
+        raise interfaces.Conflict
+
+    async def check(self, seconds):
+        """Check the lease for a time in which the process runs."""
+        ends_at_s = self.now_s() + seconds
+        while self.now_s() < ends_at_s:
+            await self.lease._try_acquire()
+            self.running.count_until(self.now_s())
+
+
+@pytest.fixture(autouse=True)
+def unresponsive_processes(monkeypatch):
+    """No probe reaches a process, so that only the terms of the lease decide."""
+
+    async def probe(_instance):
+        return coordinator_lease.ProcessState.UNRESPONSIVE
+
+    monkeypatch.setattr(coordinator_lease, "probe", probe)
+
+
+async def test_a_standby_that_stood_still_does_not_take_the_lease_for_expired():
+    """It tried to replace a coordinator whose renewals it had not been able to see."""
+    standby = Standby()
+    await standby.check(0.5)
+    standby.stalls = True
+    await standby.lease._try_acquire()
+    assert standby.acquisitions == 0
+
+
+async def test_a_standby_acquires_an_expired_lease_in_the_usual_time_after_a_stall():
+    """Guards against a group without a coordinator because a standby once stood still."""
+    standby = Standby()
+    standby.stall()
+    await standby.check(lease_terms.CONTACT_DURATION_S)
+    assert standby.acquisitions == 0
+    await standby.check(lease_terms.STANDBY_MARGIN_S + 3 * coordinator_lease.CHECK_JITTER_S)
+    assert standby.acquisitions > 0
+
+
+async def test_a_standby_that_stood_still_goes_on_to_acknowledge_the_coordinator():
+    """It took a renewal for overdue and ended the support of a coordinator that renews in time."""
+    standby = Standby()
+    standby.lease.is_primary_leaving = lambda: True
+    told = coordinator_lease.ToldRenewal(RECORD.revision, standby.now_s(), True)
+    standby.lease.record_answer(7, 1.0, told)
+    standby.stall()
+    await standby.lease._try_acquire()
+    standby.lease.record_answer(7, 2.0, told)
+    assert standby.lease.acknowledgement.answered_at_s == 2.0
--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -152,7 +152,12 @@
             self._running_time,
         )
         self._lease = coordinator_lease.CoordinatorLease(
-            self._own_instance, platform, clock, metrics, first_start=loaded_settings.first_start
+            self._own_instance,
+            platform,
+            clock,
+            metrics,
+            first_start=loaded_settings.first_start,
+            running=self._running_time,
         )
         self._lease.is_primary_leaving = self._is_primary_leaving
         self._coordinator = coordinator.Coordinator(
