Do not avoid owners whose answers a stalled instance has not read

Cause: the time limit of a forwarded statement also passes while the sender stands still. Its timer fired before the owner's answer was read, and the owner was avoided for 2 s. Change: after a time limit an owner is avoided only if this process has not stood still meanwhile. The statement's own outcome stays as it was: its time limit is a promise to the client.

--- a/bilberrystack/pooling/forwarding.py
+++ b/bilberrystack/pooling/forwarding.py
@@ -15,6 +15,7 @@
 from bilberrystack.pooling import tasks
 from bilberrystack.pooling import transaction
 from bilberrystack.routing import model
+from bilberrystack.routing import running_time
 from bilberrystack.routing import statements
 
 _LOG = loguru.logger.bind(component="forwarding")
@@ -45,6 +46,7 @@
         "_endpoint",
         "_open_lock",
         "_pending",
+        "_running_time",
         "_sequence_numbers",
         "_tasks",
         "_writer",
@@ -52,7 +54,11 @@
     )
 
     def __init__(
-        self, endpoint: model.Endpoint, clock: interfaces.Clock, background_tasks: tasks.Tasks
+        self,
+        endpoint: model.Endpoint,
+        clock: interfaces.Clock,
+        background_tasks: tasks.Tasks,
+        running: running_time.RunningTime | None = None,
     ) -> None:
         """Create a link that is not open.
 
@@ -60,7 +66,9 @@
           endpoint: The address where the owner serves other instances.
           clock: Returns the current time in seconds.
           background_tasks: Holds the task that receives outcomes.
+          running: Time in which this process ran; None if it always runs.
         """
+        self._running_time = running_time.RunningTime() if running is None else running
         self.avoid_until_s = float("-inf")
         self._endpoint = endpoint
         self._clock = clock
@@ -99,6 +107,7 @@
         assert self._writer is not None
         future: asyncio.Future[frames.ForwardedOutcome] = asyncio.get_running_loop().create_future()
         self._pending[request.sequence_number] = future
+        sent_at_s = self._clock()
         try:
             member_link.write(self._writer, frames.pack(request))
         except member_link.Lost as error:
@@ -108,7 +117,7 @@
             async with asyncio.timeout(timeout_s):
                 outcome = await future
         except TimeoutError:
-            self._avoid("no answer in time")
+            self._avoid_as_silent("no answer in time", sent_at_s)
             return None
         except member_link.Lost:
             return None
@@ -120,17 +129,29 @@
         return outcome
 
     async def _open(self) -> None:
+        began_at_s = self._clock()
         try:
             reader, writer = await member_link.connect(
                 self._endpoint, frames.MAX_FRAME_BYTES, CONNECT_TIMEOUT_S
             )
             member_link.write(writer, b"forward\n")
+        except member_link.Unreachable as failure:
+            self._avoid_as_silent(type(failure).__name__, began_at_s)
+            raise OwnerUnavailable(str(self._endpoint)) from failure
         except member_link.LinkFailure as failure:
             self._avoid(type(failure).__name__)
             raise OwnerUnavailable(str(self._endpoint)) from failure
         self._writer = writer
         self._tasks.start(self._receive(reader, writer))
 
+    def _avoid_as_silent(self, reason: str, since_s: float) -> None:
+        """Avoid the owner because it did not answer in time, unless this process stood still.
+
+        Time limits also pass during a stall, which shows nothing about the owner.
+        """
+        if not self._running_time.stood_still(since_s, self._clock()):
+            self._avoid(reason)
+
     def _avoid(self, reason: str) -> None:
         if self._clock() >= self.avoid_until_s:
             _LOG.info(
--- a/bilberrystack/pooling/forwarding_test.py
+++ b/bilberrystack/pooling/forwarding_test.py
@@ -1,10 +1,16 @@
 """Tests the guarantees for statements that run at an owner, also when that owner fails."""
 
 import asyncio
+import time
 
 import pytest
 
+from bilberrystack.pooling import forwarding
+from bilberrystack.pooling import frames
+from bilberrystack.pooling import tasks
 from bilberrystack.pooling import views
+from bilberrystack.routing import model
+from bilberrystack.routing import running_time
 from bilberrystack_standins import line_group
 from bilberrystack_standins import line_site
 
@@ -112,6 +118,27 @@
             assert (await session.query(f"WRITE k{number} 1"))[0].startswith("DONE proof")
 
 
+@pytest.mark.parametrize("stalled", [False, True])
+async def test_an_owner_is_avoided_for_its_own_silence_only(stalled):
+    """An instance that had stood still avoided all owners, whose answers it had not read yet."""
+    running = running_time.RunningTime()
+    background_tasks = tasks.Tasks()
+
+    async def read_only(reader, writer):
+        await reader.read()
+        writer.close()
+
+    async with await asyncio.start_server(read_only, "127.0.0.1", 0) as server:
+        endpoint = model.Endpoint(*server.sockets[0].getsockname())
+        link = forwarding.OwnerLink(endpoint, time.monotonic, background_tasks, running)
+        if stalled:
+            running.count_until(time.monotonic())
+        assert await link.call(frames.rollback_request(1), 0.3) is None
+        assert (link.avoid_until_s > time.monotonic()) != stalled
+        link.close()
+        await background_tasks.close()
+
+
 async def test_a_malformed_frame_closes_only_its_link():
     """Guards against bytes from another process on the internal port that stop the instance."""
     async with line_site.Site(1) as site:
--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -265,7 +265,7 @@
     def _owner_link(self, owner: model.Instance) -> forwarding.OwnerLink:
         link = self._owner_links.get(owner.endpoint)
         if link is None:
-            link = forwarding.OwnerLink(owner.endpoint, self.clock, self._tasks)
+            link = forwarding.OwnerLink(owner.endpoint, self.clock, self._tasks, self._running_time)
             self._owner_links[owner.endpoint] = link
         return link
 
