Roll no transaction back as idle because of an own stall

Cause: the idle limit of a client inside a transaction also passes while this process stands still. Where a socket's callback had occupied the loop, uvloop fired the limit's timer before it read the statement that had arrived, and the transaction was lost. Change: if the process stood still within the limit, the session waits once more for the part of the limit that was not counted. Conclusion: a transaction is kept longer by up to the length of one stall.

--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -72,6 +72,7 @@
       clock: Returns the current time in seconds.
       counters: The metrics.
       dialect: The line protocol of clients and members.
+      running_time: Time in which this process could hear others.
       stopping: Whether a graceful stop is in progress.
     """
 
@@ -94,7 +95,6 @@
         "_platform",
         "_readiness_logged",
         "_registration_lost",
-        "_running_time",
         "_servers",
         "_sessions",
         "_settings",
@@ -104,6 +104,7 @@
         "clock",
         "counters",
         "dialect",
+        "running_time",
         "stopping",
     )
 
@@ -129,8 +130,8 @@
             loaded_settings.cores,
         )
         self._tasks = tasks.Tasks()
-        self._running_time = running_time.RunningTime()
-        self._loop_monitor = loop_monitor.LoopMonitor(clock, self._running_time, metrics)
+        self.running_time = running_time.RunningTime()
+        self._loop_monitor = loop_monitor.LoopMonitor(clock, self.running_time, metrics)
         self._groups: dict[str, group.Group] = {}
         self._forwarders: dict[str, forwarding.Forwarder] = {}
         self._owner_links: dict[model.Endpoint, forwarding.OwnerLink] = {}
@@ -149,7 +150,7 @@
             clock,
             self._apply_store_change,
             loaded_settings.store_history_s,
-            self._running_time,
+            self.running_time,
         )
         self._lease = coordinator_lease.CoordinatorLease(
             self._own_instance,
@@ -157,7 +158,7 @@
             clock,
             metrics,
             first_start=loaded_settings.first_start,
-            running=self._running_time,
+            running=self.running_time,
         )
         self._lease.is_primary_leaving = self._is_primary_leaving
         self._coordinator = coordinator.Coordinator(
@@ -169,7 +170,7 @@
             clock=clock,
             background_tasks=self._tasks,
             metrics=metrics,
-            running=self._running_time,
+            running=self.running_time,
         )
         self._fleet = fleet.FleetProtocol(
             own_instance=self._own_instance,
@@ -265,7 +266,7 @@
     def _owner_link(self, owner: model.Instance) -> forwarding.OwnerLink:
         link = self._owner_links.get(owner.endpoint)
         if link is None:
-            link = forwarding.OwnerLink(owner.endpoint, self.clock, self._tasks, self._running_time)
+            link = forwarding.OwnerLink(owner.endpoint, self.clock, self._tasks, self.running_time)
             self._owner_links[owner.endpoint] = link
         return link
 
--- a/bilberrystack/pooling/session.py
+++ b/bilberrystack/pooling/session.py
@@ -15,6 +15,7 @@
 from bilberrystack.pooling import transaction
 from bilberrystack.routing import freshness
 from bilberrystack.routing import model
+from bilberrystack.routing import running_time
 from bilberrystack.routing import statements
 
 _LOG = loguru.logger.bind(component="session")
@@ -50,6 +51,8 @@
     @property
     def configuration(self) -> model.Configuration | None: ...
     @property
+    def running_time(self) -> running_time.RunningTime: ...
+    @property
     def stopping(self) -> bool: ...
     @property
     def refuses_work(self) -> bool: ...
@@ -263,8 +266,7 @@
             return await member_link.read_line(self._reader)
         task = asyncio.ensure_future(member_link.read_line(self._reader))
         try:
-            done, _ = await asyncio.wait({task}, timeout=configuration.transaction_idle_timeout_s)
-            if not done:
+            if not await self._ends_in_time(task, configuration.transaction_idle_timeout_s):
                 _LOG.info(
                     "transaction exceeded its idle limit; rolled back", database=self._database
                 )
@@ -274,6 +276,20 @@
         finally:
             task.cancel()
 
+    async def _ends_in_time(self, task: asyncio.Task[bytes], timeout_s: float) -> bool:
+        """Wait for a task; return False if it does not end within a time of silence.
+
+        The time limit is extended once after a stall, since the client's line may have arrived
+        without having been read.
+        """
+        began_at_s = self._host.clock()
+        done, _ = await asyncio.wait({task}, timeout=timeout_s)
+        now_s = self._host.clock()
+        if not done and self._host.running_time.stood_still(began_at_s, now_s):
+            left_s = timeout_s - self._host.running_time.elapsed_s(began_at_s, now_s)
+            done, _ = await asyncio.wait({task}, timeout=left_s)
+        return bool(done)
+
     async def _answer_query(self, request_id: str, text: str) -> None:
         arrived_at_s = self._host.clock()
         dialect = self._host.dialect
