Let a withdrawal expire only while a grant could arrive

Cause: an instance ends a primary change 4 s after a withdrawal that no grant has followed. Its own stall counted, with the grant among its unread datagrams, and each answer then needed a confirmation round. Change: FleetProtocol counts that time in running time. Conclusion: the end of a grant itself stays on the present clock.

--- a/bilberrystack/pooling/fleet.py
+++ b/bilberrystack/pooling/fleet.py
@@ -20,6 +20,7 @@
 from bilberrystack.routing import freshness
 from bilberrystack.routing import model
 from bilberrystack.routing import permission
+from bilberrystack.routing import running_time
 
 _LOG = loguru.logger.bind(component="fleet")
 
@@ -59,6 +60,7 @@
         "_lease",
         "_own_instance",
         "_ownership_changed",
+        "_running_time",
         "_tasks",
         "_transport",
         "_urgent_heartbeat",
@@ -75,6 +77,7 @@
         store_directory: directory.Directory,
         clock: interfaces.Clock,
         background_tasks: tasks.Tasks,
+        running: running_time.RunningTime | None = None,
     ) -> None:
         """Create a protocol without a socket.
 
@@ -86,7 +89,9 @@
           store_directory: The configuration, members and instances in the store.
           clock: Returns the current time in seconds.
           background_tasks: Runs the probes of members.
+          running: Time in which this process ran; None if it always runs.
         """
+        self._running_time = running_time.RunningTime() if running is None else running
         self._own_instance = own_instance
         self._lease = lease
         self._directory = store_directory
@@ -275,7 +280,8 @@
         now_s = self._clock()
         for service, withdrawn_at_s in list(self._withdrawn_at_s.items()):
             served_group = self._groups.get(service)
-            if served_group is None or now_s - withdrawn_at_s < WITHDRAWAL_EXPIRY_S:
+            withdrawn_for_s = self._running_time.elapsed_s(withdrawn_at_s, now_s)
+            if served_group is None or withdrawn_for_s < WITHDRAWAL_EXPIRY_S:
                 continue
             del self._withdrawn_at_s[service]
             served_group.permission.abandon_change()
--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -180,6 +180,7 @@
             store_directory=self._directory,
             clock=clock,
             background_tasks=self._tasks,
+            running=self.running_time,
         )
         self._coordinator.send = self._fleet.send
         self._owner_server = owner_server.OwnerServer(
