Suspect no member for the silence of an own stall

Cause: 0.3 s without an answer make a member suspected. The time also passes while this process stands still, so that after a stall each member with a statement in flight was suspected and probed, and the primary got no statement until then. Change: Group.run suspects a member only if this process has not stood still since the statement was sent. Figures: the new test of group_test.py fails without the change for the stalled case and passes with it; overload_test.py passes. Conclusion: a member that died during the stall is suspected by the next statement.

--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -20,6 +20,7 @@
 from bilberrystack.routing import owners
 from bilberrystack.routing import permission
 from bilberrystack.routing import placement
+from bilberrystack.routing import running_time
 from bilberrystack.routing import statements
 
 _LOG = loguru.logger.bind(component="group")
@@ -120,6 +121,7 @@
         "_owner_count",
         "_pools",
         "_queue",
+        "_running_time",
         "_sequence_numbers",
         "_tasks",
         "confirmation",
@@ -141,6 +143,7 @@
         dialect: interfaces.Dialect,
         clock: interfaces.Clock,
         background_tasks: tasks.Tasks,
+        running: running_time.RunningTime | None = None,
     ) -> None:
         """Create a group without members.
 
@@ -151,7 +154,9 @@
           dialect: The members' protocol.
           clock: Returns the current time in seconds.
           background_tasks: Holds the group's background tasks.
+          running: Time in which this process ran; None if it always runs.
         """
+        self._running_time = running_time.RunningTime() if running is None else running
         self.service = service
         self.permission = permission.Permission()
         self.history = freshness.PositionHistory()
@@ -599,7 +604,8 @@
         try:
             await asyncio.wait({task}, timeout=max(0.0, min(timeout_s, SUSPECT_AFTER_S)))
             if not task.done() and timeout_s > SUSPECT_AFTER_S:
-                self._suspect(link.member.id)
+                if not self._running_time.stood_still(sent_at_s, self._clock()):
+                    self._suspect(link.member.id)
                 await asyncio.wait({task}, timeout=timeout_s - SUSPECT_AFTER_S)
         except asyncio.CancelledError:
             # Another member has answered first; this one has until the statement's time limit.
--- a/bilberrystack/pooling/group_test.py
+++ b/bilberrystack/pooling/group_test.py
@@ -10,6 +10,7 @@
 from bilberrystack.pooling import tasks
 from bilberrystack.routing import model
 from bilberrystack.routing import permission
+from bilberrystack.routing import running_time
 from bilberrystack.routing import statements
 
 pytestmark = [pytest.mark.asyncio, pytest.mark.looptime]
@@ -19,7 +20,7 @@
 )
 
 
-def _group():
+def _group(running=None):
     service = model.Service("store", 23, 0)
     served_group = group.Group(
         service=service,
@@ -28,6 +29,7 @@
         dialect=wire,
         clock=asyncio.get_running_loop().time,
         background_tasks=tasks.Tasks(),
+        running=running,
     )
     members = [
         model.Member(name, "store", model.Endpoint("10.0.0.1", 1), "zone", 3, False, None, 1)
@@ -64,3 +66,32 @@
         member_pool.record_open_failure(LIMIT_REACHED)
     assert served_group.connection_limit_reached(primary_only=True)
     assert served_group.connection_limit_reached(primary_only=False)
+
+
+class _SlowLink:
+    """A connection whose answer does not arrive."""
+
+    def __init__(self, member):
+        self.member = member
+
+    async def run(self, _query):
+        await asyncio.Event().wait()
+
+
+@pytest.mark.parametrize("stalled", [False, True])
+async def test_a_member_is_suspected_for_its_own_silence_only(stalled, monkeypatch):
+    """After a stall all members with a statement in flight were suspected and probed at once."""
+
+    async def probe(_group, _member):
+        """Leave the member suspected."""
+
+    monkeypatch.setattr(group.Group, "probe", probe)
+    running = running_time.RunningTime()
+    served_group = _group(running)
+    link = _SlowLink(served_group.pools["a"].member)
+    if stalled:
+        running.count_until(asyncio.get_running_loop().time())
+    task = asyncio.create_task(served_group.run(link, b"", 2.0))
+    await asyncio.sleep(group.SUSPECT_AFTER_S + 0.1)
+    assert served_group.pools["a"].observations.suspected != stalled
+    task.cancel()
--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -505,6 +505,7 @@
             dialect=self.dialect,
             clock=self.clock,
             background_tasks=self._tasks,
+            running=self.running_time,
         )
         served_group.on_member_failure = lambda _: self._fleet.schedule_urgent_heartbeat()
         self._groups[service.name] = served_group
