--- a/bilberrystack/pooling/coordinator.py
+++ b/bilberrystack/pooling/coordinator.py
@@ -21,6 +21,7 @@
 from bilberrystack.routing import pending_promotions
 from bilberrystack.routing import permission
 from bilberrystack.routing import primary_change
+from bilberrystack.routing import running_time
 
 _LOG = loguru.logger.bind(component="supervisor")
 
@@ -151,6 +152,7 @@
         "_promotion_records",
         "_promotions_loaded_for",
         "_promotions_task",
+        "_running_time",
         "_status_pending",
         "_status_queried_at_s",
         "_tasks",
@@ -170,6 +172,7 @@
         clock: interfaces.Clock,
         background_tasks: tasks.Tasks,
         metrics: counters.Counters,
+        running: running_time.RunningTime | None = None,
     ) -> None:
         self._own_instance = own_instance
         self._lease = lease
@@ -179,6 +182,7 @@
         self._clock = clock
         self._tasks = background_tasks
         self._metrics = metrics
+        self._running_time = running_time.RunningTime() if running is None else running
         self._token: int | None = None
         self._majority_heard_at_s = 0.0
         self._token_since_s = 0.0
@@ -245,7 +249,9 @@
         self._promotions_loaded_for = token
 
     def _pending_of(self, service: str) -> pending_promotions.PendingPromotions:
-        return self._pending_promotions.setdefault(service, pending_promotions.PendingPromotions())
+        return self._pending_promotions.setdefault(
+            service, pending_promotions.PendingPromotions(self._running_time)
+        )
 
     def _grantable_primary(self, state: _GroupState, now_s: float) -> permission.Leader | None:
         """Return the primary that grants may name; None while requests may be unknown."""
@@ -290,7 +296,8 @@
         if token is None:
             return
         if self._lacks_majority():
-            if self._clock() - self._majority_heard_at_s > MINORITY_TIMEOUT_S:
+            unheard_s = self._running_time.elapsed_s(self._majority_heard_at_s, self._clock())
+            if unheard_s > MINORITY_TIMEOUT_S:
                 self._majority_heard_at_s = self._clock()
                 self._tasks.start(self._lease.resign("less than half of the owners are heard"))
         else:
@@ -302,6 +309,7 @@
                     self._lease.settled_at_s,
                     self._lease.leaving_replaceable_at_s,
                     self._pending_of(service),
+                    self._running_time,
                 )
                 number = self._change_numbers.get(service, 0)
                 state = self._group_states[service] = _GroupState(change, number)
@@ -315,14 +323,14 @@
         Instances that own no group don't count: they have no connections to members to report, and
         send heartbeats seldom.
         """
-        now_s = self._clock()
-        active = [
-            peer
-            for peer in self._peers.values()
-            if peer.is_owner and now_s - peer.heard_at_s < MAJORITY_WINDOW_S
-        ]
-        heard = [peer for peer in active if now_s - peer.heard_at_s < HEARD_WINDOW_S]
-        return 2 * (len(heard) + 1) < len(active) + 1
+        silences_s = [self._silent_s(peer) for peer in self._peers.values() if peer.is_owner]
+        active_count = sum(silent_s < MAJORITY_WINDOW_S for silent_s in silences_s)
+        heard_count = sum(silent_s < HEARD_WINDOW_S for silent_s in silences_s)
+        return 2 * (heard_count + 1) < active_count + 1
+
+    def _silent_s(self, peer: _PeerState) -> float:
+        """Return for how long an instance could have been heard and was not."""
+        return self._running_time.elapsed_s(peer.heard_at_s, self._clock())
 
     def expired_instances(
         self, registered: collections.abc.Collection[model.Instance]
@@ -332,10 +340,12 @@
         Args:
           registered: The instances that are registered in the store.
         """
-        oldest_s = self._clock() - INSTANCE_EXPIRY_S
-        if self._token is None or self._token_since_s > oldest_s or self._lacks_majority():
+        held_s = self._running_time.elapsed_s(self._token_since_s, self._clock())
+        if self._token is None or held_s < INSTANCE_EXPIRY_S or self._lacks_majority():
             return []
-        heard = {peer.name for peer in self._peers.values() if peer.heard_at_s > oldest_s}
+        heard = {
+            peer.name for peer in self._peers.values() if self._silent_s(peer) < INSTANCE_EXPIRY_S
+        }
         unheard = [
             instance.name
             for instance in registered
@@ -426,7 +436,7 @@
                 self._status_queried_at_s[member] = now_s
                 self._status_pending.add(member)
                 self._tasks.start(self._query_status(served_group, member))
-            if may_lead and _is_status_overdue(
+            if may_lead and self._is_status_overdue(
                 member_pool.observations.contact_at_s, queried_at_s, now_s
             ):
                 self._probe_suspect(service, served_group, member, now_s)
@@ -442,6 +452,14 @@
         finally:
             self._status_pending.discard(member)
 
+    def _is_status_overdue(self, contact_at_s: float, queried_at_s: float, now_s: float) -> bool:
+        """Return whether a member is unresponsive and owes the answer to a status query."""
+        return (
+            self._running_time.elapsed_s(contact_at_s, now_s) >= PRIMARY_PROBE_AFTER_S
+            and queried_at_s > contact_at_s
+            and self._running_time.elapsed_s(queried_at_s, now_s) >= STATUS_OVERDUE_S
+        )
+
     def _probe_suspect(
         self, service: str, served_group: group.Group, member: str, now_s: float
     ) -> None:
@@ -466,7 +484,7 @@
         received = None if status is None else status.received_position
         for peer in self._peers.values():
             report = peer.reports.get(member_pool.member.id)
-            if report is None or now_s - peer.heard_at_s > HEARTBEAT_MAX_AGE_S:
+            if report is None or self._silent_s(peer) > HEARTBEAT_MAX_AGE_S:
                 continue
             contact_at_s = max(contact_at_s, peer.heard_at_s - report.contact_age_s)
             reported_status_at_s = peer.heard_at_s - report.status_age_s
@@ -814,14 +832,5 @@
             self.send(message, peer.endpoint)
 
 
-def _is_status_overdue(contact_at_s: float, queried_at_s: float, now_s: float) -> bool:
-    """Return whether a member is unresponsive and owes the answer to a status query."""
-    return (
-        now_s - contact_at_s >= PRIMARY_PROBE_AFTER_S
-        and queried_at_s > contact_at_s
-        and now_s - queried_at_s >= STATUS_OVERDUE_S
-    )
-
-
 def _to_position(received: messages.Position | None) -> positions.Position | None:
     return None if received is None else positions.Position(received.term, received.index)
--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -21,6 +21,7 @@
 from bilberrystack.pooling import group
 from bilberrystack.pooling import http
 from bilberrystack.pooling import interfaces
+from bilberrystack.pooling import loop_monitor
 from bilberrystack.pooling import member_link
 from bilberrystack.pooling import owner_server
 from bilberrystack.pooling import relay
@@ -32,6 +33,7 @@
 from bilberrystack.routing import answers
 from bilberrystack.routing import model
 from bilberrystack.routing import owners
+from bilberrystack.routing import running_time
 
 _LOG = loguru.logger.bind(component="instance")
 
@@ -71,6 +73,7 @@
       clock: Returns the current time in seconds.
       counters: The metrics.
       dialect: The line protocol of clients and members.
+      running_time: Time in which this process could hear others.
       stopping: Whether a graceful stop is in progress.
     """
 
@@ -86,6 +89,7 @@
         "_graceful_stop",
         "_groups",
         "_lease",
+        "_loop_monitor",
         "_own_instance",
         "_owner_links",
         "_owner_server",
@@ -101,6 +105,7 @@
         "clock",
         "counters",
         "dialect",
+        "running_time",
         "stopping",
     )
 
@@ -126,6 +131,8 @@
             loaded_settings.cores,
         )
         self._tasks = tasks.Tasks()
+        self.running_time = running_time.RunningTime()
+        self._loop_monitor = loop_monitor.LoopMonitor(clock, self.running_time, metrics)
         self._groups: dict[str, group.Group] = {}
         self._forwarders: dict[str, forwarding.Forwarder] = {}
         self._owner_links: dict[model.Endpoint, forwarding.OwnerLink] = {}
@@ -140,10 +147,19 @@
         self._was_listed = False
         self._readiness_logged = False
         self._directory = directory.Directory(
-            platform, clock, self._apply_store_change, loaded_settings.store_history_s
+            platform,
+            clock,
+            self._apply_store_change,
+            loaded_settings.store_history_s,
+            self.running_time,
         )
         self._lease = coordinator_lease.CoordinatorLease(
-            self._own_instance, platform, clock, metrics, first_start=loaded_settings.first_start
+            self._own_instance,
+            platform,
+            clock,
+            metrics,
+            first_start=loaded_settings.first_start,
+            running=self.running_time,
         )
         self._lease.is_primary_leaving = self._is_primary_leaving
         self._coordinator = coordinator.Coordinator(
@@ -155,6 +171,7 @@
             clock=clock,
             background_tasks=self._tasks,
             metrics=metrics,
+            running=self.running_time,
         )
         self._fleet = fleet.FleetProtocol(
             own_instance=self._own_instance,
@@ -164,6 +181,7 @@
             store_directory=self._directory,
             clock=clock,
             background_tasks=self._tasks,
+            running=self.running_time,
         )
         self._coordinator.send = self._fleet.send
         self._owner_server = owner_server.OwnerServer(
@@ -250,7 +268,7 @@
     def _owner_link(self, owner: model.Instance) -> forwarding.OwnerLink:
         link = self._owner_links.get(owner.endpoint)
         if link is None:
-            link = forwarding.OwnerLink(owner.endpoint, self.clock, self._tasks)
+            link = forwarding.OwnerLink(owner.endpoint, self.clock, self._tasks, self.running_time)
             self._owner_links[owner.endpoint] = link
         return link
 
@@ -274,6 +292,7 @@
         await self._listen()
         _LOG.info("started", name=self._own_instance.name, lifetime=self._own_instance.incarnation)
         for factory in (
+            self._loop_monitor.run,
             *self._directory.background_work(),
             self._maintain_registration,
             self._run_housekeeping,
@@ -487,6 +506,7 @@
             dialect=self.dialect,
             clock=self.clock,
             background_tasks=self._tasks,
+            running=self.running_time,
         )
         served_group.on_member_failure = lambda _: self._fleet.schedule_urgent_heartbeat()
         served_group.on_answer_fault = self._count_answer_fault
