--- a/bilberrystack/pooling/group_test.py
+++ b/bilberrystack/pooling/group_test.py
@@ -8,6 +8,7 @@
 from bilberrystack.pooling import group
 from bilberrystack.pooling import member_link
 from bilberrystack.pooling import tasks
+from bilberrystack.routing import answers
 from bilberrystack.routing import model
 from bilberrystack.routing import permission
 from bilberrystack.routing import running_time
@@ -74,7 +75,7 @@
     def __init__(self, member):
         self.member = member
 
-    async def run(self, _query):
+    async def run(self, _query, _expectation):
         await asyncio.Event().wait()
 
 
@@ -91,7 +92,7 @@
     link = _SlowLink(served_group.pools["a"].member)
     if stalled:
         running.count_until(asyncio.get_running_loop().time())
-    task = asyncio.create_task(served_group.run(link, b"", 2.0))
+    task = asyncio.create_task(served_group.run(link, b"", answers.READ, 2.0))
     await asyncio.sleep(group.SUSPECT_AFTER_S + 0.1)
     assert served_group.pools["a"].observations.suspected != stalled
     task.cancel()
