Decode list pages and watch results by one function

Cause: `_decode_list_page` and `_decode_watch_result` in platform/client.py had the same shape: decode the whole, else split it and decode each part. A change of one had to be repeated in the other. Change: platform/store_results.py decodes both by `_decode_result`, which takes the names and types of the other fields from the result's class. It also takes over `decode_stored_object`. No result changes. No time was measured.

--- a/bilberrystack/platform/client.py
+++ b/bilberrystack/platform/client.py
@@ -7,8 +7,8 @@
 import loguru
 import msgspec
 
-from bilberrystack.platform import json_parts
 from bilberrystack.platform import objects
+from bilberrystack.platform import store_results
 from bilberrystack.pooling import counters
 from bilberrystack.pooling import http
 from bilberrystack.pooling import interfaces
@@ -33,9 +33,6 @@
 # HTTP status codes which mean that the call was not executed.
 _NOT_EXECUTED_STATUSES = (429, 503)
 
-# What decoding raises for text that is malformed, or nested too deeply.
-_DECODING_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
-
 Decoded = typing.TypeVar("Decoded")
 
 # Decodes the content of an object, given the object's name and the content as JSON.
@@ -172,7 +169,7 @@
         target = f"/objects/{self.name}" + (f"?{stale_parameter}" if stale_parameter else "")
         while True:
             response = await self._store.get(target)
-            page = _decode_list_page(response)
+            page = store_results.decode_list_page(response.body)
             page_revision = interfaces.Revision(self._store.era_of(response), page.current_rev)
             # A watch continues from the revision of the first page, so that it returns changes that
             # are made while the pages are read.
@@ -210,7 +207,7 @@
         if era != revision.era:
             # The number belongs to another change in this era, so that changes may be missing.
             raise interfaces.HistoryGone(target)
-        watched = _decode_watch_result(response)
+        watched = store_results.decode_watch_result(response.body)
         items: dict[str, object | None] = {}
         for event in watched.events:
             name, item = self._decode_object(event.object)
@@ -226,8 +223,8 @@
           None if that is malformed.
         """
         try:
-            stored = _decode_stored_object(bytes(raw))
-        except _DECODING_ERRORS as error:
+            stored = store_results.decode_stored_object(bytes(raw))
+        except store_results.DECODING_ERRORS as error:
             _LOG.warning(
                 "store object with malformed metadata ignored", kind=self.name, error=str(error)
             )
@@ -336,12 +333,12 @@
         if response.status == 404:
             return interfaces.LeaseRecord(None, 0, interfaces.Revision(era, 0), era)
         try:
-            stored = _decode_stored_object(response.body)
-        except _DECODING_ERRORS as error:
+            stored = store_results.decode_stored_object(response.body)
+        except store_results.DECODING_ERRORS as error:
             raise interfaces.NotDone(f"malformed body: {error}") from error
         try:
             return objects.decode_lease(stored, era)
-        except _DECODING_ERRORS as error:
+        except store_results.DECODING_ERRORS as error:
             _LOG.warning(
                 "malformed coordinator lease; it is replaced once it has expired",
                 revision=stored.meta.rev,
@@ -458,67 +455,6 @@
     return {"meta": meta, "spec": spec}
 
 
-def _decode_list_page(response: http.Response) -> objects.ListPage:
-    """Decode a page of a list, also if some of its items can't be decoded.
-
-    Raises:
-      interfaces.NotDone: The page itself is malformed.
-    """
-    try:
-        return msgspec.json.decode(response.body, type=objects.ListPage)
-    except _DECODING_ERRORS:
-        pass
-    try:
-        parts = json_parts.split_object(response.body)
-        return objects.ListPage(
-            items=[msgspec.Raw(item) for item in json_parts.split_array(parts["items"])],
-            more=msgspec.json.decode(parts["more"], type=bool),
-            current_rev=msgspec.json.decode(parts["current_rev"], type=int),
-        )
-    except (LookupError, *_DECODING_ERRORS) as error:
-        raise interfaces.NotDone(f"malformed body: {error}") from error
-
-
-def _decode_watch_result(response: http.Response) -> objects.WatchResult:
-    """Decode the result of a watch, also if some of its events can't be decoded.
-
-    Raises:
-      interfaces.NotDone: The result itself is malformed.
-    """
-    try:
-        return msgspec.json.decode(response.body, type=objects.WatchResult)
-    except _DECODING_ERRORS:
-        pass
-    try:
-        parts = json_parts.split_object(response.body)
-        return objects.WatchResult(
-            events=list(map(_decode_event, json_parts.split_array(parts["events"]))),
-            current_rev=msgspec.json.decode(parts["current_rev"], type=int),
-        )
-    except (LookupError, *_DECODING_ERRORS) as error:
-        raise interfaces.NotDone(f"malformed body: {error}") from error
-
-
-def _decode_event(encoded: bytes) -> objects.WatchEvent:
-    parts = json_parts.split_object(encoded)
-    deleted = parts.get("deleted") == b"true"
-    return objects.WatchEvent(msgspec.Raw(parts["object"]), deleted)
-
-
-def _decode_stored_object(encoded: bytes) -> objects.StoredObject:
-    """Decode an object's metadata; its content may be unreadable.
-
-    Raises:
-      msgspec.MsgspecError, ValueError, RecursionError: The metadata is malformed.
-    """
-    try:
-        return msgspec.json.decode(encoded, type=objects.StoredObject)
-    except _DECODING_ERRORS:
-        parts = json_parts.split_object(encoded)
-    meta = msgspec.json.decode(parts.get("meta", b""), type=objects.ObjectMetadata)
-    return objects.StoredObject(meta, msgspec.Raw(parts.get("spec", b"null")))
-
-
 def _decode_body(response: http.Response, body_type: type[Decoded]) -> Decoded:
     """Decode the body of a store response.
 
@@ -527,5 +463,5 @@
     """
     try:
         return msgspec.json.decode(response.body, type=body_type)
-    except _DECODING_ERRORS as error:
+    except store_results.DECODING_ERRORS as error:
         raise interfaces.NotDone(f"malformed body: {error}") from error
