Continue a list behind a page without a readable name

Cause: a list continues after the last name of a page. If no name of the page could be read, for example that of a large entry that is alone in its page, the list ended there and counted as whole: all members behind the page seemed to be gone, and were removed after their retention. Ruled out: leaving the page out and going on from the name before it, since the store returns the same page for it. Change: the name of such a page is read from the page's text, whatever characters it has, and sent quoted. A list whose page names nothing, or that does not get on, fails with NotDone; the cache then keeps what it knows. Conclusion: what the users' store makes of a name with such characters is not specified, and was tried against a stand-in only. A store that names no object at all in its pages keeps a process that has just started from loading the list, where it loaded a part of it before.

--- a/bilberrystack/platform/client.py
+++ b/bilberrystack/platform/client.py
@@ -167,6 +167,7 @@
         stale_parameter = "stale_ok=1" if allow_stale else ""
         items: dict[str, object] = {}
         revision: interfaces.Revision | None = None
+        cursor = ""
         target = f"/objects/{self.name}" + (f"?{stale_parameter}" if stale_parameter else "")
         while True:
             response = await self._store.get(target)
@@ -182,9 +183,16 @@
                 last_name = name or last_name
                 if name and item is not None:
                     items[name] = item
-            if not page.more or not last_name:
+            if not page.more:
                 return interfaces.Snapshot(items, revision)
-            after_parameter = f"after={urllib.parse.quote(last_name, safe='')}"
+            previous_cursor = cursor
+            cursor = urllib.parse.quote(last_name, safe="") or await turns.run(
+                store_results.cursor_steps(page.items)
+            )
+            if not cursor or cursor == previous_cursor:
+                # A list that ended here would seem to show that all later objects are gone.
+                raise interfaces.NotDone("a page names no object after which the list continues")
+            after_parameter = f"after={cursor}"
             target = f"/objects/{self.name}?{after_parameter}" + (
                 f"&{stale_parameter}" if stale_parameter else ""
             )
--- a/bilberrystack/platform/store_results.py
+++ b/bilberrystack/platform/store_results.py
@@ -5,7 +5,9 @@
 """
 
 import collections.abc
+import json
 import typing
+import urllib.parse
 
 import msgspec
 
@@ -106,3 +108,34 @@
         parts = yield from json_parts.object_steps(encoded)
     meta = msgspec.json.decode(parts.get("meta", b""), type=objects.ObjectMetadata)
     return objects.StoredObject(meta, msgspec.Raw(parts.get("spec", b"null")))
+
+
+def cursor_steps(
+    encoded: collections.abc.Sequence[msgspec.Raw],
+) -> turns.Steps[str]:
+    """Return the last name in a page whose names are all unreadable, for the call of the next page.
+
+    The names may hold what no name of ours may: bytes that are not UTF-8, or half a surrogate pair.
+
+    Args:
+      encoded: The objects of the page.
+    Returns:
+      The name, quoted for a query; an empty string if there is none.
+    """
+    for raw in reversed(encoded):
+        try:
+            parts = yield from json_parts.object_steps(bytes(raw))
+            meta = yield from json_parts.object_steps(parts["meta"])
+            if meta["name"].startswith(b'"'):
+                return _quote_name(meta["name"])
+        except (LookupError, *DECODING_ERRORS):
+            continue
+    return ""
+
+
+def _quote_name(encoded: bytes) -> str:
+    try:
+        name, errors = encoded.decode(), "surrogatepass"
+    except UnicodeDecodeError:
+        name, errors = encoded.decode(errors="surrogateescape"), "surrogateescape"
+    return urllib.parse.quote(json.loads(name), safe="", errors=errors)
--- a/bilberrystack/platform/store_results_test.py
+++ b/bilberrystack/platform/store_results_test.py
@@ -1,6 +1,8 @@
 """Tests that what the store returns is decoded while other work goes on."""
 
 import asyncio
+import json
+import urllib.parse
 
 import pytest
 
@@ -98,3 +100,81 @@
     changes, turn_count = await _run_beside(members.watch(interfaces.Revision(0, 1), 1.0))
     assert set(changes.items) == {"a"}
     assert turn_count >= len(body) // turns.MAX_STEP_BYTES
+
+
+class PagedStore:
+    """Answers list calls with one object a page, in the order of the names' bytes.
+
+    Attributes:
+      targets: The targets of the calls.
+    """
+
+    def __init__(self, entries):
+        self.targets = []
+        self._entries = entries
+
+    async def call(self, _method, target, *_args, **_keywords):
+        """Answer a call like http.Client.call."""
+        self.targets.append(target)
+        query = urllib.parse.urlsplit(target).query
+        after = urllib.parse.unquote_to_bytes(query.removeprefix("after="))
+        names = sorted(name for name in self._entries if name > after)
+        more = json.dumps(len(names) > 1).encode()
+        body = b'{"items": [%s], "more": %s, "current_rev": 9}' % (self._entries[names[0]], more)
+        return http.Response(200, body, {})
+
+
+@pytest.mark.parametrize(
+    ("name", "encoded"),
+    [
+        (b"n\xff", b"n\xff"),
+        ("n\ud800".encode(errors="surrogatepass"), b"n\\ud800"),
+        ("n\udcff".encode(errors="surrogatepass"), b"n\\udcff"),
+        (b"n&more=", b"n&more="),
+    ],
+    ids=["not UTF-8", "high surrogate", "low surrogate", "characters of a query"],
+)
+async def test_an_unreadable_name_alone_in_its_page_does_not_end_the_list(
+    monkeypatch, name, encoded
+):
+    """Guards against members that seem to be gone because a page before theirs has no good name."""
+    store = PagedStore(
+        {b"a": _entry(b"a", SPEC), name: _entry(encoded, SPEC), b"z": _entry(b"z", SPEC)}
+    )
+    monkeypatch.setattr(http.Client, "call", store.call)
+    snapshot = await client.Client(ENDPOINT, ENDPOINT, counters.Counters()).members.list()
+    assert {"a", "z"} <= set(snapshot.items)
+    assert len(store.targets) == 3
+
+
+async def test_a_name_beside_unreadable_metadata_continues_the_list(monkeypatch):
+    """Guards against members that seem to be gone because of another writer's metadata."""
+    odd = b'{"meta": {"name": "n", "rev": []}, "spec": %s}' % SPEC
+    store = PagedStore({b"a": _entry(b"a", SPEC), b"n": odd, b"z": _entry(b"z", SPEC)})
+    monkeypatch.setattr(http.Client, "call", store.call)
+    snapshot = await client.Client(ENDPOINT, ENDPOINT, counters.Counters()).members.list()
+    assert set(snapshot.items) == {"a", "z"}
+
+
+@pytest.mark.parametrize("odd", [b'{"spec": 1}', b'{"meta": {"name": ["n"]}}', _entry(b"", b"1")])
+async def test_a_page_without_any_name_does_not_end_the_list_in_silence(monkeypatch, odd):
+    """Guards against a list that shows all objects behind such a page as gone."""
+    store = PagedStore({b"a": _entry(b"a", SPEC), b"n": odd, b"z": _entry(b"z", SPEC)})
+    monkeypatch.setattr(http.Client, "call", store.call)
+    members = client.Client(ENDPOINT, ENDPOINT, counters.Counters()).members
+    with pytest.raises(interfaces.NotDone, match="names no object"):
+        await members.list()
+
+
+async def test_a_store_that_repeats_a_page_does_not_keep_the_reader_busy(monkeypatch):
+    """Guards against a list without an end."""
+    body = b'{"items": [%s], "more": true, "current_rev": 9}' % _entry(b"a", SPEC)
+    responses = [http.Response(200, body, {})] * 5
+
+    async def call(*_args, **_keywords):
+        return responses.pop()
+
+    monkeypatch.setattr(http.Client, "call", call)
+    members = client.Client(ENDPOINT, ENDPOINT, counters.Counters()).members
+    with pytest.raises(interfaces.NotDone, match="names no object"):
+        await members.list()
