Limit the number of session values in a frame between instances

Cause: a frame may have 8 MiB, and one with a million small session values was decoded in 0.45 s, in one turn of the event loop. A session accepts 512 values and prepared statements. Ruled out: a smaller frame, since one may hold a statement of 1 MiB and the session's values. Change: frames.ForwardedRequest.values has a maximum length of 4,096, which the decoder checks before it decodes the values. A frame with more is malformed and ends its link, as before for other malformed ones. The new test fails without the limit. Conclusion: a frame of 8 MiB with 1.4 million rows is still decoded in one step, 74 ms; such a result passes member_link.py and a session's reply too, which take longer.

--- a/bilberrystack/pooling/frames.py
+++ b/bilberrystack/pooling/frames.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from typing import Annotated
 
 import msgspec
 
@@ -20,6 +21,10 @@
 # Large enough for a statement of 1 MiB with its session's values.
 MAX_FRAME_BYTES = 8_388_608
 
+# Values of a session in one request; a session accepts 512. A frame has room for over a million,
+# whose decoding occupied the event loop for 0.45 s.
+MAX_VALUES = 4_096
+
 
 class ForwardedBegin(msgspec.Struct, frozen=True, array_like=True):
     """The client's request that began a transaction.
@@ -77,7 +82,7 @@
     latency_objective_s: float
     priority: int
     max_age_s: float | None
-    values: dict[str, str]
+    values: Annotated[dict[str, str], msgspec.Meta(max_length=MAX_VALUES)]
     last_write: tuple[int, int, int, float] | None
     transaction_number: int
     begin: ForwardedBegin | None
--- a/bilberrystack/pooling/malformed_test.py
+++ b/bilberrystack/pooling/malformed_test.py
@@ -187,3 +187,14 @@
     """Guards against a position that no datagram can carry."""
     assert wire.parse_position("3." + "9" * 5_000) is None
     assert wire.parse_position("99999999999999999999.1") is None
+
+
+def test_a_request_with_too_many_values_is_malformed():
+    """Guards against a frame whose decoding stops an instance for half a second."""
+    values = {str(number): "" for number in range(frames.MAX_VALUES + 1)}
+    request = msgspec.structs.replace(frames.rollback_request(0), values=values)
+    with pytest.raises(msgspec.ValidationError):
+        frames.unpack_request(frames.pack(request)[frames.LENGTH_BYTES :])
+    values.popitem()
+    unpacked = frames.unpack_request(frames.pack(request)[frames.LENGTH_BYTES :])
+    assert unpacked.values == values
