--- a/bilberrystack/platform/client.py
+++ b/bilberrystack/platform/client.py
@@ -7,11 +7,12 @@
 import loguru
 import msgspec
 
-from bilberrystack.platform import json_parts
 from bilberrystack.platform import objects
+from bilberrystack.platform import store_results
 from bilberrystack.pooling import counters
 from bilberrystack.pooling import http
 from bilberrystack.pooling import interfaces
+from bilberrystack.pooling import turns
 from bilberrystack.routing import model
 
 _LOG = loguru.logger.bind(component="platform")
@@ -33,9 +34,6 @@
 # HTTP status codes which mean that the call was not executed.
 _NOT_EXECUTED_STATUSES = (429, 503)
 
-# What decoding raises for text that is malformed, or nested too deeply.
-_DECODING_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
-
 Decoded = typing.TypeVar("Decoded")
 
 # Decodes the content of an object, given the object's name and the content as JSON.
@@ -164,10 +162,11 @@
         stale_parameter = "stale_ok=1" if allow_stale else ""
         items: dict[str, object] = {}
         revision: interfaces.Revision | None = None
+        cursor = ""
         target = f"/objects/{self.name}" + (f"?{stale_parameter}" if stale_parameter else "")
         while True:
             response = await self._store.get(target)
-            page = _decode_list_page(response)
+            page = await turns.run(store_results.list_page_steps(response.body))
             page_revision = interfaces.Revision(self._store.era_of(response), page.current_rev)
             # A watch continues from the revision of the first page, so that it returns changes that
             # are made while the pages are read.
@@ -175,14 +174,20 @@
             if page_revision.era != revision.era:
                 raise interfaces.NotDone("the pages of the list are from two eras of the store")
             last_name = ""
-            for raw in page.items:
-                name, item = self._decode_object(raw)
+            for name, item in await turns.run(self._objects_steps(page.items)):
                 last_name = name or last_name
                 if name and item is not None:
                     items[name] = item
-            if not page.more or not last_name:
+            if not page.more:
                 return interfaces.Snapshot(items, revision)
-            after_parameter = f"after={urllib.parse.quote(last_name, safe='')}"
+            previous_cursor = cursor
+            cursor = urllib.parse.quote(last_name, safe="") or await turns.run(
+                store_results.cursor_steps(page.items)
+            )
+            if not cursor or cursor == previous_cursor:
+                # A list that ended here would seem to show that all later objects are gone.
+                raise interfaces.NotDone("a page names no object after which the list continues")
+            after_parameter = f"after={cursor}"
             target = f"/objects/{self.name}?{after_parameter}" + (
                 f"&{stale_parameter}" if stale_parameter else ""
             )
@@ -205,15 +210,31 @@
         if era != revision.era:
             # The number belongs to another change in this era, so that changes may be missing.
             raise interfaces.HistoryGone(target)
-        watched = _decode_watch_result(response)
+        watched = await turns.run(store_results.watch_result_steps(response.body))
+        changed = await turns.run(self._objects_steps([event.object for event in watched.events]))
         items: dict[str, object | None] = {}
-        for event in watched.events:
-            name, item = self._decode_object(event.object)
+        for event, (name, item) in zip(watched.events, changed, strict=True):
             if name:
                 items[name] = None if event.deleted else item
         return interfaces.Changes(items, interfaces.Revision(era, watched.current_rev))
 
+    def _objects_steps(
+        self, encoded: collections.abc.Sequence[msgspec.Raw]
+    ) -> turns.Steps[collections.abc.Sequence[tuple[str, object | None]]]:
+        """Decode objects in steps; see `_object_steps`."""
+        budget = turns.Budget()
+        decoded = []
+        for raw in encoded:
+            if budget.spend(len(memoryview(raw)) + store_results.ELEMENT_WORK_BYTES):
+                yield
+            decoded.append((yield from self._object_steps(raw)))
+        return decoded
+
     def _decode_object(self, raw: msgspec.Raw) -> tuple[str, object | None]:
+        """Decode an object in one step; see `_object_steps`."""
+        return turns.complete(self._object_steps(raw))
+
+    def _object_steps(self, raw: msgspec.Raw) -> turns.Steps[tuple[str, object | None]]:
         """Decode an object.
 
         Returns:
@@ -221,8 +242,8 @@
           None if that is malformed.
         """
         try:
-            stored = _decode_stored_object(bytes(raw))
-        except _DECODING_ERRORS as error:
+            stored = yield from store_results.stored_object_steps(bytes(raw))
+        except store_results.DECODING_ERRORS as error:
             _LOG.warning(
                 "store object with malformed metadata ignored", kind=self.name, error=str(error)
             )
@@ -332,12 +353,12 @@
         if response.status == 404:
             return interfaces.LeaseRecord(None, 0, interfaces.Revision(era, 0), era)
         try:
-            stored = _decode_stored_object(response.body)
-        except _DECODING_ERRORS as error:
+            stored = await turns.run(store_results.stored_object_steps(response.body))
+        except store_results.DECODING_ERRORS as error:
             raise interfaces.NotDone(f"malformed body: {error}") from error
         try:
             return objects.decode_lease(stored, era)
-        except _DECODING_ERRORS as error:
+        except store_results.DECODING_ERRORS as error:
             _LOG.warning(
                 "malformed coordinator lease; it is replaced once it has expired",
                 revision=stored.meta.rev,
@@ -454,67 +475,6 @@
     return {"meta": meta, "spec": spec}
 
 
-def _decode_list_page(response: http.Response) -> objects.ListPage:
-    """Decode a page of a list, also if some of its items can't be decoded.
-
-    Raises:
-      interfaces.NotDone: The page itself is malformed.
-    """
-    try:
-        return msgspec.json.decode(response.body, type=objects.ListPage)
-    except _DECODING_ERRORS:
-        pass
-    try:
-        parts = json_parts.split_object(response.body)
-        return objects.ListPage(
-            items=[msgspec.Raw(item) for item in json_parts.split_array(parts["items"])],
-            more=msgspec.json.decode(parts["more"], type=bool),
-            current_rev=msgspec.json.decode(parts["current_rev"], type=int),
-        )
-    except (LookupError, *_DECODING_ERRORS) as error:
-        raise interfaces.NotDone(f"malformed body: {error}") from error
-
-
-def _decode_watch_result(response: http.Response) -> objects.WatchResult:
-    """Decode the result of a watch, also if some of its events can't be decoded.
-
-    Raises:
-      interfaces.NotDone: The result itself is malformed.
-    """
-    try:
-        return msgspec.json.decode(response.body, type=objects.WatchResult)
-    except _DECODING_ERRORS:
-        pass
-    try:
-        parts = json_parts.split_object(response.body)
-        return objects.WatchResult(
-            events=list(map(_decode_event, json_parts.split_array(parts["events"]))),
-            current_rev=msgspec.json.decode(parts["current_rev"], type=int),
-        )
-    except (LookupError, *_DECODING_ERRORS) as error:
-        raise interfaces.NotDone(f"malformed body: {error}") from error
-
-
-def _decode_event(encoded: bytes) -> objects.WatchEvent:
-    parts = json_parts.split_object(encoded)
-    deleted = parts.get("deleted") == b"true"
-    return objects.WatchEvent(msgspec.Raw(parts["object"]), deleted)
-
-
-def _decode_stored_object(encoded: bytes) -> objects.StoredObject:
-    """Decode an object's metadata; its content may be unreadable.
-
-    Raises:
-      msgspec.MsgspecError, ValueError, RecursionError: The metadata is malformed.
-    """
-    try:
-        return msgspec.json.decode(encoded, type=objects.StoredObject)
-    except _DECODING_ERRORS:
-        parts = json_parts.split_object(encoded)
-    meta = msgspec.json.decode(parts.get("meta", b""), type=objects.ObjectMetadata)
-    return objects.StoredObject(meta, msgspec.Raw(parts.get("spec", b"null")))
-
-
 def _decode_body(response: http.Response, body_type: type[Decoded]) -> Decoded:
     """Decode the body of a store response.
 
@@ -523,5 +483,5 @@
     """
     try:
         return msgspec.json.decode(response.body, type=body_type)
-    except _DECODING_ERRORS as error:
+    except store_results.DECODING_ERRORS as error:
         raise interfaces.NotDone(f"malformed body: {error}") from error
--- a/bilberrystack/pooling/forwarding.py
+++ b/bilberrystack/pooling/forwarding.py
@@ -15,6 +15,7 @@
 from bilberrystack.pooling import member_link
 from bilberrystack.pooling import tasks
 from bilberrystack.pooling import transaction
+from bilberrystack.pooling import turns
 from bilberrystack.routing import model
 from bilberrystack.routing import running_time
 from bilberrystack.routing import statements
@@ -173,9 +174,13 @@
         writer: asyncio.StreamWriter,
         pending: dict[int, asyncio.Future[frames.ForwardedOutcome]],
     ) -> None:
+        budget = turns.Budget()
         try:
             while True:
-                outcome = frames.unpack_outcome(await frames.read_body(reader))
+                body = await frames.read_body(reader)
+                if budget.spend(len(body) + turns.MESSAGE_WORK_BYTES):
+                    await asyncio.sleep(0)
+                outcome = frames.unpack_outcome(body)
                 future = pending.get(outcome.sequence_number)
                 if future is not None and not future.done():
                     future.set_result(outcome)
