Report a settings file that is nested too deeply as invalid

Cause: the decoder raises RecursionError for it, which ended the start with a traceback. Change: it counts as invalid JSON, with exit code 2 as for other problems. Tests: the new case of test_file_that_is_not_a_json_object_is_reported fails without the change.

--- a/bilberrystack/platform/settings_file.py
+++ b/bilberrystack/platform/settings_file.py
@@ -97,7 +97,7 @@
     """
     try:
         values = msgspec.json.decode(content)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         return _failure(f"not valid JSON: {error}")
     if not isinstance(values, dict):
         return _failure("not a JSON object")
--- a/bilberrystack/platform/settings_file_test.py
+++ b/bilberrystack/platform/settings_file_test.py
@@ -66,3 +66,4 @@
     """A traceback would not show an operator what to correct."""
     assert isinstance(settings_file.parse(b"{"), result.Failure)
     assert isinstance(settings_file.parse(b"[]"), result.Failure)
+    assert isinstance(settings_file.parse(b"[" * 100_000), result.Failure)
