Do not send a statement on a connection that its member has closed

Cause: the transport stays open for sending after the member has closed its side, so a COMMIT behind the end of a member's process was still sent. Its outcome was unknown and the client could not retry, although the member had rolled the transaction back. Ruled out: a statement that ran. The end had been received before anything was sent. Change: such a statement is not sent; the connection is closed. Tests: the new test fails without the change to member_link.py (unknown outcome instead of aborted). Conclusion: the outcome is the one of a connection that this side knows as closed.

--- a/bilberrystack/pooling/member_link.py
+++ b/bilberrystack/pooling/member_link.py
@@ -305,7 +305,9 @@
         if self.answer_outstanding:
             self.close()
             raise NotSent("another statement has no answer yet")
-        if self._writer.is_closing():
+        if self._writer.is_closing() or self._reader.at_eof():
+            # The transport stays open for sending after the member has closed its side.
+            self.close()
             raise NotSent("the connection had ended before the statement")
         try:
             self.answer_outstanding = True
--- /dev/null
+++ b/bilberrystack/pooling/review_38_test.py
@@ -0,0 +1,29 @@
+"""Tests of a review: statements on connections that have ended or can't be prepared."""
+
+import asyncio
+
+import pytest
+
+from bilberrystack.pooling import answer_outcomes_test
+from bilberrystack.pooling import execution
+from bilberrystack.routing import statements
+
+pytestmark = pytest.mark.asyncio
+
+fixture = answer_outcomes_test.fixture
+_request = answer_outcomes_test._request
+
+
+async def test_a_commit_is_not_sent_on_a_connection_that_the_member_has_closed(fixture):
+    """Guards against an unknown outcome of a transaction that the member has rolled back."""
+    current = fixture.transaction()
+    await current.run(_request("w1", "WRITE x 1"), execution.Trace())
+    link = current._link
+    for writer in fixture.member._writers:
+        writer.close()
+    async with asyncio.timeout(5):
+        while link.usable:
+            await asyncio.sleep(0.001)
+    outcome = await current.commit(_request("c1", "COMMIT"), execution.Trace())
+    assert outcome.failure.code is statements.ErrorCode.ABORTED
+    assert "COMMIT" not in fixture.member.texts()
