Limit how often a write is prepared

Cause: a preparation that failed did not count as an attempt. A write whose session value the member refuses closed and opened one connection after the other, without a pause, until its time limit; each costs a member 12 ms of a slot. Ruled out: reads and transactions, whose attempts were counted already. Tests: the new test fails without the change to execution.py. Conclusion: the client gets BUSY, since nothing ran.

--- a/bilberrystack/pooling/execution.py
+++ b/bilberrystack/pooling/execution.py
@@ -714,7 +714,8 @@
         """
         requirements = primary_requirements(request)
         outcome = failure_outcome(statements.ErrorCode.BUSY, "no primary was free")
-        while trace.sent <= MAX_NOT_RUN_RETRIES:
+        # A preparation that fails each time counts, too: each attempt costs a connection.
+        for _ in range(MAX_NOT_RUN_RETRIES + 1):
             try:
                 link = await self.acquire(requirements, trace)
                 reply = await self._send(link, request, requirements, trace)
--- a/bilberrystack/pooling/review_38_test.py
+++ b/bilberrystack/pooling/review_38_test.py
@@ -27,3 +27,14 @@
     outcome = await current.commit(_request("c1", "COMMIT"), execution.Trace())
     assert outcome.failure.code is statements.ErrorCode.ABORTED
     assert "COMMIT" not in fixture.member.texts()
+
+
+async def test_a_refused_value_costs_a_bounded_number_of_connections(fixture):
+    """Guards against a write that opens one connection after the other until its time limit."""
+    fixture.member.errors["SET"] = ["BAD value"] * 10_000
+    request = _request("w1", "WRITE x 1")
+    request.values["v"] = "1"
+    trace = execution.Trace()
+    outcome = await fixture.executor.run_write(request, trace)
+    assert outcome.failure is not None
+    assert fixture.member._connections <= execution.MAX_NOT_RUN_RETRIES + 1
