Answer both of two requests that arrive together during a stop

Cause: while an instance stops, a session ended with the answer to its last request, also if the client's next one had been read and waited in the buffer. The client lost its connection without an answer to it. Ruled out: sessions that are idle when the stop closes them; these stop reading first. Change: such a session goes on while its buffer holds data. The stop closes it once it is idle. Conclusion: only clients that send without waiting for an answer are concerned.

--- a/bilberrystack/pooling/line_stream.py
+++ b/bilberrystack/pooling/line_stream.py
@@ -18,3 +18,9 @@
     """
     line = await reader.readuntil(LINE_END)
     return line[: -len(LINE_END)]
+
+
+def has_unread_data(reader: asyncio.StreamReader) -> bool:
+    """Return whether data wait in a reader's buffer."""
+    # The stream reader has no public way to see that.
+    return bool(reader._buffer)  # type: ignore[attr-defined]
--- a/bilberrystack/pooling/session.py
+++ b/bilberrystack/pooling/session.py
@@ -283,6 +283,8 @@
         finally:
             self._request_in_progress = False
         may_end = self._transaction is None and self._operation_expected_since_s is None
+        # A client may have sent its next request without waiting for the answer.
+        may_end = may_end and not line_stream.has_unread_data(self._reader)
         return not (self._host.stopping and may_end)
 
     async def _next_line(self) -> bytes:
