Do not count ended connections toward an instance's share

Cause: a transaction keeps its connection until the client's next statement, also if the connection has ended meanwhile, for example because of a second copy of an answer. Until then it counted as open, so that an idle client could keep others from a connection that the member would accept. Ruled out: a leak. The next statement, the idle limit or the end of the session releases it. Change: only connections that are usable count. Tests: the new test fails without the change to pool.py (one connection is counted instead of none). Conclusion: connections that are closed for second answers are replaced at once when one is needed.

--- a/bilberrystack/pooling/pool.py
+++ b/bilberrystack/pooling/pool.py
@@ -128,8 +128,12 @@
 
     @property
     def link_count(self) -> int:
-        """Number of connections that are open or being opened."""
-        return len(self._links) + self.opening_links
+        """Number of connections that are open or being opened.
+
+        A transaction keeps a connection that has ended until its client's next statement; the
+        member does not count it any more.
+        """
+        return sum(link.usable for link in self._links) + self.opening_links
 
     @property
     def connected(self) -> bool:
--- a/bilberrystack/pooling/review_38_test.py
+++ b/bilberrystack/pooling/review_38_test.py
@@ -38,3 +38,19 @@
     outcome = await fixture.executor.run_write(request, trace)
     assert outcome.failure is not None
     assert fixture.member._connections <= execution.MAX_NOT_RUN_RETRIES + 1
+
+
+async def test_a_connection_that_ended_in_a_transaction_does_not_count(fixture):
+    """Guards against a share of connections that idle clients' ended transactions use up."""
+    current = fixture.transaction()
+    await current.run(_request("w1", "WRITE x 1"), execution.Trace())
+    fixture.member.send(b"DONE proof-w1\r\nREADY T 1.2\r\n")
+    async with asyncio.timeout(5):
+        while not fixture.faults:
+            await asyncio.sleep(0.001)
+    member_pool = fixture.group.pools["a"]
+    assert member_pool.link_count == 0
+    assert member_pool.may_open(1, 0.0, asyncio.get_running_loop().time())
+    assert (await fixture.executor.run_write(_request("w2", "WRITE y 2"), execution.Trace())).done
+    current.roll_back()
+    assert member_pool.link_count == 1
