Pause before the next connection to a member that repeats its READY

Cause: a connection that ended with a second READY right behind the first was replaced at once, again and again while a request waited. Ruled out: second copies that arrive later; they reach an idle connection or a statement. Change: the next attempt is delayed by RETRY_OPEN_S, as after a failed one. Tests: the new test fails without the change to group.py. Conclusion: the write is answered with BUSY, since nothing ran.

--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -545,6 +545,7 @@
                 link.on_fault = self._report_answer_fault
             else:
                 self._report_answer_fault(link.fault)
+                member_pool.record_early_end()
             if self._pools.get(member_pool.member.id) is member_pool:
                 member_pool.add(link)
             else:
--- a/bilberrystack/pooling/pool.py
+++ b/bilberrystack/pooling/pool.py
@@ -256,6 +256,10 @@
             case _:
                 self._retry_open_at_s = now_s + RETRY_OPEN_S
 
+    def record_early_end(self) -> None:
+        """Record that a connection ended before its first statement, and delay the next attempt."""
+        self._retry_open_at_s = self._clock() + RETRY_OPEN_S
+
     def record_reply(self, reply: statements.Reply) -> None:
         """Update the window and the observations from an answer of the member."""
         self.record_contact()
--- a/bilberrystack/pooling/review_38_test.py
+++ b/bilberrystack/pooling/review_38_test.py
@@ -6,6 +6,7 @@
 
 from bilberrystack.pooling import answer_outcomes_test
 from bilberrystack.pooling import execution
+from bilberrystack.pooling import pool
 from bilberrystack.routing import statements
 
 pytestmark = pytest.mark.asyncio
@@ -54,3 +55,11 @@
     assert (await fixture.executor.run_write(_request("w2", "WRITE y 2"), execution.Trace())).done
     current.roll_back()
     assert member_pool.link_count == 1
+
+
+async def test_connections_whose_start_is_answered_twice_are_opened_with_pauses(fixture):
+    """Guards against hundreds of connections per second to a member that repeats READY."""
+    fixture.member.start_data = b"READY I 1.1\r\n"
+    outcome = await fixture.executor.run_write(_request("w1", "WRITE x 1"), execution.Trace())
+    assert outcome.failure.code is statements.ErrorCode.BUSY
+    assert fixture.member._connections <= 1 / pool.RETRY_OPEN_S + 1
