--- a/bilberrystack/pooling/pool.py
+++ b/bilberrystack/pooling/pool.py
@@ -128,8 +128,12 @@
 
     @property
     def link_count(self) -> int:
-        """Number of connections that are open or being opened."""
-        return len(self._links) + self.opening_links
+        """Number of connections that are open or being opened.
+
+        A transaction keeps a connection that has ended until its client's next statement; the
+        member does not count it any more.
+        """
+        return sum(link.usable for link in self._links) + self.opening_links
 
     @property
     def connected(self) -> bool:
@@ -252,6 +256,10 @@
             case _:
                 self._retry_open_at_s = now_s + RETRY_OPEN_S
 
+    def record_early_end(self) -> None:
+        """Record that a connection ended before its first statement, and delay the next attempt."""
+        self._retry_open_at_s = self._clock() + RETRY_OPEN_S
+
     def record_reply(self, reply: statements.Reply) -> None:
         """Update the window and the observations from an answer of the member."""
         self.record_contact()
