--- a/bilberrystack/pooling/review_38_test.py
+++ b/bilberrystack/pooling/ended_connections_test.py
@@ -1,4 +1,4 @@
-"""Tests of a review: statements on connections that have ended or can't be prepared."""
+"""Tests statements on connections that have ended or can't be prepared."""
 
 import asyncio
 
--- a/bilberrystack/pooling/member_link.py
+++ b/bilberrystack/pooling/member_link.py
@@ -131,12 +131,6 @@
         super().__init__(limit=limit)
         self.on_data: collections.abc.Callable[[int], None] = lambda _byte_count: None
 
-    @property
-    def buffered_bytes(self) -> int:
-        """Number of bytes that were received and not read."""
-        # The stream reader has no public way to see whether data wait in its buffer.
-        return len(self._buffer)  # type: ignore[attr-defined]
-
     def feed_data(self, data: collections.abc.Iterable[typing.SupportsIndex]) -> None:
         """Report and buffer data; called by the protocol of the connection."""
         received = bytes(data)
@@ -249,7 +243,7 @@
     def observe_data(self) -> None:
         """Close the connection on data without a statement; called once the session has started."""
         self._reader.on_data = self._check_asked
-        if self._reader.buffered_bytes:
+        if line_stream.has_unread_data(self._reader):
             self._end(answers.Fault.UNASKED)
 
     def _check_asked(self, _byte_count: int) -> None:
@@ -323,7 +317,7 @@
         except (OSError, EOFError, ValueError, asyncio.LimitOverrunError) as error:
             self.close()
             raise Lost(f"{type(error).__name__} while a statement was out") from error
-        if self._reader.buffered_bytes:
+        if line_stream.has_unread_data(self._reader):
             # The rest of a second copy, or the true answer if a second copy was taken for it.
             self._end(answers.Fault.UNASKED)
             if not queries[-1][1].proven and queries[-1][1].row_count is answers.RowCount.NONE:
