Take no success of a BEGIN that shows too low a position

Cause: the late copy of an earlier BEGIN's answer passed for the answer to one that the member rejected as BEHIND, and the READ behind it ran outside its transaction (PINNED; found by the review). BEGIN has to show at least the required position. A member whose log lacks it has shown lower ones in all earlier answers on the connection. Tests: test_a_copy_is_no_begin_at_a_member_whose_log_is_behind fails without the check (reason unasked, after the BEGIN counted as begun).

--- a/bilberrystack/pooling/member_link_test.py
+++ b/bilberrystack/pooling/member_link_test.py
@@ -5,6 +5,7 @@
 import pytest
 import pytest_asyncio
 
+from bilberrystack.core import positions
 from bilberrystack.platform import wire
 from bilberrystack.pooling import member_link
 from bilberrystack.routing import answers
@@ -205,6 +206,17 @@
     assert not link.usable
 
 
+async def test_a_copy_is_no_begin_at_a_member_whose_log_is_behind(member):
+    """Guards against a read outside its transaction, behind a BEGIN that was rejected as BEHIND."""
+    member.errors["AFTER"] = ["BEHIND a"]
+    member.data_before["AFTER"] = [b"DONE -\r\nREADY T 1.1\r\n"]
+    link = await _open(member)
+    query = wire.encode_query("b", "BEGIN READ", positions.Position(1, 2))
+    with pytest.raises(member_link.AnswerMismatch) as raised:
+        await link.run(query, answers.begin(positions.Position(1, 2)))
+    assert raised.value.fault is answers.Fault.POSITION
+
+
 async def test_an_answer_that_is_cut_off_is_a_lost_one(member):
     """Guards against an answer that is taken as complete although the connection has ended."""
     link = await _open(member)
--- a/bilberrystack/pooling/transaction.py
+++ b/bilberrystack/pooling/transaction.py
@@ -293,7 +293,8 @@
         query = self._dialect.encode_query(
             self._begin_request.id, self._begin_request.text, requirements.min_position
         )
-        return await self._executor.group.run(link, query, answers.BEGIN, request.route.timeout_s)
+        expectation = answers.begin(requirements.min_position)
+        return await self._executor.group.run(link, query, expectation, request.route.timeout_s)
 
     async def commit(self, request: execution.Request, trace: execution.Trace) -> execution.Outcome:
         """Commit the transaction, which is over whatever the outcome is.
--- a/bilberrystack/routing/answers.py
+++ b/bilberrystack/routing/answers.py
@@ -7,6 +7,7 @@
 import dataclasses
 import enum
 
+from bilberrystack.core import positions
 from bilberrystack.routing import statements
 
 # A connection is replaced after this many answers, which bounds the memory for their digests to
@@ -31,6 +32,7 @@
     PROOF_MISSING = "proof_missing"
     ROW_COUNT = "row_count"
     STATE = "state"
+    POSITION = "position"
     ERROR_UNVERIFIED = "error_unverified"
 
 
@@ -44,12 +46,14 @@
       next_state: The state after a success; None if the statement leaves the state as it is.
       verify_errors: Whether an error that may belong to another statement has to be verified. It
         has not if the connection is closed after any error, or if the answer is not relied on.
+      min_position: The position that the member's log has to contain for a success; None for any.
     """
 
     proven: bool
     row_count: RowCount
     next_state: statements.TransactionState | None
     verify_errors: bool
+    min_position: positions.Position | None = None
 
     @property
     def shows_position(self) -> bool:
@@ -73,6 +77,18 @@
 STATUS = Expectation(False, RowCount.ONE, None, verify_errors=False)
 
 
+def begin(min_position: positions.Position | None) -> Expectation:
+    """Return what the answer to a BEGIN can be.
+
+    If the member's log lacks the position, each earlier answer of the connection shows a lower one,
+    and a second copy of it can't be taken for a success.
+
+    Args:
+      min_position: The position that the member's log has to contain; None for any.
+    """
+    return dataclasses.replace(BEGIN, min_position=min_position)
+
+
 def of_access(access: statements.Access) -> Expectation:
     """Return what the answer to a read or a write can be."""
     return READ if access is statements.Access.READ else WRITE
@@ -134,6 +150,10 @@
             return Fault.ROW_COUNT
         if reply.state is not (expectation.next_state or previous_state):
             return Fault.STATE
+        if expectation.min_position is not None and (
+            reply.position is None or reply.position < expectation.min_position
+        ):
+            return Fault.POSITION
         self._in_step = expectation.proven
         if expectation.row_count is RowCount.ONE and self._is_repeated(reply.rows[0]):
             return Verdict.UNVERIFIED
