Use one scripted member and one group of it in the tests

Cause: transaction_test.py had a scripted member before; another one and the same construction of its group were written for the tests of answers. Change: the stand-in module has both; transaction_test.py holds answers back and rejects writes with it. All assertions are the same.

--- a/bilberrystack/pooling/answer_outcomes_test.py
+++ b/bilberrystack/pooling/answer_outcomes_test.py
@@ -14,13 +14,11 @@
 from bilberrystack.pooling import transaction
 from bilberrystack.routing import answers
 from bilberrystack.routing import model
-from bilberrystack.routing import permission
 from bilberrystack.routing import statements
 from bilberrystack_standins import scripted_member
 
 pytestmark = pytest.mark.asyncio
 
-SERVICE = model.Service("store", 23, 0)
 ROUTE = model.Route("base", "store", model.Consistency.PRIMARY, 1.0, 1.0, 0, None)
 BEGIN = transaction.BeginRequest("b1", "BEGIN", read_only=False)
 
@@ -68,19 +66,7 @@
     port = await member.start()
     clock = asyncio.get_running_loop().time
     background_tasks = tasks.Tasks()
-    served = group.Group(
-        service=SERVICE,
-        failure_domain="zone",
-        instance_name="proxy",
-        dialect=wire,
-        clock=clock,
-        background_tasks=background_tasks,
-    )
-    record = model.Member(
-        "a", "store", model.Endpoint("127.0.0.1", port), "zone", 3, False, None, 1
-    )
-    served.update(SERVICE, [record], frozenset())
-    served.permission.grant(permission.Leader("a", 1), clock() + 1e6, (1, 0))
+    served = scripted_member.open_group(port, background_tasks)
     failures, faults = [], []
     served.on_member_failure = failures.append
     served.on_answer_fault = faults.append
--- a/bilberrystack/pooling/transaction_test.py
+++ b/bilberrystack/pooling/transaction_test.py
@@ -19,69 +19,17 @@
 from bilberrystack.pooling import transaction
 from bilberrystack.routing import answers
 from bilberrystack.routing import model
-from bilberrystack.routing import permission
+from bilberrystack_standins import scripted_member
 
 pytestmark = pytest.mark.asyncio
 
-SERVICE = model.Service("store", 23, 0)
 ROUTE = model.Route("base", "store", model.Consistency.PRIMARY, 1.0, 1.0, 0, None)
 BEGIN = transaction.BeginRequest("b1", "BEGIN", read_only=False)
 
 
-class ScriptedMember:
-    """A member that keeps a transaction per connection, and answers when the test lets it.
-
-    Attributes:
-      received: Connection number and text of each query, in the order of arrival.
-      busy_answers: How many of the next writes are answered as BUSY.
-      release: While clear, answers to writes are held back.
-    """
-
-    def __init__(self):
-        self.received = []
-        self.busy_answers = 0
-        self.release = asyncio.Event()
-        self.release.set()
-        self._connections = 0
-        self._server = None
-        self._writers = []
-
-    async def start(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return self._server.sockets[0].getsockname()[1]
-
-    async def close(self):
-        self._server.close()
-        for writer in self._writers:
-            writer.close()
-            await asyncio.gather(writer.wait_closed(), return_exceptions=True)
-
-    def texts(self):
-        return [text for _, text in self.received]
-
-    async def _serve(self, reader, writer):
-        self._connections += 1
-        self._writers.append(writer)
-        number, state = self._connections, "I"
-        await reader.readline()
-        writer.write(b"READY I 1.1\r\n")
-        while line := (await reader.readline()).decode().strip():
-            _, request_id, text = line.split(" ", 2)
-            self.received.append((number, text))
-            state = {"BEGIN": "T", "COMMIT": "I", "ROLLBACK": "I"}.get(text, state)
-            answer = f"DONE proof-{request_id}"
-            if text.startswith("WRITE"):
-                await self.release.wait()
-                if self.busy_answers:
-                    self.busy_answers -= 1
-                    answer = "ERR BUSY queue"
-            writer.write(f"{answer}\r\nREADY {state} 1.1\r\n".encode())
-        writer.close()
-
-
 @dataclasses.dataclass
 class Fixture:
-    member: ScriptedMember
+    member: scripted_member.ScriptedMember
     group: group.Group
     executor: execution.Executor
     tasks: tasks.Tasks
@@ -95,23 +43,11 @@
 
 @pytest_asyncio.fixture
 async def fixture():
-    member = ScriptedMember()
+    member = scripted_member.ScriptedMember()
     port = await member.start()
     clock = asyncio.get_running_loop().time
     background_tasks = tasks.Tasks()
-    served = group.Group(
-        service=SERVICE,
-        failure_domain="zone",
-        instance_name="proxy",
-        dialect=wire,
-        clock=clock,
-        background_tasks=background_tasks,
-    )
-    record = model.Member(
-        "a", "store", model.Endpoint("127.0.0.1", port), "zone", 3, False, None, 1
-    )
-    served.update(SERVICE, [record], frozenset())
-    served.permission.grant(permission.Leader("a", 1), clock() + 1e6, (1, 0))
+    served = scripted_member.open_group(port, background_tasks)
     executor = execution.Executor(served, wire, clock, counters.Counters())
     yield Fixture(member, served, executor, background_tasks)
     await background_tasks.close()
@@ -144,7 +80,7 @@
     Each later answer on it then went to the wrong statement.
     """
     current = fixture.transaction()
-    fixture.member.release.clear()
+    fixture.member.held["WRITE"] = asyncio.Event()
     running = asyncio.create_task(current.run(_request("w1", "WRITE x 1"), execution.Trace()))
     await _wait_for(lambda: "WRITE x 1" in fixture.member.texts())
     current.roll_back()
@@ -152,7 +88,7 @@
         fixture.executor.run_write(_request("w2", "WRITE y 2"), execution.Trace())
     )
     await asyncio.sleep(0.02)
-    fixture.member.release.set()
+    fixture.member.held["WRITE"].set()
     assert (await running).done == b"DONE proof-w1"
     assert (await other).done == b"DONE proof-w2"
     await _wait_for(lambda: "ROLLBACK" in fixture.member.texts())
@@ -163,9 +99,9 @@
     """Guards against a write that runs by itself after the rollback of its transaction."""
     current = fixture.transaction()
     await current.run(_request("r1", "READ x", "READ"), execution.Trace())
-    fixture.member.busy_answers = 1
+    fixture.member.errors["WRITE"] = ["BUSY queue"]
     running = asyncio.create_task(current.run(_request("w1", "WRITE x 1"), execution.Trace()))
-    await _wait_for(lambda: fixture.member.busy_answers == 0)
+    await _wait_for(lambda: not fixture.member.errors["WRITE"])
     current.roll_back()
     assert (await running).failure is not None
     await _wait_for(lambda: fixture.member.texts()[-1] == "ROLLBACK")
@@ -224,7 +160,7 @@
 async def test_a_connection_is_not_reused_before_its_answer_has_arrived(fixture):
     """Guards against an answer that goes to the connection's next user."""
     link = await fixture.group.acquire(execution.primary_requirements(_request("w1", "WRITE x 1")))
-    fixture.member.release.clear()
+    fixture.member.held["WRITE"] = asyncio.Event()
     running = asyncio.create_task(link.run(wire.encode_query("w1", "WRITE x 1"), answers.WRITE))
     await _wait_for(lambda: "WRITE x 1" in fixture.member.texts())
     fixture.group.release(link)
--- a/bilberrystack_standins/scripted_member.py
+++ b/bilberrystack_standins/scripted_member.py
@@ -3,6 +3,14 @@
 import asyncio
 import collections
 
+from bilberrystack.platform import wire
+from bilberrystack.pooling import group
+from bilberrystack.pooling import tasks
+from bilberrystack.routing import model
+from bilberrystack.routing import permission
+
+SERVICE = model.Service("store", 23, 0)
+
 
 class ScriptedMember:
     """A member that keeps a transaction state per connection and answers each statement.
@@ -109,3 +117,21 @@
                 return f"ROW {self.role_and_term} 1.{self._position} 0 0 0 1\r\nDONE -", state
             case _:
                 return "DONE -", state
+
+
+def open_group(port: int, background_tasks: tasks.Tasks) -> group.Group:
+    """Returns a group whose only member "a" is the granted primary and listens at a port."""
+    clock = asyncio.get_running_loop().time
+    served = group.Group(
+        service=SERVICE,
+        failure_domain="zone",
+        instance_name="proxy",
+        dialect=wire,
+        clock=clock,
+        background_tasks=background_tasks,
+    )
+    endpoint = model.Endpoint("127.0.0.1", port)
+    member = model.Member("a", SERVICE.name, endpoint, "zone", 3, False, None, 1)
+    served.update(SERVICE, [member], frozenset())
+    served.permission.grant(permission.Leader("a", 1), clock() + 1e6, (1, 0))
+    return served
