--- a/bilberrystack/platform/wire.py
+++ b/bilberrystack/platform/wire.py
@@ -19,12 +19,12 @@
 # Maximum length of a message, without its line end, as the protocol specifies.
 MAX_LINE_BYTES = 1_048_576
 
-# Longest text that the proxy adds before a statement: AFTER, a position and two blanks.
-_MAX_POSITION_PREFIX_BYTES = len("AFTER ") + 2 * 18 + len(". ")
-
 # Longest number of a member that the messages between instances can carry.
 MAX_DIGITS = 18
 
+# Longest text that the proxy adds before a statement: AFTER, a position and two blanks.
+_MAX_POSITION_PREFIX_BYTES = len("AFTER ") + 2 * MAX_DIGITS + len(". ")
+
 # Request id that the protocol reserves for statements that the proxy itself issues.
 PROXY_REQUEST_ID = "-"
 
