--- a/bilberrystack/platform/client.py
+++ b/bilberrystack/platform/client.py
@@ -230,10 +230,6 @@
             decoded.append((yield from self._object_steps(raw)))
         return decoded
 
-    def _decode_object(self, raw: msgspec.Raw) -> tuple[str, object | None]:
-        """Decode an object in one step; see `_object_steps`."""
-        return turns.complete(self._object_steps(raw))
-
     def _object_steps(self, raw: msgspec.Raw) -> turns.Steps[tuple[str, object | None]]:
         """Decode an object.
 
--- a/bilberrystack/platform/odd_entries_test.py
+++ b/bilberrystack/platform/odd_entries_test.py
@@ -8,11 +8,12 @@
 from hypothesis import strategies
 
 from bilberrystack.platform import client
-from bilberrystack.platform import json_parts
 from bilberrystack.platform import objects
 from bilberrystack.pooling import counters
 from bilberrystack.pooling import http
 from bilberrystack.pooling import interfaces
+from bilberrystack.pooling import json_parts
+from bilberrystack.pooling import turns
 from bilberrystack.routing import model
 from bilberrystack_standins import line_site
 
@@ -174,9 +175,9 @@
     """Guards against entries that are torn apart inside their strings or brackets."""
     for ensure_ascii in (True, False):
         text = json.dumps(array, ensure_ascii=ensure_ascii, indent=1).encode()
-        assert [json.loads(part) for part in json_parts.split_array(text)] == array
+        assert [json.loads(part) for part in turns.complete(json_parts.array_steps(text))] == array
         text = json.dumps(table, ensure_ascii=ensure_ascii).encode()
-        parts = json_parts.split_object(text)
+        parts = turns.complete(json_parts.object_steps(text))
         assert {key: json.loads(part) for key, part in parts.items()} == table
 
 
@@ -186,7 +187,7 @@
     """Guards against content that ends the reading of a page in an unforeseen way."""
     reader = client.Client(ENDPOINT, ENDPOINT, counters.Counters()).members
     for content in (unreadable, msgspec.json.encode(value)):
-        name, _ = reader._decode_object(msgspec.Raw(_entry(b"i-a", content)))
+        name, _ = turns.complete(reader._object_steps(msgspec.Raw(_entry(b"i-a", content))))
         assert name in ("i-a", "")
 
 
--- a/bilberrystack/platform/store_results.py
+++ b/bilberrystack/platform/store_results.py
@@ -11,9 +11,9 @@
 
 import msgspec
 
-from bilberrystack.platform import json_parts
 from bilberrystack.platform import objects
 from bilberrystack.pooling import interfaces
+from bilberrystack.pooling import json_parts
 from bilberrystack.pooling import turns
 
 # What decoding raises for text that is malformed, or nested too deeply.
--- a/bilberrystack/platform/store_results_test.py
+++ b/bilberrystack/platform/store_results_test.py
@@ -7,10 +7,10 @@
 import pytest
 
 from bilberrystack.platform import client
-from bilberrystack.platform import json_parts_test
 from bilberrystack.pooling import counters
 from bilberrystack.pooling import http
 from bilberrystack.pooling import interfaces
+from bilberrystack.pooling import json_parts_test
 from bilberrystack.pooling import turns
 from bilberrystack.routing import model
 
--- a/bilberrystack/platform/json_parts.py
+++ b/bilberrystack/pooling/json_parts.py
@@ -35,26 +35,8 @@
 _TOKEN_WORK_BYTES = 32
 
 
-def split_array(text: bytes) -> list[bytes]:
-    """Return the elements of a JSON array as JSON text.
-
-    Raises:
-      ValueError: The text is not an array, as far as can be seen.
-    """
-    return turns.complete(array_steps(text))
-
-
-def split_object(text: bytes) -> dict[str, bytes]:
-    """Return the values of a JSON object as JSON text by key; an unreadable key is left out.
-
-    Raises:
-      ValueError: The text is not an object, as far as can be seen.
-    """
-    return turns.complete(object_steps(text))
-
-
 def array_steps(text: bytes) -> turns.Steps[list[bytes]]:
-    """Split an array like `split_array`, in steps.
+    """Return the elements of a JSON array as JSON text, in steps.
 
     Raises:
       ValueError: The text is not an array, as far as can be seen.
@@ -64,7 +46,9 @@
 
 
 def object_steps(text: bytes) -> turns.Steps[dict[str, bytes]]:
-    """Split an object like `split_object`, in steps.
+    """Return the values of a JSON object as JSON text by key, in steps.
+
+    An unreadable key is left out.
 
     Raises:
       ValueError: The text is not an object, as far as can be seen.
--- a/bilberrystack/platform/json_parts_test.py
+++ b/bilberrystack/pooling/json_parts_test.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from bilberrystack.platform import json_parts
+from bilberrystack.pooling import json_parts
 from bilberrystack.pooling import turns
 
 TEXT_BYTES = 1_000_000
@@ -78,7 +78,7 @@
     """Guards against an entry that occupies the event loop for seconds."""
     text = b'{"before": 1, "nested": ' + nested + b', "after": 2}'
     with LineCounter() as lines:
-        fields = json_parts.split_object(text)
+        fields = turns.complete(json_parts.object_steps(text))
     assert fields == {"before": b"1", "nested": nested, "after": b"2"}
     assert lines.count < MAX_LINES
 
@@ -88,7 +88,10 @@
     """Guards against library calls that take long for one shape, which no count of lines shows."""
     decodable = NESTED["empty arrays"]
     decoding_s = _processor_time_s(lambda: json.loads(decodable))
-    assert _processor_time_s(lambda: json_parts.split_array(b"[%s]" % nested)) < 3 * decoding_s
+    assert (
+        _processor_time_s(lambda: turns.complete(json_parts.array_steps(b"[%s]" % nested)))
+        < 3 * decoding_s
+    )
 
 
 @pytest.mark.parametrize("nested", NESTED.values(), ids=NESTED.keys())
@@ -121,7 +124,7 @@
 def test_a_text_with_too_many_parts_is_given_up(text):
     """Guards against seconds of work, in many steps, for a text that is nothing of the store's."""
     with LineCounter() as lines, pytest.raises(ValueError, match="too many parts"):
-        json_parts.split_array(text)
+        turns.complete(json_parts.array_steps(text))
     assert lines.count < 30 * json_parts.MAX_TOKENS
 
 
@@ -132,8 +135,8 @@
     text = json.dumps(values).encode()
     table = json.dumps({f"{number}\\": value for number, value in enumerate(values)}).encode()
     monkeypatch.setattr(turns, "MAX_STEP_BYTES", step_bytes)
-    assert [json.loads(part) for part in json_parts.split_array(text)] == values
-    parts = json_parts.split_object(table)
+    assert [json.loads(part) for part in turns.complete(json_parts.array_steps(text))] == values
+    parts = turns.complete(json_parts.object_steps(table))
     assert [json.loads(part) for part in parts.values()] == values
 
 
@@ -143,4 +146,4 @@
 def test_text_whose_brackets_do_not_match_is_no_array(text):
     """Guards against a part that reaches beyond the end of its array."""
     with pytest.raises(ValueError):
-        json_parts.split_array(text)
+        turns.complete(json_parts.array_steps(text))
