Give the running time one default

Cause: nine constructors repeated a condition for a process that never stands still. Change: running_time.ALWAYS_RUNNING is the default value.

--- a/bilberrystack/pooling/coordinator.py
+++ b/bilberrystack/pooling/coordinator.py
@@ -172,7 +172,7 @@
         clock: interfaces.Clock,
         background_tasks: tasks.Tasks,
         metrics: counters.Counters,
-        running: running_time.RunningTime | None = None,
+        running: running_time.RunningTime = running_time.ALWAYS_RUNNING,
     ) -> None:
         self._own_instance = own_instance
         self._lease = lease
@@ -182,7 +182,7 @@
         self._clock = clock
         self._tasks = background_tasks
         self._metrics = metrics
-        self._running_time = running_time.RunningTime() if running is None else running
+        self._running_time = running
         self._token: int | None = None
         self._majority_heard_at_s = 0.0
         self._token_since_s = 0.0
--- a/bilberrystack/pooling/coordinator_lease.py
+++ b/bilberrystack/pooling/coordinator_lease.py
@@ -169,7 +169,7 @@
         metrics: counters.Counters,
         *,
         first_start: bool = False,
-        running: running_time.RunningTime | None = None,
+        running: running_time.RunningTime = running_time.ALWAYS_RUNNING,
     ) -> None:
         """Create a view of the lease before the first reading.
 
@@ -180,9 +180,9 @@
           metrics: Counts changes of the lease.
           first_start: Whether the whole system starts for the first time, so that a missing record
             means that there was never a coordinator.
-          running: Time in which this process ran; None if it always runs.
+          running: Time in which this process ran.
         """
-        self._running_time = running_time.RunningTime() if running is None else running
+        self._running_time = running
         self._own_instance = own_instance
         self._platform = platform
         self._clock = clock
--- a/bilberrystack/pooling/directory.py
+++ b/bilberrystack/pooling/directory.py
@@ -47,7 +47,7 @@
         clock: interfaces.Clock,
         on_change: collections.abc.Callable[[], None],
         history_s: float,
-        running: running_time.RunningTime | None = None,
+        running: running_time.RunningTime = running_time.ALWAYS_RUNNING,
     ) -> None:
         """Create an empty directory.
 
@@ -56,7 +56,7 @@
           clock: Returns the current time in seconds.
           on_change: Called after each change of a cache.
           history_s: How long the store keeps its history, in seconds.
-          running: Time in which this process ran; None if it always runs.
+          running: Time in which this process ran.
         """
         self.configurations = views.ObjectCache(
             platform.configurations,
--- a/bilberrystack/pooling/fleet.py
+++ b/bilberrystack/pooling/fleet.py
@@ -77,7 +77,7 @@
         store_directory: directory.Directory,
         clock: interfaces.Clock,
         background_tasks: tasks.Tasks,
-        running: running_time.RunningTime | None = None,
+        running: running_time.RunningTime = running_time.ALWAYS_RUNNING,
     ) -> None:
         """Create a protocol without a socket.
 
@@ -89,9 +89,9 @@
           store_directory: The configuration, members and instances in the store.
           clock: Returns the current time in seconds.
           background_tasks: Runs the probes of members.
-          running: Time in which this process ran; None if it always runs.
+          running: Time in which this process ran.
         """
-        self._running_time = running_time.RunningTime() if running is None else running
+        self._running_time = running
         self._own_instance = own_instance
         self._lease = lease
         self._directory = store_directory
--- a/bilberrystack/pooling/forwarding.py
+++ b/bilberrystack/pooling/forwarding.py
@@ -62,7 +62,7 @@
         endpoint: model.Endpoint,
         clock: interfaces.Clock,
         background_tasks: tasks.Tasks,
-        running: running_time.RunningTime | None = None,
+        running: running_time.RunningTime = running_time.ALWAYS_RUNNING,
     ) -> None:
         """Create a link that is not open.
 
@@ -70,9 +70,9 @@
           endpoint: The address where the owner serves other instances.
           clock: Returns the current time in seconds.
           background_tasks: Holds the task that receives outcomes.
-          running: Time in which this process ran; None if it always runs.
+          running: Time in which this process ran.
         """
-        self._running_time = running_time.RunningTime() if running is None else running
+        self._running_time = running
         self.avoid_until_s = float("-inf")
         self._endpoint = endpoint
         self._clock = clock
--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -147,7 +147,7 @@
         dialect: interfaces.Dialect,
         clock: interfaces.Clock,
         background_tasks: tasks.Tasks,
-        running: running_time.RunningTime | None = None,
+        running: running_time.RunningTime = running_time.ALWAYS_RUNNING,
     ) -> None:
         """Create a group without members.
 
@@ -158,9 +158,9 @@
           dialect: The members' protocol.
           clock: Returns the current time in seconds.
           background_tasks: Holds the group's background tasks.
-          running: Time in which this process ran; None if it always runs.
+          running: Time in which this process ran.
         """
-        self._running_time = running_time.RunningTime() if running is None else running
+        self._running_time = running
         self.service = service
         self.permission = permission.Permission()
         self.history = freshness.PositionHistory()
--- a/bilberrystack/pooling/member_records.py
+++ b/bilberrystack/pooling/member_records.py
@@ -48,18 +48,18 @@
         self,
         cache: views.ObjectCache,
         clock: interfaces.Clock,
-        running: running_time.RunningTime | None = None,
+        running: running_time.RunningTime = running_time.ALWAYS_RUNNING,
     ) -> None:
         """Create an empty collection.
 
         Args:
           cache: The cache of the members' records.
           clock: Returns the current time in seconds.
-          running: Time in which this process ran; None if it always runs.
+          running: Time in which this process ran.
         """
         self._cache = cache
         self._clock = clock
-        self._running_time = running_time.RunningTime() if running is None else running
+        self._running_time = running
         self._retained: dict[str, model.Member] = {}
         self._missing_since_s: dict[str, float] = {}
         # The last record of each member that was removed recently, and when.
--- a/bilberrystack/pooling/registrations.py
+++ b/bilberrystack/pooling/registrations.py
@@ -38,18 +38,18 @@
         self,
         cache: views.ObjectCache,
         clock: interfaces.Clock,
-        running: running_time.RunningTime | None = None,
+        running: running_time.RunningTime = running_time.ALWAYS_RUNNING,
     ) -> None:
         """Create an empty collection.
 
         Args:
           cache: The cache of the registrations.
           clock: Returns the current time in seconds.
-          running: Time in which this process ran; None if it always runs.
+          running: Time in which this process ran.
         """
         self._cache = cache
         self._clock = clock
-        self._running_time = running_time.RunningTime() if running is None else running
+        self._running_time = running
         self._known: dict[str, model.Instance] = {}
         # Instances whose registrations may have been lost with the store's return.
         self._awaited: dict[str, model.Instance] = {}
--- a/bilberrystack/routing/pending_promotions.py
+++ b/bilberrystack/routing/pending_promotions.py
@@ -58,13 +58,13 @@
 
     __slots__ = ("_requests", "_resolved", "_running_time")
 
-    def __init__(self, running: running_time.RunningTime | None = None) -> None:
+    def __init__(self, running: running_time.RunningTime = running_time.ALWAYS_RUNNING) -> None:
         """Create a group's collection without requests.
 
         Args:
-          running: Time in which this process ran; None if it always runs.
+          running: Time in which this process ran.
         """
-        self._running_time = running_time.RunningTime() if running is None else running
+        self._running_time = running
         self._requests: dict[str, _Request] = {}
         self._resolved: dict[str, Resolution] = {}
 
--- a/bilberrystack/routing/primary_change.py
+++ b/bilberrystack/routing/primary_change.py
@@ -141,7 +141,7 @@
         settled_at_s: float,
         leaving_replaceable_at_s: float | None = None,
         pending: pending_promotions.PendingPromotions | None = None,
-        running: running_time.RunningTime | None = None,
+        running: running_time.RunningTime = running_time.ALWAYS_RUNNING,
     ) -> None:
         """Starts to observe a group.
 
@@ -152,9 +152,9 @@
             effect, so that a primary that leaves can be replaced; None for `settled_at_s`. If a
             promotion request of the previous coordinator still takes effect, no grant suffers.
           pending: Promotion requests of earlier coordinators; None for none.
-          running: Time in which this process ran; None if it always runs.
+          running: Time in which this process ran.
         """
-        self._running_time = running_time.RunningTime() if running is None else running
+        self._running_time = running
         self._pending = pending_promotions.PendingPromotions() if pending is None else pending
         self._newer_term_seen = False
         self._phase = Phase.STEADY
--- a/bilberrystack/routing/running_time.py
+++ b/bilberrystack/routing/running_time.py
@@ -84,3 +84,7 @@
         A time limit that has passed meanwhile shows nothing about others.
         """
         return now_s - since_s - self.elapsed_s(since_s, now_s) > _UNCOUNTED_TOLERANCE_S
+
+
+# Of a process that never stands still.
+ALWAYS_RUNNING = RunningTime()
