Log what the process behind a confirmed answer has shown of itself

Cause: a stale read's line named the member and the term only, so that a restarted process, an older term and an incomplete round looked alike (docs/incidents/primary-restarted-without-log.md). Change: the line of a request has the answer's position, the connection's age and what the member last reported on that connection; the line of a round has each answer and the members whose records have just left the store. Conclusion: the first hypothesis shows as 'reported' with a replica or nothing and a low position, the second as a lower term, the third as a missing answer.

--- a/bilberrystack/pooling/confirmation.py
+++ b/bilberrystack/pooling/confirmation.py
@@ -37,12 +37,14 @@
       permission: Which member this instance may treat as the primary.
       history: The log positions that the primary has shown.
       owned: Whether this instance opens connections to the members.
+      members_without_record: Ids of members whose records have just left the store.
     """
 
     service: model.Service
     permission: permission.Permission
     history: freshness.PositionHistory
     owned: bool
+    members_without_record: frozenset[str]
 
     @property
     def pools(self) -> collections.abc.Mapping[str, pool.MemberPool]: ...
@@ -179,6 +181,11 @@
             leader=leader.member,
             term=leader.term,
             asked=len(other_ids),
+            answers=[
+                f"{member_id} {status}"
+                for member_id, status in zip(other_ids, answers, strict=True)
+            ],
+            without_record=sorted(self._group.members_without_record),
             confirmed=confirmed,
             took_ms=round((self._clock() - began_at_s) * 1000),
         )
--- a/bilberrystack/pooling/execution.py
+++ b/bilberrystack/pooling/execution.py
@@ -138,6 +138,10 @@
       waited_ms: Total time that the request waited for connections.
       sent: How often the statement was sent to a member.
       confirmed: How an answer of the primary was confirmed: grant, round or none.
+      position: The log position that the member showed in that answer, empty for none.
+      reported: The role and the term that the member last reported on the connection of that
+        answer, empty if it has reported none.
+      connection_age_ms: Age of that connection when the answer arrived, -1 for none.
       leaving_ms: How long that member is known to be leaving, -1 if it isn't.
       cause: The last reason why the request was rejected or sent again, empty for none.
     """
@@ -149,6 +153,9 @@
     waited_ms: int = 0
     sent: int = 0
     confirmed: str = ""
+    position: str = ""
+    reported: str = ""
+    connection_age_ms: int = -1
     leaving_ms: int = -1
     cause: str = ""
 
@@ -702,6 +709,9 @@
         else:
             trace.confirmed = "none"
         trace.term = 0 if leader is None else leader.term
+        trace.position = "" if reply.position is None else str(reply.position)
+        trace.reported = "" if link.reported is None else str(link.reported)
+        trace.connection_age_ms = round((reply.received_at_s - link.opened_at_s) * 1000)
         self._metrics.confirmations.inc({"by": trace.confirmed})
         return trace.confirmed != "none"
 
--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -766,8 +766,10 @@
             return None
         if reply is None:
             return None
-        self.release(link)
         status = self._dialect.parse_member_status(reply.rows[0]) if reply.rows else None
+        if status is not None:
+            link.reported = status
+        self.release(link)
         member_pool = self._pools.get(member_id)
         if member_pool is not None and status is not None:
             member_pool.observations.status = status
--- a/bilberrystack/pooling/member_link.py
+++ b/bilberrystack/pooling/member_link.py
@@ -150,7 +150,9 @@
     Attributes:
       member: The member.
       in_use: Whether a request has acquired the connection.
+      opened_at_s: When the connection was opened, in seconds of the clock.
       idle_since_s: When the connection was opened or last released, in seconds of the clock.
+      reported: The last status report that the member sent on the connection; None if it sent none.
       state: The state of the connection's session after the last answer.
       position: The member's log position in the last answer; None if it showed none.
       values: The session values that are set on the connection.
@@ -174,8 +176,10 @@
         "in_use",
         "member",
         "on_fault",
+        "opened_at_s",
         "position",
         "prepared_names",
+        "reported",
         "state",
         "values",
     )
@@ -190,7 +194,8 @@
     ) -> None:
         self.member = member
         self.in_use = False
-        self.idle_since_s = clock()
+        self.opened_at_s = self.idle_since_s = clock()
+        self.reported: statements.MemberStatus | None = None
         self.state = statements.TransactionState.IDLE
         self.position: positions.Position | None = None
         self.values: dict[str, str] = {}
@@ -235,6 +240,8 @@
         successor.values = self.values
         successor.prepared_names = self.prepared_names
         successor.on_fault = self.on_fault
+        successor.opened_at_s = self.opened_at_s
+        successor.reported = self.reported
         successor._answers = self._answers
         successor._last_preparation = self._last_preparation
         successor.observe_data()
--- a/bilberrystack/routing/statements.py
+++ b/bilberrystack/routing/statements.py
@@ -253,3 +253,8 @@
     active_statements: int
     connections: int
     held: bool = False
+
+    def __str__(self) -> str:
+        """Return the role, the term and the position, for log lines."""
+        role = "primary" if self.primary else "replica"
+        return f"{role} {self.term} {self.received_position}"
