Reproduce reads from the empty log of a restarted primary

Cause: PROTOCOL.md lets a member start again under its id, holding and knowing nothing of before. No stand-in did. Change: LineMember.restart_without_log, and tests of reads, transactions and positions by grant and by round, with two instances up to the next primary.

--- /dev/null
+++ b/bilberrystack/pooling/restarted_primary_test.py
@@ -0,0 +1,163 @@
+"""Tests that no statement relies on a process that has taken a primary's place without its log."""
+
+import asyncio
+import dataclasses
+
+import pytest
+import pytest_asyncio
+
+from bilberrystack.platform import wire
+from bilberrystack.pooling import counters
+from bilberrystack.pooling import execution
+from bilberrystack.pooling import group
+from bilberrystack.pooling import tasks
+from bilberrystack.pooling import transaction
+from bilberrystack.routing import model
+from bilberrystack.routing import permission
+from bilberrystack.routing import statements
+from bilberrystack_standins import line_group
+from bilberrystack_standins import line_site
+
+pytestmark = pytest.mark.asyncio
+
+STRICT = model.Route("strict", "store", model.Consistency.PRIMARY, 1.0, 0.2, 0, None)
+AGED = model.Route("aged", "store", model.Consistency.BOUNDED_AGE, 1.0, 0.2, 0, 1.5)
+SERVICE = model.Service("store", 24, 0)
+LEADER = permission.Leader("a", 2)
+
+
+@dataclasses.dataclass
+class Fixture:
+    """A group of three members, whose primary "a" has committed x=1.
+
+    Attributes:
+      line_group: The members.
+      tasks: Holds the background tasks.
+    """
+
+    line_group: line_group.LineGroup
+    tasks: tasks.Tasks
+
+    def open_instance(self, granted):
+        """Return the executor of an instance that knows "a" as the primary of its term."""
+        clock = asyncio.get_running_loop().time
+        served = group.Group(
+            service=SERVICE,
+            failure_domain="zone",
+            instance_name="proxy",
+            dialect=wire,
+            clock=clock,
+            background_tasks=self.tasks,
+        )
+        members = [
+            model.Member(
+                member.id,
+                SERVICE.name,
+                model.Endpoint("127.0.0.1", member.port),
+                "zone",
+                2,
+                False,
+                None,
+                1,
+            )
+            for member in self.line_group.members.values()
+        ]
+        served.update(SERVICE, members, frozenset())
+        if granted:
+            served.permission.grant(LEADER, clock() + 1e6, (1, 0))
+        else:
+            served.permission.observe(LEADER)
+        return execution.Executor(served, wire, clock, counters.Counters())
+
+
+def _request(request_id, text, route=STRICT):
+    now_s = asyncio.get_running_loop().time()
+    access = statements.Access[text.split(" ")[0]]
+    return execution.Request(request_id, text, access, None, now_s, route, {}, None)
+
+
+@pytest_asyncio.fixture
+async def fixture():
+    members = line_group.LineGroup("store", ("a", "b", "c"))
+    for member in members.members.values():
+        member.term = LEADER.term
+    await members.start()
+    background_tasks = tasks.Tasks()
+    opened = Fixture(members, background_tasks)
+    writer = opened.open_instance(granted=True)
+    outcome = await writer.run_write(_request("w1", "WRITE x 1"), execution.Trace())
+    assert outcome.failure is None
+    yield opened
+    await background_tasks.close()
+    writer.group.close()
+    await members.stop()
+
+
+@pytest.mark.parametrize("granted", [True, False])
+@pytest.mark.parametrize("connected", [True, False])
+async def test_no_read_relies_on_a_primary_that_has_restarted_without_its_log(
+    fixture, granted, connected
+):
+    """Guards against reads of a primary route from an empty log, by a grant or by a round."""
+    instance = fixture.open_instance(granted)
+    if connected:
+        outcome = await instance.run_read(_request("r1", "READ x"), execution.Trace())
+        assert outcome.rows == (b"ROW 1",)
+    await fixture.line_group.members["a"].restart_without_log(0.01)
+    outcome = await instance.run_read(_request("r2", "READ x"), execution.Trace())
+    assert outcome.failure is not None
+    assert not any(run.request_id == "r2" for run in fixture.line_group.executed_statements)
+    instance.group.close()
+
+
+@pytest.mark.parametrize("granted", [True, False])
+@pytest.mark.parametrize("kind", ["BEGIN", "BEGIN READ"])
+async def test_no_transaction_relies_on_a_primary_that_has_restarted_without_its_log(
+    fixture, granted, kind
+):
+    """Guards against transactions of a primary route that read from an empty log."""
+    instance = fixture.open_instance(granted)
+    await fixture.line_group.members["a"].restart_without_log(0.01)
+    begin = transaction.BeginRequest("b1", kind, read_only=kind == "BEGIN READ")
+    current = transaction.Transaction(begin, STRICT, instance, wire)
+    outcome = await current.run(_request("r1", "READ x"), execution.Trace())
+    assert outcome.failure is not None
+    instance.group.close()
+
+
+@pytest.mark.parametrize("granted", [True, False])
+async def test_the_position_of_a_restarted_primary_is_no_position_of_the_primary(fixture, granted):
+    """Guards against aged reads that require a position which an empty log has."""
+    await fixture.line_group.members["a"].restart_without_log(0.01)
+    instance = fixture.open_instance(granted)
+    for number in range(5):
+        trace = execution.Trace()
+        outcome = await instance.run_read(_request(f"r{number}", "READ x", AGED), trace)
+        assert outcome.failure is not None or outcome.rows == (b"ROW 1",)
+    assert instance.group.history.newest_sample() is None
+    instance.group.close()
+
+
+@pytest.mark.parametrize("pause_s", [0.01, 0.3])
+async def test_a_group_recovers_from_a_primary_that_restarts_without_its_log(pause_s):
+    """Guards against stale reads until the next primary leads, and against a group without one."""
+    async with line_site.Site(2) as site:
+        first = site.group.members["a"]
+        clients = [await site.connect("strict", number) for number in range(2)]
+        assert (await clients[0].query("WRITE x 1"))[0].startswith("DONE")
+        await first.restart_without_log(pause_s)
+        results = []
+
+        async def read(number):
+            while site.group.primaries in ([], [first]):
+                client = await site.connect("strict", number)
+                results.append((await client.query("READ x"))[0])
+                client.close()
+
+        async with asyncio.timeout(10):
+            await asyncio.gather(read(0), read(1))
+        assert not [row for row in results if row.startswith("ROW") and row != "ROW 1"]
+        await site.wait_until(lambda: site.group.primaries != [])
+        async with asyncio.timeout(10):
+            while not (await clients[0].query("WRITE x 2"))[0].startswith("DONE"):
+                await asyncio.sleep(0.05)
--- a/bilberrystack_standins/line_group.py
+++ b/bilberrystack_standins/line_group.py
@@ -184,6 +184,7 @@
         each ended its connection.
       active_statements: The number of statements that run or wait for a slot.
       port: The port that the member listens on; 0 before the first start.
+      born_ms: Start of the member's process in its record, in Unix milliseconds.
     """
 
     def __init__(self, group: "LineGroup", member_id: str, is_primary: bool) -> None:
@@ -210,6 +211,7 @@
         self.oversized_messages = 0
         self.active_statements = 0
         self.port = 0
+        self.born_ms = 1_700_000_000_000
         self._busy_until_s = -math.inf
         self._stop_count = 0
         self._slots = asyncio.Semaphore(group.options.slots)
@@ -264,6 +266,21 @@
             writer.transport.abort()
         await asyncio.sleep(0)
 
+    async def restart_without_log(self, pause_s: float) -> None:
+        """Ends like a killed process; another one starts under the id and address.
+
+        The new process knows nothing of before: it is a replica without entries in the first term.
+
+        Args:
+          pause_s: Time between the end and the start.
+        """
+        await self.stop()
+        self.is_primary, self.term = False, 1
+        self.log, self.applied_count = [], 0
+        self.born_ms += 1
+        await asyncio.sleep(pause_s)
+        await self.start()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         self.connection_count += 1
