Give the simulated connection of the overload test the fields that are logged

Cause: logs a connection's age and last report, which the stand-in of a connection lacked, so that the tests of overload failed.

--- a/bilberrystack/pooling/overload_test.py
+++ b/bilberrystack/pooling/overload_test.py
@@ -72,9 +72,13 @@
         self.position = None
         self.values = {}
         self.prepared_names = set()
-        self.idle_since_s = 0.0
+        self.idle_since_s = self.opened_at_s = 0.0
+        self.reported = None
         self.simulated_member = simulated_member
 
+    def shows_lead_of(self, leader):
+        return leader == LEADER
+
     async def run(self, query, _expectation):
         sent_at_s = asyncio.get_running_loop().time()
         mean_work_s = float(query.split()[-1])
