Use a connection as the primary's only if its process has shown that it leads

Callers saw: reads of a primary route that lacked acknowledged commits, by a grant and by rounds. Cause: a grant names a member and a term, a round asks the other members, and an answer counted because of the member's id. A process that starts under the id of an ended primary without its log answers reads from that empty log until the store or the coordinator tells of it. Nobody asked the process that answered. Change: a connection lasts no longer than one process. It now carries the newest term in which that process has called itself the primary on this connection (MemberLink.led_term). Before a connection is first used as the primary's in a term, one STATUS is sent on it (Group.verify_lead); an answer counts as the primary's, and its position as the primary's, only if the connection shows the lead of the leader's term. A report that denies the lead ends the grant here and is reported to the coordinator; a later grant or report ends this again, so that a wrong report does not block the group. Why it works: a process that has led the term has its whole log, and keeps it as long as the connection lives. That no promotion has taken effect is still what grants and rounds show. Ruled out: the position in the answer alone (a group that has committed nothing shows the same), and AFTER with the newest known position before each read (an instance may know none).

--- a/bilberrystack/pooling/confirmation.py
+++ b/bilberrystack/pooling/confirmation.py
@@ -243,16 +243,13 @@
         if leader is None:
             return False
         sent_at_s = self._clock()
-        if (
-            await self._group.query_member(leader.member, self._dialect.encode_status_query())
-            is None
-        ):
+        status = await self._group.query_member(leader.member, self._dialect.encode_status_query())
+        if status is None or not status.primary or status.term != leader.term:
             return False
         newest_age_s = self._group.history.newest_age_s(self._clock())
         if newest_age_s is not None and newest_age_s <= self._clock() - sent_at_s:
             return True
-        member_pool = self._group.pools.get(leader.member)
-        position = None if member_pool is None else member_pool.observations.position
+        position = status.received_position
         if position is None or not await self.confirm(leader):
             return False
         self._group.history.record(leader.term, freshness.Sample(sent_at_s, position))
--- a/bilberrystack/pooling/execution.py
+++ b/bilberrystack/pooling/execution.py
@@ -429,7 +429,11 @@
     async def _acquire_confirmable(
         self, requirements: group.Requirements
     ) -> member_link.MemberLink:
-        """Wait for a connection; use the primary only while its answers can be confirmed."""
+        """Wait for a connection; use the primary only while its answers can be confirmed.
+
+        A connection to the primary has to show that its process leads the group.
+        """
+        attempts = 0
         while True:
             # During a primary change the request waits for its end; the new primary is then likely
             # to be named by a grant.
@@ -439,12 +443,33 @@
             if not skip_check and not await self.group.confirmation.check_primary():
                 raise PrimaryNotConfirmable("the primary can't be confirmed, come back in 1 s")
             link = await self.group.acquire(requirements)
-            if (
-                requirements.min_position is not None
-                or self.group.confirmation.recently_confirmed()
-            ):
+            if requirements.min_position is not None:
+                # The member checks its log itself.
                 return link
-            self.group.release(link)
+            if not self.group.confirmation.recently_confirmed():
+                self.group.release(link)
+                continue
+            attempts += 1
+            match await self.group.verify_lead(link, requirements.deadline_s - self._clock()):
+                case group.LeadCheck.LEADS:
+                    return link
+                case group.LeadCheck.NOT_LEADING:
+                    self.group.release(link)
+                case group.LeadCheck.BUSY:
+                    self.group.release(link)
+                    await self._await_busy_primary(requirements, attempts)
+                case group.LeadCheck.NO_ANSWER:
+                    pass
+            if attempts > MAX_NOT_RUN_RETRIES or self._clock() >= requirements.deadline_s:
+                raise group.Unavailable("the primary does not show that it leads")
+
+    async def _await_busy_primary(self, requirements: group.Requirements, attempts: int) -> None:
+        """Wait before a busy primary is asked again; raise Unavailable if that is too long."""
+        backoff_s = busy_backoff_s(attempts)
+        limit_s = min(requirements.deadline_s, requirements.enqueued_at_s + requirements.max_wait_s)
+        if self._clock() + backoff_s >= limit_s:
+            raise group.Unavailable("the primary is too busy, come back in 0.1 s")
+        await asyncio.sleep(backoff_s)
 
     async def prepare(
         self,
@@ -700,7 +725,7 @@
           Whether the answer is confirmed.
         """
         leader = self.group.permission.leader
-        if leader is None or leader.member != link.member.id:
+        if leader is None or not link.shows_lead_of(leader):
             trace.confirmed = "none"
         elif self.group.permission.valid_at(leader, reply.received_at_s):
             trace.confirmed = "grant"
@@ -856,8 +881,7 @@
         """Record that a member has reported that it is not the primary."""
         leader = self.group.permission.leader
         if leader is not None and leader.member == link.member.id:
-            self.group.permission.record_step_down(leader)
-            self.group.on_member_failure(link.member.id)
+            self.group.record_step_down(leader, statements.ErrorCode.READ_ONLY.value)
 
     def _record_retry(self, trace: Trace, cause: str) -> None:
         trace.cause = cause
--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import enum
 import itertools
 import math
 
@@ -64,6 +65,15 @@
         self.reason = reason
 
 
+class LeadCheck(enum.Enum):
+    """Whether the process at the other end of a connection leads its group."""
+
+    LEADS = "leads"
+    NOT_LEADING = "not leading"
+    BUSY = "busy"
+    NO_ANSWER = "no answer"
+
+
 @dataclasses.dataclass(slots=True)
 class Requirements:
     """What a statement requires of the member that runs it.
@@ -706,7 +716,7 @@
     ) -> None:
         """Add the position in an answer to the history if the primary gave it within a grant."""
         leader = self.permission.leader
-        if leader is None or leader.member != link.member.id or reply.position is None:
+        if leader is None or reply.position is None or not link.shows_lead_of(leader):
             return
         if self.permission.valid_at(leader, reply.received_at_s):
             self.history.record(
@@ -758,7 +768,7 @@
         )
         try:
             link = await self.acquire(requirements)
-            reply = await self.run(link, query, answers.STATUS, deadline_s - self._clock())
+            reply = await self._run_status_query(link, query, deadline_s - self._clock())
         except Unavailable:
             return None
         except member_link.Lost:
@@ -766,17 +776,92 @@
             return None
         if reply is None:
             return None
-        status = self._dialect.parse_member_status(reply.rows[0]) if reply.rows else None
-        if status is not None:
-            link.reported = status
         self.release(link)
-        member_pool = self._pools.get(member_id)
-        if member_pool is not None and status is not None:
-            member_pool.observations.status = status
-            member_pool.observations.status_at_s = reply.request_sent_at_s
-            if status.primary:
-                self.observe_primary(permission.Leader(member_id, status.term))
-        return status
+        return self._parse_status(reply)
+
+    def _parse_status(self, reply: statements.Reply) -> statements.MemberStatus | None:
+        return self._dialect.parse_member_status(reply.rows[0]) if reply.rows else None
+
+    async def _run_status_query(
+        self, link: member_link.MemberLink, query: bytes, timeout_s: float
+    ) -> statements.Reply | None:
+        """Run a query that is answered with a status report, and record what the report shows.
+
+        Returns:
+          The answer; None if it did not arrive in time, as `run` does.
+        Raises:
+          member_link.Lost: The connection ended.
+        """
+        leader = self.permission.leader
+        reply = await self.run(link, query, answers.STATUS, timeout_s)
+        status = None if reply is None else self._parse_status(reply)
+        if reply is None or status is None:
+            return reply
+        link.record_status(status)
+        member_pool = self._pools.get(link.member.id)
+        if member_pool is None:
+            return reply
+        member_pool.observations.status = status
+        member_pool.observations.status_at_s = reply.request_sent_at_s
+        reported = permission.Leader(link.member.id, status.term)
+        if status.primary:
+            self.observe_primary(reported)
+            self.permission.record_lead(reported)
+        if (
+            leader is not None
+            and leader.member == link.member.id
+            and leader.term != confirmation.UNKNOWN_TERM
+            and not (status.primary and status.term >= leader.term)
+        ):
+            # The query was sent when the leader was known, so that the report is newer than that.
+            self.record_step_down(leader, str(status))
+        return reply
+
+    async def verify_lead(self, link: member_link.MemberLink, timeout_s: float) -> LeadCheck:
+        """Ask the process at the other end of a connection whether it leads the group.
+
+        Another process may have started under the leader's id, without its log. Nothing is sent if
+        the process has shown its lead on this connection before.
+
+        Args:
+          link: A connection to the leader that the caller has acquired. The caller keeps it, except
+            after NO_ANSWER.
+          timeout_s: Maximum wait for the answer.
+        """
+        leader = self.permission.leader
+        if leader is None or leader.member != link.member.id:
+            return LeadCheck.NOT_LEADING
+        if link.shows_lead_of(leader):
+            return LeadCheck.LEADS
+        query = self._dialect.encode_status_query()
+        try:
+            reply = await self._run_status_query(link, query, timeout_s)
+        except member_link.Lost:
+            self.release(link)
+            return LeadCheck.NO_ANSWER
+        if reply is None:
+            return LeadCheck.NO_ANSWER
+        if reply.failure is not None:
+            return LeadCheck.BUSY
+        leads = self.permission.leader == leader and link.shows_lead_of(leader)
+        return LeadCheck.LEADS if leads else LeadCheck.NOT_LEADING
+
+    def record_step_down(self, leader: permission.Leader, evidence: str) -> None:
+        """Record that a leader is no longer the primary, so that it is used no more.
+
+        Args:
+          leader: The leader.
+          evidence: What has shown it, for the log.
+        """
+        if self.permission.record_step_down(leader, self._clock()):
+            _LOG.info(
+                "member is no longer the primary of its term",
+                service=self.service.name,
+                member=leader.member,
+                term=leader.term,
+                evidence=evidence,
+            )
+        self.on_member_failure(leader.member)
 
     def observe_primary(self, leader: permission.Leader) -> None:
         """Record a member that reports itself as the primary of a term."""
--- a/bilberrystack/pooling/member_link.py
+++ b/bilberrystack/pooling/member_link.py
@@ -15,6 +15,7 @@
 from bilberrystack.pooling import turns
 from bilberrystack.routing import answers
 from bilberrystack.routing import model
+from bilberrystack.routing import permission
 from bilberrystack.routing import statements
 
 _LOG = loguru.logger.bind(component="link")
@@ -153,6 +154,8 @@
       opened_at_s: When the connection was opened, in seconds of the clock.
       idle_since_s: When the connection was opened or last released, in seconds of the clock.
       reported: The last status report that the member sent on the connection; None if it sent none.
+      led_term: The newest term in which the process at the other end has shown that it is the
+        primary; 0 for none. A connection lasts no longer than that process.
       state: The state of the connection's session after the last answer.
       position: The member's log position in the last answer; None if it showed none.
       values: The session values that are set on the connection.
@@ -174,6 +177,7 @@
         "fault",
         "idle_since_s",
         "in_use",
+        "led_term",
         "member",
         "on_fault",
         "opened_at_s",
@@ -196,6 +200,7 @@
         self.in_use = False
         self.opened_at_s = self.idle_since_s = clock()
         self.reported: statements.MemberStatus | None = None
+        self.led_term = 0
         self.state = statements.TransactionState.IDLE
         self.position: positions.Position | None = None
         self.values: dict[str, str] = {}
@@ -242,6 +247,7 @@
         successor.on_fault = self.on_fault
         successor.opened_at_s = self.opened_at_s
         successor.reported = self.reported
+        successor.led_term = self.led_term
         successor._answers = self._answers
         successor._last_preparation = self._last_preparation
         successor.observe_data()
@@ -253,6 +259,16 @@
         if line_stream.has_unread_data(self._reader):
             self._end(answers.Fault.UNASKED)
 
+    def record_status(self, status: statements.MemberStatus) -> None:
+        """Record a status report that the member sent on the connection."""
+        self.reported = status
+        if status.primary:
+            self.led_term = max(self.led_term, status.term)
+
+    def shows_lead_of(self, leader: permission.Leader) -> bool:
+        """Return whether the process at the other end has shown that it is a leader."""
+        return leader.member == self.member.id and leader.term == self.led_term
+
     def _check_asked(self, _byte_count: int) -> None:
         if not self.answer_outstanding:
             self._end(answers.Fault.UNASKED)
--- a/bilberrystack/routing/permission.py
+++ b/bilberrystack/routing/permission.py
@@ -5,6 +5,10 @@
 after every instance has acknowledged the withdrawal of its grant, or the grant has expired. An
 answer that arrives during a grant therefore precedes any promotion. An answer that arrives without
 a grant needs a confirmation by the other members.
+
+A leader is a process that has led its member's group in a term. Another process may start under the
+member's id without the log, so that an answer counts as the leader's only if its connection, which
+lasts no longer than the process, has shown that the process leads that term.
 """
 
 import dataclasses
@@ -14,6 +18,10 @@
 GRANT_DURATION_S = 1.5
 
 
+# A grant that was requested this long after the leader was found not to be the primary proves the
+# finding wrong: the coordinator queries the primary more often than that.
+STEP_DOWN_RETENTION_S = 1.0
+
 # A time before every reading of a clock.
 NEVER_S = float("-inf")
 
@@ -44,7 +52,7 @@
         "_change_number",
         "_grant_ends_at_s",
         "_leader",
-        "_stepped_down",
+        "_stepped_down_at_s",
         "_withdrawn",
     )
 
@@ -52,7 +60,7 @@
         self._leader: Leader | None = None
         self._grant_ends_at_s = NEVER_S
         self._withdrawn = False
-        self._stepped_down = False
+        self._stepped_down_at_s: float | None = None
         self._change_number = INITIAL_CHANGE_NUMBER
 
     @property
@@ -63,12 +71,12 @@
     @property
     def change_in_progress(self) -> bool:
         """Whether the primary is being replaced, so that no member may be used as the primary."""
-        return self._withdrawn or self._stepped_down
+        return self._withdrawn or self.stepped_down
 
     @property
     def stepped_down(self) -> bool:
         """Whether the leader has reported that it is no longer the primary."""
-        return self._stepped_down
+        return self._stepped_down_at_s is not None
 
     def valid_at(self, leader: Leader, instant_s: float) -> bool:
         """Returns whether a grant covers an answer of this leader that arrived at a given time."""
@@ -94,8 +102,12 @@
         changed = leader != self._leader
         self._grant_ends_at_s = until_s if changed else max(until_s, self._grant_ends_at_s)
         self._leader = leader
-        if changed:
-            self._stepped_down = False
+        requested_at_s = until_s - GRANT_DURATION_S
+        if changed or (
+            self._stepped_down_at_s is not None
+            and requested_at_s >= self._stepped_down_at_s + STEP_DOWN_RETENTION_S
+        ):
+            self._stepped_down_at_s = None
         return changed
 
     def withdraw(self, change_number: ChangeNumber) -> None:
@@ -120,17 +132,32 @@
             return False
         self._leader = leader
         self._grant_ends_at_s = NEVER_S
-        self._stepped_down = False
+        self._stepped_down_at_s = None
         return True
 
-    def record_step_down(self, leader: Leader) -> None:
-        """Records that a leader has reported that it is no longer the primary."""
+    def record_step_down(self, leader: Leader, now_s: float) -> bool:
+        """Records that a leader has reported that it is no longer the primary.
+
+        Args:
+          leader: The leader.
+          now_s: Current time.
+        Returns:
+          Whether this was not known.
+        """
+        if self._leader != leader:
+            return False
+        known = self.stepped_down
+        self._grant_ends_at_s = NEVER_S
+        self._stepped_down_at_s = now_s
+        return not known
+
+    def record_lead(self, leader: Leader) -> None:
+        """Records that a leader has reported itself as the primary, which overrides a step-down."""
         if self._leader == leader:
-            self._grant_ends_at_s = NEVER_S
-            self._stepped_down = True
+            self._stepped_down_at_s = None
 
     def abandon_change(self) -> None:
         """Ends a primary change whose coordinator is gone; answers then need confirmation."""
         self._withdrawn = False
-        self._stepped_down = False
+        self._stepped_down_at_s = None
         self._grant_ends_at_s = NEVER_S
