Don't rely on a primary whose log position has gone back

Callers saw: nothing yet; the case is the same fault where the new process calls itself the primary of the old term. Cause: a member's own word was enough, though an answer's position can show that the log lacks what it had.

--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -695,6 +695,8 @@
         member_pool: pool.MemberPool | None,
     ) -> statements.Reply:
         """Run a statement and record what its answer shows of the member."""
+        leader = self.permission.leader
+        known_position = self._known_position(link)
         try:
             reply = await link.run(query, expectation)
         except member_link.Lost:
@@ -708,9 +710,26 @@
             member_pool.record_reply(reply)
             member_pool.record_service_time(reply.received_at_s - reply.request_sent_at_s)
             if reply.failure is None and expectation.shows_position:
+                if _lacks(reply, known_position):
+                    assert leader is not None
+                    link.led_term = 0
+                    self.record_step_down(
+                        leader, f"position {reply.position} after {known_position}"
+                    )
                 self._record_primary_position(link, reply)
         return reply
 
+    def _known_position(self, link: member_link.MemberLink) -> positions.Position | None:
+        """Return the newest known position of the leader that a connection leads to.
+
+        None if there is none, or if the connection has not shown the leader's lead.
+        """
+        leader = self.permission.leader
+        newest = self.history.newest_sample()
+        if leader is None or newest is None or not link.shows_lead_of(leader):
+            return None
+        return newest.position if self.history.term == leader.term else None
+
     def _record_primary_position(
         self, link: member_link.MemberLink, reply: statements.Reply
     ) -> None:
@@ -875,5 +894,15 @@
             self.dispatch()
 
 
+def _lacks(reply: statements.Reply, known_position: positions.Position | None) -> bool:
+    """Return whether the log of the member that answered lacks a position that its leader had.
+
+    The position in an answer inside a transaction may be that of the transaction's begin.
+    """
+    if known_position is None or reply.state is not statements.TransactionState.IDLE:
+        return False
+    return reply.position is None or reply.position < known_position
+
+
 def _restarted(previous: model.Member, current: model.Member) -> bool:
     return previous.started_ms != current.started_ms or previous.endpoint != current.endpoint
--- a/bilberrystack/pooling/restarted_primary_test.py
+++ b/bilberrystack/pooling/restarted_primary_test.py
@@ -138,6 +138,21 @@
     instance.group.close()
 
 
+async def test_a_primary_whose_position_has_gone_back_is_not_relied_on(fixture):
+    """Guards against reads from a log that has lost entries, of a process that says it leads."""
+    instance = fixture.open_instance(granted=True)
+    await instance.run_read(_request("r1", "READ x"), execution.Trace())
+    first = fixture.line_group.members["a"]
+    await first.restart_without_log(0.01)
+    first.is_primary, first.term = True, LEADER.term
+    for number in range(3):
+        outcome = await instance.run_read(_request(f"s{number}", "READ x"), execution.Trace())
+        assert outcome.failure is not None
+        instance.group.permission.record_lead(LEADER)
+        instance.group.permission.grant(LEADER, instance.group._clock() + 1e6, (1, 0))
+    instance.group.close()
+
+
 @pytest.mark.parametrize("pause_s", [0.01, 0.3])
 async def test_a_group_recovers_from_a_primary_that_restarts_without_its_log(pause_s):
     """Guards against stale reads until the next primary leads, and against a group without one."""
