Let a role in a member's record not count as a shown lead

Cause: a primary that only the store names has the term 0, which equals the lead of a connection that has shown none. Rounds refuse such a primary, so no caller has seen it; the connection's own answer should not depend on that. Change: MemberLink.shows_lead_of needs a term in which the process has called itself the primary. Figures: the new test fails without the change.

--- a/bilberrystack/pooling/member_link.py
+++ b/bilberrystack/pooling/member_link.py
@@ -267,7 +267,7 @@
 
     def shows_lead_of(self, leader: permission.Leader) -> bool:
         """Return whether the process at the other end has shown that it is a leader."""
-        return leader.member == self.member.id and leader.term == self.led_term
+        return leader.member == self.member.id and 0 < self.led_term == leader.term
 
     def _check_asked(self, _byte_count: int) -> None:
         if not self.answer_outstanding:
--- a/bilberrystack/pooling/restarted_primary_test.py
+++ b/bilberrystack/pooling/restarted_primary_test.py
@@ -7,6 +7,7 @@
 import pytest_asyncio
 
 from bilberrystack.platform import wire
+from bilberrystack.pooling import confirmation
 from bilberrystack.pooling import counters
 from bilberrystack.pooling import execution
 from bilberrystack.pooling import group
@@ -153,6 +154,16 @@
     instance.group.close()
 
 
+async def test_a_connection_shows_no_lead_of_a_primary_that_only_the_store_names(fixture):
+    """Guards against a role in a member's record that counts as the lead of its process."""
+    instance = fixture.open_instance(granted=False)
+    requirements = execution.primary_requirements(_request("r1", "READ x"))
+    link = await instance.group.acquire(requirements)
+    assert not link.shows_lead_of(permission.Leader("a", confirmation.UNKNOWN_TERM))
+    instance.group.release(link)
+    instance.group.close()
+
+
 @pytest.mark.parametrize("pause_s", [0.01, 0.3])
 async def test_a_group_recovers_from_a_primary_that_restarts_without_its_log(pause_s):
     """Guards against stale reads until the next primary leads, and against a group without one."""
