Read again if a row may continue one that was cut off

Cause: a second copy that ends inside a row, between a read and its answer, was continued by the answer's first row. The client got "ROW row-rROW row-r2" with the right proof. Ruled out: to refuse such rows, since data may have "ROW " in them and no client could read these any more; a second statement behind the read, since the row is complete by then. Change: member_link runs a read again on its connection if a line has "ROW " inside or "ROW" at its end, which every joined row has, as a row begins with this word. The second result counts if it has no such row or equals the first; its proof may be new or the same. A second result that differs and has one ends the connection, and the read goes to another one. Joined with "DONE" or "ERR", the answer lacks its end and was refused before. Conclusion: left are whole rows of a copy that ends behind them; nothing in the bytes tells them from a longer result.

--- a/bilberrystack/platform/wire.py
+++ b/bilberrystack/platform/wire.py
@@ -176,6 +176,17 @@
     )
 
 
+def may_join_rows(row: bytes) -> bool:
+    """Return whether a row may be one that was cut off inside its text and continued by another.
+
+    Data may look like that, too.
+
+    Args:
+      row: The line of the row, without its line end.
+    """
+    return row.find(b"ROW ", 1) > 0 or row.endswith(b"ROW", 1)
+
+
 def parse_proof(done: bytes) -> bytes | None:
     """Return the proof in the last line of a result.
 
--- a/bilberrystack/pooling/late_copies_test.py
+++ b/bilberrystack/pooling/late_copies_test.py
@@ -8,6 +8,7 @@
 from bilberrystack.pooling import answer_outcomes_test
 from bilberrystack.pooling import execution
 from bilberrystack.pooling import transaction
+from bilberrystack.routing import answers
 
 pytestmark = pytest.mark.asyncio
 
@@ -83,3 +84,46 @@
     await fixture.read("r1")
     outcome = await fixture.read("r2")
     assert outcome.failure is not None or outcome.rows == (b"ROW row-r2",)
+
+
+@pytest.mark.parametrize("part", [b"ROW row-r1", b"ROW row-r1\r", b"ROW ", b"ROW a\r\nROW b"])
+async def test_a_read_behind_a_part_of_a_row_is_run_again(fixture, part):
+    """Guards against a failed read, and against a part that is not noticed."""
+    fixture.member.data_before["READ"] = [b"", part]
+    await fixture.read("r1")
+    outcome = await fixture.read("r2")
+    assert (outcome.rows, outcome.done) == ((b"ROW row-r2",), b"DONE proof-r2")
+    assert fixture.member.texts() == ["STATUS"] + ["READ x"] * 3
+    assert fixture.faults == []
+
+
+async def test_parts_of_rows_in_front_of_both_results_are_given_to_nobody(fixture):
+    """Guards against a second result that is as wrong as the first one."""
+    fixture.member.data_before["READ"] = [b"", b"ROW row-r", b"ROW row"]
+    await fixture.read("r1")
+    outcome = await fixture.read("r2")
+    assert outcome.rows == (b"ROW row-r2",)
+    received = fixture.member.received
+    assert [number for number, text in received if text != "STATUS"] == [1, 1, 1, 2]
+    assert fixture.faults == [answers.Fault.MALFORMED]
+
+
+@pytest.mark.parametrize("data", ["a ROW b", "ROW", "ROW ROW"])
+async def test_data_that_look_like_joined_rows_are_read(fixture, data):
+    """Guards against data that no client can read, and against more than one further run."""
+    fixture.member.row_text = data
+    for number in range(2):
+        outcome = await fixture.read(f"r{number}")
+        assert outcome.rows == (b"ROW " + data.encode(),)
+    assert fixture.member.texts() == ["STATUS"] + ["READ x"] * 4
+    assert fixture.faults == []
+
+
+async def test_a_further_run_that_is_rejected_is_a_rejected_read(fixture):
+    """Guards against a lost connection if the member is too busy for the further run."""
+    fixture.member.row_text = "a ROW b"
+    fixture.member.errors["READ"] = ["", "BUSY full"]
+    assert (await fixture.read("r1")).rows == (b"ROW a ROW b",)
+    assert fixture.member.texts() == ["STATUS"] + ["READ x"] * 4
+    assert {number for number, _ in fixture.member.received} == {1}
+    assert fixture.faults == []
--- a/bilberrystack/pooling/member_link.py
+++ b/bilberrystack/pooling/member_link.py
@@ -366,9 +366,11 @@
             replies.append(reply)
             if expectation is answers.PREPARATION:
                 self._last_preparation = query
-        if verified:
+        if replies[-1].may_join_rows and queries[-1][1].row_count is answers.RowCount.ANY:
+            replies[-1] = await self._read_again(*queries[-1], replies[-1])
+        elif verified:
             return replies
-        if replies[-1].failure is not None:
+        elif replies[-1].failure is not None:
             await self._verify_error()
         else:
             write(self._writer, queries[-1][0])
@@ -376,6 +378,36 @@
             self._accept(replies[-1], queries[-1][1])
         return replies
 
+    async def _read_again(
+        self, query: bytes, expectation: answers.Expectation, first: statements.Reply
+    ) -> statements.Reply:
+        """Run a read a second time, since a row of its first result may not be the member's.
+
+        A second copy that is cut off inside a row is continued by the next row, and data may look
+        like that, too. In the second case the second result is the same.
+
+        Args:
+          query: The read.
+          expectation: What its answer can be.
+          first: Its first answer.
+        Returns:
+          The second answer.
+        Raises:
+          AnswerMismatch: A row of the second result may not be the member's either.
+        """
+        assert first.done is not None
+        # A member may give the same proof to both.
+        self._answers.forget_proof(self._dialect.parse_proof(first.done))
+        write(self._writer, query)
+        reply = await self._read_reply(first.request_sent_at_s)
+        verified = self._accept(reply, expectation)
+        if reply.failure is not None:
+            if not verified:
+                await self._verify_error()
+        elif reply.may_join_rows and reply.rows != first.rows:
+            raise AnswerMismatch(answers.Fault.MALFORMED)
+        return reply
+
     async def _verify_error(self) -> None:
         """Check that the error received last is the answer to the statement sent last.
 
@@ -419,6 +451,7 @@
 
     async def _read_reply(self, sent_at_s: float) -> statements.Reply:
         rows: list[bytes] = []
+        may_join_rows = False
         done: bytes | None = None
         failure: statements.Failure | None = None
         budget = turns.Budget()
@@ -430,13 +463,21 @@
             match self._dialect.parse_member_message(line):
                 case statements.Row(text) if done is None and failure is None:
                     rows.append(text)
+                    may_join_rows = may_join_rows or self._dialect.may_join_rows(text)
                 case statements.Done(text) if done is None and failure is None:
                     done = text
                 case statements.Failure() as reported if done is None and failure is None:
                     failure = reported
                 case statements.Ready(state, position) if done or failure:
                     return statements.Reply(
-                        tuple(rows), done, failure, state, position, sent_at_s, self._clock()
+                        tuple(rows),
+                        done,
+                        failure,
+                        state,
+                        position,
+                        sent_at_s,
+                        self._clock(),
+                        may_join_rows and done is not None,
                     )
                 case _:
                     raise AnswerMismatch(answers.Fault.MALFORMED)
--- a/bilberrystack/routing/answers.py
+++ b/bilberrystack/routing/answers.py
@@ -200,6 +200,10 @@
             return Verdict.UNVERIFIED
         return Verdict.CERTAIN
 
+    def forget_proof(self, proof: bytes | None) -> None:
+        """Accept a proof once more, for a statement that is sent again."""
+        self._digests.discard(hash(proof))
+
     def _is_repeated(self, text: bytes | str) -> bool:
         """Record a proof, an error or a status report; return whether there was an equal one."""
         digest = hash(text)
--- a/bilberrystack/routing/statements.py
+++ b/bilberrystack/routing/statements.py
@@ -221,6 +221,7 @@
       position: Log position of the member after the statement; None if the answer contains none.
       request_sent_at_s: Time at which the statement was sent.
       received_at_s: Time at which the answer had been received completely.
+      may_join_rows: Whether a row may consist of a part of another answer's row and a whole one.
     """
 
     rows: tuple[bytes, ...]
@@ -230,6 +231,7 @@
     position: positions.Position | None
     request_sent_at_s: float
     received_at_s: float
+    may_join_rows: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bilberrystack_standins/scripted_member.py
+++ b/bilberrystack_standins/scripted_member.py
@@ -19,12 +19,14 @@
       received: Connection number and text of each query, in the order of arrival.
       states: State of the connection before each received query.
       committed: Ids of the requests that committed writes.
-      errors: Errors by the first word of a statement, with which the next ones are rejected.
+      errors: Errors by the first word of a statement, with which the next ones are rejected;
+        one for which there is an empty text is not rejected.
       data_before: Data by the first word of a statement, each sent before the answer to one.
       data_after: The same, sent together with the answer, behind it.
       held: Events by the first word of a statement, for which its answers wait. The data in
         `data_before` are sent at once.
       start_data: Data that follow the answer to START.
+      row_text: Text of the row that a read returns; empty for one that names the request.
       role_and_term: The role and the term in its status reports.
     """
 
@@ -37,6 +39,7 @@
         self.data_after: dict[str, list[bytes]] = collections.defaultdict(list)
         self.held: dict[str, asyncio.Event] = {}
         self.start_data = b""
+        self.row_text = ""
         self.role_and_term = "primary 1"
         self._connections = 0
         self._position = 1
@@ -79,8 +82,9 @@
             self.received.append((number, text))
             self.states.append(state)
             word = text.split(" ")[0]
-            if self.errors[word]:
-                result = f"ERR {self.errors[word].pop(0)}"
+            error = self.errors[word].pop(0) if self.errors[word] else ""
+            if error:
+                result = f"ERR {error}"
             else:
                 result, state = self._run(word, request_id, state, writes)
             data = answer = f"{result}\r\nREADY {state} 1.{self._position}\r\n".encode()
@@ -108,7 +112,8 @@
                 writes.clear()
                 return f"DONE proof-{request_id}", "I"
             case "READ":
-                return f"ROW row-{request_id}\r\nDONE proof-{request_id}", state
+                row = self.row_text or f"row-{request_id}"
+                return f"ROW {row}\r\nDONE proof-{request_id}", state
             case "WRITE":
                 self._position += 1
                 (self.committed if state == "I" else writes).append(request_id)
