Verify a repeated status report by a challenge

Cause: a report that the connection had had before was asked for again, and the second one counted. Two late copies of an old report, both before the member's answer, passed for the present role and position, on which the choice of a primary, the fence and the freshness of reads rest. Change: behind a repeated report, member_link sends six statements (BEGIN READ, ROLLBACK or a PREPARE of the proxy's own) by which the state of the connection is I or T as drawn at random. Copies were sent before the draw, so that those of a sequence agree with one draw of 64, and only if six arrive in this exchange beside that of the report. If the answers agree, the member's report was read before them. A report in their place that the connection has not had is the member's own, and ends the connection. A connection is worn out by different answers, which is what its memory holds, not by all: a challenge would use it up three times as fast. test_an_unchanged_status_report_is_asked_for_again had the second STATUS in it; it now pins what is sent in its place. Conclusion: a member that repeats answers has seven chances in place of two to repeat one in this exchange, and each ends the connection.

--- a/bilberrystack/platform/wire.py
+++ b/bilberrystack/platform/wire.py
@@ -375,6 +375,11 @@
     return _encode_proxy_query("RESET")
 
 
+def encode_read_only_begin() -> bytes:
+    """Encode the beginning of a transaction that only reads, and that no client has requested."""
+    return _encode_proxy_query("BEGIN READ")
+
+
 def encode_rollback() -> bytes:
     """Encode the rollback of the transaction that is open on a connection to a member."""
     return _encode_proxy_query("ROLLBACK")
--- a/bilberrystack/pooling/answer_outcomes_test.py
+++ b/bilberrystack/pooling/answer_outcomes_test.py
@@ -229,15 +229,20 @@
     _assert_balanced(fixture)
 
 
-async def test_an_unchanged_status_report_is_asked_for_again(fixture):
+async def test_an_unchanged_status_report_is_verified(fixture, monkeypatch):
     """Guards against a report that may be an earlier one, and against needless queries."""
+    monkeypatch.setattr(answers, "draw_challenge", lambda: (False, True, True))
     query = wire.encode_status_query()
     for _ in range(2):
         assert (await fixture.group.query_member("a", query)).primary
-    assert fixture.member.texts() == ["STATUS"] * 3
+    assert fixture.member.texts() == [
+        "STATUS",
+        "STATUS",
+        *("PREPARE c READ -", "BEGIN READ", "PREPARE c READ -", "ROLLBACK"),
+    ]
     await fixture.write("w1")
     assert str((await fixture.group.query_member("a", query)).received_position) == "1/2"
-    assert fixture.member.texts()[3:] == ["WRITE x 1", "STATUS"]
+    assert fixture.member.texts()[6:] == ["WRITE x 1", "STATUS"]
     assert fixture.faults == []
     _assert_balanced(fixture)
 
--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -765,7 +765,7 @@
     ) -> statements.MemberStatus | None:
         """Send a member a status query, or a command that it answers with its status.
 
-        It is sent again if its answer may be a second copy of an earlier one.
+        Its answer is verified if it may be a second copy of an earlier one.
 
         Args:
           member_id: The member's id.
--- a/bilberrystack/pooling/late_copies_test.py
+++ b/bilberrystack/pooling/late_copies_test.py
@@ -1,6 +1,7 @@
 """Tests what several late copies of answers lead to, and copies that are cut off."""
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -16,6 +17,7 @@
 _request = answer_outcomes_test._request
 
 DONE_I = b"DONE -\r\nREADY I 1.1\r\n"
+DONE_T = b"DONE -\r\nREADY T 1.1\r\n"
 BUSY_I = b"ERR BUSY full\r\nREADY I 1.1\r\n"
 
 
@@ -55,6 +57,28 @@
     assert status is None or (status.primary, status.term) == (True, 2)
 
 
+async def test_a_sequence_of_copies_passes_for_one_challenge_only(fixture, monkeypatch):
+    """Guards against copies that pass for the answers to several challenges, or to most."""
+    query, length = wire.encode_status_query(), 4
+    old = b"ROW replica 1 1.1 0 0 0 1\r\nDONE -\r\nREADY I 1.1\r\n"
+    copies = (DONE_I, DONE_T, DONE_T, DONE_I)
+    passed = []
+    for challenge in itertools.product((True, False), repeat=length):
+        monkeypatch.setattr(answers, "draw_challenge", lambda challenge=challenge: challenge)
+        fixture.member.role_and_term = "replica 1"
+        assert not (await fixture.group.query_member("a", query)).primary
+        fixture.member.role_and_term = "primary 2"
+        fixture.member.data_before["STATUS"] = [old + b"".join(copies)]
+        fixture.member.held["STATUS"] = asyncio.Event()
+        asyncio.get_running_loop().call_later(0.01, fixture.member.held["STATUS"].set)
+        status = await fixture.group.query_member("a", query)
+        if status is not None and not status.primary:
+            passed.append(challenge)
+        del fixture.member.held["STATUS"]
+        await _until(lambda: not fixture.group.pools["a"].idle_links(ignore_window=True))
+    assert passed == [(False, True, True, False)]
+
+
 async def test_no_read_of_a_transaction_runs_behind_a_rejected_begin(fixture):
     """Guards against a read outside its transaction: a copy was taken for the answer to BEGIN."""
     begin = transaction.BeginRequest("b1", "BEGIN", read_only=False)
--- a/bilberrystack/pooling/member_link.py
+++ b/bilberrystack/pooling/member_link.py
@@ -34,6 +34,10 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 
+# Name of the statement that challenges prepare. Those of sessions begin with "p"
+# (execution.PreparedStatement).
+CHALLENGE_NAME = "c"
+
 
 class LinkFailure(ConnectionError):
     """A connection to a member can't be used."""
@@ -350,12 +354,7 @@
     async def _exchange(
         self, queries: collections.abc.Sequence[tuple[bytes, answers.Expectation]]
     ) -> list[statements.Reply]:
-        """Send statements, read their answers, and verify the last one if that is necessary.
-
-        A status report that is not certain is asked for again. If it was a second copy, the next
-        answer is the one to the first query; otherwise it is newer. Both were given after the first
-        query had arrived.
-        """
+        """Send statements, read their answers, and verify the last one if that is necessary."""
         sent_at_s = self._clock()
         write(self._writer, b"".join(query for query, _ in queries))
         replies = []
@@ -373,11 +372,77 @@
         elif replies[-1].failure is not None:
             await self._verify_error()
         else:
-            write(self._writer, queries[-1][0])
-            replies[-1] = await self._read_reply(sent_at_s)
-            self._accept(replies[-1], queries[-1][1])
+            replies[-1] = await self._verify_report(replies[-1])
         return replies
 
+    async def _verify_report(self, report: statements.Reply) -> statements.Reply:
+        """Return the answer to a status query whose first answer may be a second copy.
+
+        A challenge is sent behind it. If its answers arrive, the member's own report has been read
+        before them. A report that the connection has not had is no second copy.
+
+        Args:
+          report: A report that the connection has had before.
+        Returns:
+          The member's answer, which is not older than the query.
+        Raises:
+          AnswerMismatch: It is not known which report that is.
+        """
+        begin = self._dialect.encode_read_only_begin()
+        steps = self._draw_challenge(begin, answers.BEGIN)
+        write(self._writer, b"".join(query for query, _ in steps))
+        for _, expectation in steps:
+            reply = await self._read_reply(report.request_sent_at_s)
+            while reply.failure is None and reply.rows:
+                if self._accept(reply, answers.STATUS):
+                    self._end(answers.Fault.UNASKED)
+                    return reply
+                if (reply.rows, reply.position) != (report.rows, report.position):
+                    raise AnswerMismatch(answers.Fault.REPEATED)
+                reply = await self._read_reply(report.request_sent_at_s)
+            self._check_challenge_answer(reply, expectation)
+        return report
+
+    def _draw_challenge(
+        self, begin: bytes, begin_expectation: answers.Expectation
+    ) -> list[tuple[bytes, answers.Expectation]]:
+        """Return a random sequence of statements, and what the answer to each can be.
+
+        It begins transactions, rolls them back and prepares a statement that no session uses, which
+        takes no slot, and leaves the state of the connection as it is. The answers differ in their
+        state only, which late copies can't imitate but by chance (`answers.CHALLENGE_LENGTH`).
+
+        Args:
+          begin: The statement that begins a transaction.
+          begin_expectation: What its answer can be.
+        """
+        # The last preparation, as in _verify_error, may be a SET of 1 MiB.
+        prepare = self._dialect.encode_prepare(CHALLENGE_NAME, statements.Access.READ, "-")
+        rollback = self._dialect.encode_rollback()
+        former = in_transaction = self.state is statements.TransactionState.TRANSACTION
+        steps = []
+        for wanted in answers.draw_challenge():
+            if wanted is in_transaction:
+                steps.append((prepare, answers.PREPARATION))
+            else:
+                steps.append((begin, begin_expectation) if wanted else (rollback, answers.ROLLBACK))
+            in_transaction = wanted
+        if in_transaction is not former:
+            steps.append((begin, begin_expectation) if former else (rollback, answers.ROLLBACK))
+        return steps
+
+    def _check_challenge_answer(
+        self, reply: statements.Reply, expectation: answers.Expectation
+    ) -> None:
+        """Take an answer for the one to a statement of a challenge.
+
+        Raises:
+          AnswerMismatch: It belongs to another statement, or the challenge was rejected.
+        """
+        if reply.done is None or self._dialect.parse_proof(reply.done) is not None:
+            raise AnswerMismatch(answers.Fault.REPEATED)
+        self._accept(reply, expectation)
+
     async def _read_again(
         self, query: bytes, expectation: answers.Expectation, first: statements.Reply
     ) -> statements.Reply:
--- a/bilberrystack/routing/answers.py
+++ b/bilberrystack/routing/answers.py
@@ -6,14 +6,20 @@
 
 import dataclasses
 import enum
+import random
 
 from bilberrystack.core import positions
 from bilberrystack.routing import statements
 
-# A connection is replaced after this many answers, which bounds the memory for their digests to
-# about 0.5 MB. Opening another one takes 12 ms of a member's slot, as long as a statement does.
+# A connection is replaced after this many different answers, which bounds the memory for their
+# digests to about 0.5 MB. Opening another one takes 12 ms of a member's slot, as long as a
+# statement does.
 MAX_ANSWERS = 2_000
 
+# Statements of a challenge. Late copies of earlier answers imitate its answers with a probability
+# of 1/64, if as many as it has statements arrive in the time of one exchange.
+CHALLENGE_LENGTH = 6
+
 
 class RowCount(enum.Enum):
     """How many rows a success has."""
@@ -94,6 +100,15 @@
     return READ if access is statements.Access.READ else WRITE
 
 
+def draw_challenge() -> tuple[bool, ...]:
+    """Return behind which statements of a challenge the connection is in a transaction.
+
+    Late copies were sent before the draw and can't follow it, whatever their number and order.
+    """
+    bits = random.getrandbits(CHALLENGE_LENGTH)
+    return tuple(bool(bits >> index & 1) for index in range(CHALLENGE_LENGTH))
+
+
 class Verdict(enum.Enum):
     """Whether an answer is known to be the one to the statement that is out."""
 
@@ -108,18 +123,17 @@
     answer, and the true one may still arrive; the connection is then not known to be in step.
     """
 
-    __slots__ = ("_answer_count", "_digests", "_in_step")
+    __slots__ = ("_digests", "_in_step")
 
     def __init__(self) -> None:
-        self._answer_count = 0
         # Digests instead of the answers themselves, which may be 1 MiB long.
         self._digests: set[int] = set()
         self._in_step = True
 
     @property
     def full(self) -> bool:
-        """Whether the connection has had as many answers as it remembers."""
-        return self._answer_count >= MAX_ANSWERS
+        """Whether the connection has had as many different answers as it remembers."""
+        return len(self._digests) >= MAX_ANSWERS
 
     def check_success(
         self,
@@ -141,7 +155,6 @@
           and to BEGIN count as certain, because the answer to the next statement shows it if they
           were not.
         """
-        self._answer_count += 1
         if proof is not None and self._is_repeated(proof):
             return Fault.REPEATED
         if expectation.proven and proof is None:
@@ -179,7 +192,6 @@
         Returns:
           Why the error belongs to another statement, or whether it is certain that it doesn't.
         """
-        self._answer_count += 1
         repeated = self._is_repeated(failure.text)
         if not _state_fits_error(reply.state, expectation, previous_state):
             return Fault.STATE
--- a/bilberrystack/routing/answers_test.py
+++ b/bilberrystack/routing/answers_test.py
@@ -1,5 +1,7 @@
 """Tests which answers a connection takes that look like earlier ones."""
 
+import itertools
+
 from bilberrystack.routing import answers
 from bilberrystack.routing import statements
 
@@ -40,3 +42,9 @@
         assert fault is answers.Fault.REPEATED
     verdict = history.check_failure(reply, failure, answers.STATUS, IDLE)
     assert verdict is answers.Verdict.CERTAIN
+
+
+def test_challenges_are_drawn_from_all_sequences():
+    """Guards against a challenge that late copies can follow, since it is often the same."""
+    drawn = {answers.draw_challenge() for _ in range(2_000)}
+    assert drawn == set(itertools.product((True, False), repeat=answers.CHALLENGE_LENGTH))
