Verify the answer to a BEGIN that may be an earlier one's

Cause: the answer to BEGIN has no proof. One late copy of an earlier one, in front of a rejection as READONLY, passed for a success, and the transaction's first statement ran outside it. Change: an answer that shows a higher position than each earlier "DONE -" of the connection in state T is no copy. Any other is followed by a challenge as a repeated status report is, in which the transaction may begin anew and after which it is open. The copies would have to agree with one draw of 64. A rejection in it ends the connection, and the BEGIN goes to another one.

--- a/bilberrystack/pooling/member_link.py
+++ b/bilberrystack/pooling/member_link.py
@@ -371,10 +371,30 @@
             return replies
         elif replies[-1].failure is not None:
             await self._verify_error()
+        elif queries[-1][1].begins_transaction:
+            await self._verify_begin(*queries[-1])
         else:
             replies[-1] = await self._verify_report(replies[-1])
         return replies
 
+    async def _verify_begin(self, query: bytes, expectation: answers.Expectation) -> None:
+        """Check that a BEGIN was accepted whose answer may be a second copy of an earlier one.
+
+        A challenge is sent behind it, in which the transaction may begin anew. If the BEGIN was
+        rejected, its answer or those to the challenge show it.
+
+        Args:
+          query: The BEGIN.
+          expectation: What its answer can be.
+        Raises:
+          AnswerMismatch: It is not known whether the BEGIN was accepted.
+        """
+        steps = self._draw_challenge(query, expectation)
+        write(self._writer, b"".join(step for step, _ in steps))
+        for _, step_expectation in steps:
+            reply = await self._read_reply(self._clock())
+            self._check_challenge_answer(reply, step_expectation)
+
     async def _verify_report(self, report: statements.Reply) -> statements.Reply:
         """Return the answer to a status query whose first answer may be a second copy.
 
--- a/bilberrystack/pooling/member_link_test.py
+++ b/bilberrystack/pooling/member_link_test.py
@@ -217,6 +217,71 @@
     assert raised.value.fault is answers.Fault.POSITION
 
 
+def _roll_back(link):
+    return link.run(wire.encode_rollback(), answers.ROLLBACK)
+
+
+async def test_only_a_begin_at_a_known_position_is_verified(member, monkeypatch):
+    """Guards against a round trip and a challenge for each BEGIN."""
+    monkeypatch.setattr(answers, "draw_challenge", lambda: (True, False, False))
+    link = await _open(member)
+    await _begin(link)
+    await _write(link, "w1")
+    await _commit(link)
+    await _begin(link)
+    await _roll_back(link)
+    assert member.texts() == ["BEGIN", "WRITE x 1", "COMMIT", "BEGIN", "ROLLBACK"]
+    await _begin(link)
+    assert link.state is statements.TransactionState.TRANSACTION
+    assert member.texts()[5:] == [
+        *("BEGIN", "PREPARE c READ -", "ROLLBACK", "PREPARE c READ -", "BEGIN")
+    ]
+    assert (await _write(link, "w2")).done == b"DONE proof-w2"
+    assert member.states[-1] == "T"
+    await link.run(wire.encode_query("c2", "COMMIT"), answers.COMMIT)
+    assert member.committed == ["w1", "w2"]
+
+
+async def test_an_answer_to_a_preparation_in_a_transaction_looks_like_one_to_begin(member):
+    """Guards against a copy of it that passes for the answer to a BEGIN that was rejected."""
+    link = await _open(member)
+    await _begin(link)
+    await _write(link, "w1")
+    await _set(link)
+    await _roll_back(link)
+    member.errors["BEGIN"] = ["READONLY a"] * 9
+    member.data_before["BEGIN"] = [b"DONE -\r\nREADY T 1.2\r\n"]
+    with pytest.raises(member_link.AnswerMismatch):
+        await _begin(link)
+    assert not link.usable
+
+
+@pytest.mark.parametrize("copies", range(1, 6))
+async def test_late_copies_are_no_begin(member, monkeypatch, copies):
+    """Guards against a transaction that goes on behind a BEGIN that was rejected as READONLY."""
+    monkeypatch.setattr(answers, "draw_challenge", lambda: (True, True, True, False))
+    link = await _open(member)
+    await _begin(link)
+    await _roll_back(link)
+    member.errors["BEGIN"] = ["READONLY a"] * 9
+    member.data_before["BEGIN"] = [(b"DONE -\r\n" + READY_T) * copies]
+    with pytest.raises(member_link.AnswerMismatch):
+        await _begin(link)
+    assert not link.usable
+
+
+async def test_a_begin_that_is_rejected_in_its_challenge_is_a_lost_one(member, monkeypatch):
+    """Guards against statements outside a transaction at a member that has just lost the lead."""
+    monkeypatch.setattr(answers, "draw_challenge", lambda: (False, True))
+    link = await _open(member)
+    await _begin(link)
+    await _roll_back(link)
+    member.errors["BEGIN"] = ["", "READONLY a"]
+    with pytest.raises(member_link.AnswerMismatch):
+        await _begin(link)
+    assert not link.usable
+
+
 async def test_an_answer_that_is_cut_off_is_a_lost_one(member):
     """Guards against an answer that is taken as complete although the connection has ended."""
     link = await _open(member)
--- a/bilberrystack/routing/answers.py
+++ b/bilberrystack/routing/answers.py
@@ -61,6 +61,11 @@
     verify_errors: bool
     min_position: positions.Position | None = None
 
+    @property
+    def begins_transaction(self) -> bool:
+        """Whether a success begins a transaction."""
+        return self.next_state is statements.TransactionState.TRANSACTION
+
     @property
     def shows_position(self) -> bool:
         """Whether the member had the position in a success after the statement was sent.
@@ -123,11 +128,13 @@
     answer, and the true one may still arrive; the connection is then not known to be in step.
     """
 
-    __slots__ = ("_digests", "_in_step")
+    __slots__ = ("_digests", "_had_begin", "_highest_begin_position", "_in_step")
 
     def __init__(self) -> None:
         # Digests instead of the answers themselves, which may be 1 MiB long.
         self._digests: set[int] = set()
+        self._had_begin = False
+        self._highest_begin_position: positions.Position | None = None
         self._in_step = True
 
     @property
@@ -151,8 +158,9 @@
           previous_state: State of the connection before the statement.
         Returns:
           Why the answer belongs to another statement, or whether it is certain that it doesn't. A
-          status report that the connection has had before is not certain. Answers to preparations
-          and to BEGIN count as certain, because the answer to the next statement shows it if they
+          status report that the connection has had before is not certain, nor is the answer to a
+          BEGIN that shows no higher position than an earlier one that looks like it. Answers to
+          preparations count as certain, because the answer to the next statement shows it if they
           were not.
         """
         if proof is not None and self._is_repeated(proof):
@@ -170,6 +178,15 @@
         self._in_step = expectation.proven
         if expectation.row_count is RowCount.ONE and self._is_repeated(reply.rows[0]):
             return Verdict.UNVERIFIED
+        looks_like_begin = not expectation.proven and (
+            reply.state is statements.TransactionState.TRANSACTION
+        )
+        if (
+            looks_like_begin
+            and not self._has_new_position(reply)
+            and expectation.begins_transaction
+        ):
+            return Verdict.UNVERIFIED
         return Verdict.CERTAIN
 
     def check_failure(
@@ -216,6 +233,18 @@
         """Accept a proof once more, for a statement that is sent again."""
         self._digests.discard(hash(proof))
 
+    def _has_new_position(self, reply: statements.Reply) -> bool:
+        """Record an answer that looks like one to BEGIN; return whether it is no second copy."""
+        position, highest = reply.position, self._highest_begin_position
+        first = not self._had_begin
+        self._had_begin = True
+        if position is None:
+            return first
+        if highest is None or position > highest:
+            self._highest_begin_position = position
+            return True
+        return False
+
     def _is_repeated(self, text: bytes | str) -> bool:
         """Record a proof, an error or a status report; return whether there was an equal one."""
         digest = hash(text)
