--- a/bilberrystack/platform/wire.py
+++ b/bilberrystack/platform/wire.py
@@ -176,6 +176,17 @@
     )
 
 
+def may_join_rows(row: bytes) -> bool:
+    """Return whether a row may be one that was cut off inside its text and continued by another.
+
+    Data may look like that, too.
+
+    Args:
+      row: The line of the row, without its line end.
+    """
+    return row.find(b"ROW ", 1) > 0 or row.endswith(b"ROW", 1)
+
+
 def parse_proof(done: bytes) -> bytes | None:
     """Return the proof in the last line of a result.
 
@@ -364,6 +375,11 @@
     return _encode_proxy_query("RESET")
 
 
+def encode_read_only_begin() -> bytes:
+    """Encode the beginning of a transaction that only reads, and that no client has requested."""
+    return _encode_proxy_query("BEGIN READ")
+
+
 def encode_rollback() -> bytes:
     """Encode the rollback of the transaction that is open on a connection to a member."""
     return _encode_proxy_query("ROLLBACK")
--- a/bilberrystack/pooling/member_link.py
+++ b/bilberrystack/pooling/member_link.py
@@ -34,6 +34,10 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 
+# Name of the statement that challenges prepare. Those of sessions begin with "p"
+# (execution.PreparedStatement).
+CHALLENGE_NAME = "c"
+
 
 class LinkFailure(ConnectionError):
     """A connection to a member can't be used."""
@@ -350,12 +354,7 @@
     async def _exchange(
         self, queries: collections.abc.Sequence[tuple[bytes, answers.Expectation]]
     ) -> list[statements.Reply]:
-        """Send statements, read their answers, and verify the last one if that is necessary.
-
-        A status report that is not certain is asked for again. If it was a second copy, the next
-        answer is the one to the first query; otherwise it is newer. Both were given after the first
-        query had arrived.
-        """
+        """Send statements, read their answers, and verify the last one if that is necessary."""
         sent_at_s = self._clock()
         write(self._writer, b"".join(query for query, _ in queries))
         replies = []
@@ -366,16 +365,134 @@
             replies.append(reply)
             if expectation is answers.PREPARATION:
                 self._last_preparation = query
-        if verified:
+        if replies[-1].may_join_rows and queries[-1][1].row_count is answers.RowCount.ANY:
+            replies[-1] = await self._read_again(*queries[-1], replies[-1])
+        elif verified:
             return replies
-        if replies[-1].failure is not None:
+        elif replies[-1].failure is not None:
             await self._verify_error()
+        elif queries[-1][1].begins_transaction:
+            await self._verify_begin(*queries[-1])
         else:
-            write(self._writer, queries[-1][0])
-            replies[-1] = await self._read_reply(sent_at_s)
-            self._accept(replies[-1], queries[-1][1])
+            replies[-1] = await self._verify_report(replies[-1])
         return replies
 
+    async def _verify_begin(self, query: bytes, expectation: answers.Expectation) -> None:
+        """Check that a BEGIN was accepted whose answer may be a second copy of an earlier one.
+
+        A challenge is sent behind it, in which the transaction may begin anew. If the BEGIN was
+        rejected, its answer or those to the challenge show it.
+
+        Args:
+          query: The BEGIN.
+          expectation: What its answer can be.
+        Raises:
+          AnswerMismatch: It is not known whether the BEGIN was accepted.
+        """
+        steps = self._draw_challenge(query, expectation)
+        write(self._writer, b"".join(step for step, _ in steps))
+        for _, step_expectation in steps:
+            reply = await self._read_reply(self._clock())
+            self._check_challenge_answer(reply, step_expectation)
+
+    async def _verify_report(self, report: statements.Reply) -> statements.Reply:
+        """Return the answer to a status query whose first answer may be a second copy.
+
+        A challenge is sent behind it. If its answers arrive, the member's own report has been read
+        before them. A report that the connection has not had is no second copy.
+
+        Args:
+          report: A report that the connection has had before.
+        Returns:
+          The member's answer, which is not older than the query.
+        Raises:
+          AnswerMismatch: It is not known which report that is.
+        """
+        begin = self._dialect.encode_read_only_begin()
+        steps = self._draw_challenge(begin, answers.BEGIN)
+        write(self._writer, b"".join(query for query, _ in steps))
+        for _, expectation in steps:
+            reply = await self._read_reply(report.request_sent_at_s)
+            while reply.failure is None and reply.rows:
+                if self._accept(reply, answers.STATUS):
+                    self._end(answers.Fault.UNASKED)
+                    return reply
+                if (reply.rows, reply.position) != (report.rows, report.position):
+                    raise AnswerMismatch(answers.Fault.REPEATED)
+                reply = await self._read_reply(report.request_sent_at_s)
+            self._check_challenge_answer(reply, expectation)
+        return report
+
+    def _draw_challenge(
+        self, begin: bytes, begin_expectation: answers.Expectation
+    ) -> list[tuple[bytes, answers.Expectation]]:
+        """Return a random sequence of statements, and what the answer to each can be.
+
+        It begins transactions, rolls them back and prepares a statement that no session uses, which
+        takes no slot, and leaves the state of the connection as it is. The answers differ in their
+        state only, which late copies can't imitate but by chance (`answers.CHALLENGE_LENGTH`).
+
+        Args:
+          begin: The statement that begins a transaction.
+          begin_expectation: What its answer can be.
+        """
+        # The last preparation, as in _verify_error, may be a SET of 1 MiB.
+        prepare = self._dialect.encode_prepare(CHALLENGE_NAME, statements.Access.READ, "-")
+        rollback = self._dialect.encode_rollback()
+        former = in_transaction = self.state is statements.TransactionState.TRANSACTION
+        steps = []
+        for wanted in answers.draw_challenge():
+            if wanted is in_transaction:
+                steps.append((prepare, answers.PREPARATION))
+            else:
+                steps.append((begin, begin_expectation) if wanted else (rollback, answers.ROLLBACK))
+            in_transaction = wanted
+        if in_transaction is not former:
+            steps.append((begin, begin_expectation) if former else (rollback, answers.ROLLBACK))
+        return steps
+
+    def _check_challenge_answer(
+        self, reply: statements.Reply, expectation: answers.Expectation
+    ) -> None:
+        """Take an answer for the one to a statement of a challenge.
+
+        Raises:
+          AnswerMismatch: It belongs to another statement, or the challenge was rejected.
+        """
+        if reply.done is None or self._dialect.parse_proof(reply.done) is not None:
+            raise AnswerMismatch(answers.Fault.REPEATED)
+        self._accept(reply, expectation)
+
+    async def _read_again(
+        self, query: bytes, expectation: answers.Expectation, first: statements.Reply
+    ) -> statements.Reply:
+        """Run a read a second time, since a row of its first result may not be the member's.
+
+        A second copy that is cut off inside a row is continued by the next row, and data may look
+        like that, too. In the second case the second result is the same.
+
+        Args:
+          query: The read.
+          expectation: What its answer can be.
+          first: Its first answer.
+        Returns:
+          The second answer.
+        Raises:
+          AnswerMismatch: A row of the second result may not be the member's either.
+        """
+        assert first.done is not None
+        # A member may give the same proof to both.
+        self._answers.forget_proof(self._dialect.parse_proof(first.done))
+        write(self._writer, query)
+        reply = await self._read_reply(first.request_sent_at_s)
+        verified = self._accept(reply, expectation)
+        if reply.failure is not None:
+            if not verified:
+                await self._verify_error()
+        elif reply.may_join_rows and reply.rows != first.rows:
+            raise AnswerMismatch(answers.Fault.MALFORMED)
+        return reply
+
     async def _verify_error(self) -> None:
         """Check that the error received last is the answer to the statement sent last.
 
@@ -419,6 +536,7 @@
 
     async def _read_reply(self, sent_at_s: float) -> statements.Reply:
         rows: list[bytes] = []
+        may_join_rows = False
         done: bytes | None = None
         failure: statements.Failure | None = None
         budget = turns.Budget()
@@ -430,13 +548,21 @@
             match self._dialect.parse_member_message(line):
                 case statements.Row(text) if done is None and failure is None:
                     rows.append(text)
+                    may_join_rows = may_join_rows or self._dialect.may_join_rows(text)
                 case statements.Done(text) if done is None and failure is None:
                     done = text
                 case statements.Failure() as reported if done is None and failure is None:
                     failure = reported
                 case statements.Ready(state, position) if done or failure:
                     return statements.Reply(
-                        tuple(rows), done, failure, state, position, sent_at_s, self._clock()
+                        tuple(rows),
+                        done,
+                        failure,
+                        state,
+                        position,
+                        sent_at_s,
+                        self._clock(),
+                        may_join_rows and done is not None,
                     )
                 case _:
                     raise AnswerMismatch(answers.Fault.MALFORMED)
--- a/bilberrystack/routing/answers.py
+++ b/bilberrystack/routing/answers.py
@@ -6,14 +6,20 @@
 
 import dataclasses
 import enum
+import random
 
 from bilberrystack.core import positions
 from bilberrystack.routing import statements
 
-# A connection is replaced after this many answers, which bounds the memory for their digests to
-# about 0.5 MB. Opening another one takes 12 ms of a member's slot, as long as a statement does.
+# A connection is replaced after this many different answers, which bounds the memory for their
+# digests to about 0.5 MB. Opening another one takes 12 ms of a member's slot, as long as a
+# statement does.
 MAX_ANSWERS = 2_000
 
+# Statements of a challenge. Late copies of earlier answers imitate its answers with a probability
+# of 1/64, if as many as it has statements arrive in the time of one exchange.
+CHALLENGE_LENGTH = 6
+
 
 class RowCount(enum.Enum):
     """How many rows a success has."""
@@ -55,6 +61,11 @@
     verify_errors: bool
     min_position: positions.Position | None = None
 
+    @property
+    def begins_transaction(self) -> bool:
+        """Whether a success begins a transaction."""
+        return self.next_state is statements.TransactionState.TRANSACTION
+
     @property
     def shows_position(self) -> bool:
         """Whether the member had the position in a success after the statement was sent.
@@ -94,6 +105,15 @@
     return READ if access is statements.Access.READ else WRITE
 
 
+def draw_challenge() -> tuple[bool, ...]:
+    """Return behind which statements of a challenge the connection is in a transaction.
+
+    Late copies were sent before the draw and can't follow it, whatever their number and order.
+    """
+    bits = random.getrandbits(CHALLENGE_LENGTH)
+    return tuple(bool(bits >> index & 1) for index in range(CHALLENGE_LENGTH))
+
+
 class Verdict(enum.Enum):
     """Whether an answer is known to be the one to the statement that is out."""
 
@@ -108,18 +128,19 @@
     answer, and the true one may still arrive; the connection is then not known to be in step.
     """
 
-    __slots__ = ("_answer_count", "_digests", "_in_step")
+    __slots__ = ("_digests", "_had_begin", "_highest_begin_position", "_in_step")
 
     def __init__(self) -> None:
-        self._answer_count = 0
         # Digests instead of the answers themselves, which may be 1 MiB long.
         self._digests: set[int] = set()
+        self._had_begin = False
+        self._highest_begin_position: positions.Position | None = None
         self._in_step = True
 
     @property
     def full(self) -> bool:
-        """Whether the connection has had as many answers as it remembers."""
-        return self._answer_count >= MAX_ANSWERS
+        """Whether the connection has had as many different answers as it remembers."""
+        return len(self._digests) >= MAX_ANSWERS
 
     def check_success(
         self,
@@ -137,11 +158,11 @@
           previous_state: State of the connection before the statement.
         Returns:
           Why the answer belongs to another statement, or whether it is certain that it doesn't. A
-          status report that the connection has had before is not certain. Answers to preparations
-          and to BEGIN count as certain, because the answer to the next statement shows it if they
+          status report that the connection has had before is not certain, nor is the answer to a
+          BEGIN that shows no higher position than an earlier one that looks like it. Answers to
+          preparations count as certain, because the answer to the next statement shows it if they
           were not.
         """
-        self._answer_count += 1
         if proof is not None and self._is_repeated(proof):
             return Fault.REPEATED
         if expectation.proven and proof is None:
@@ -157,6 +178,15 @@
         self._in_step = expectation.proven
         if expectation.row_count is RowCount.ONE and self._is_repeated(reply.rows[0]):
             return Verdict.UNVERIFIED
+        looks_like_begin = not expectation.proven and (
+            reply.state is statements.TransactionState.TRANSACTION
+        )
+        if (
+            looks_like_begin
+            and not self._has_new_position(reply)
+            and expectation.begins_transaction
+        ):
+            return Verdict.UNVERIFIED
         return Verdict.CERTAIN
 
     def check_failure(
@@ -179,7 +209,6 @@
         Returns:
           Why the error belongs to another statement, or whether it is certain that it doesn't.
         """
-        self._answer_count += 1
         repeated = self._is_repeated(failure.text)
         if not _state_fits_error(reply.state, expectation, previous_state):
             return Fault.STATE
@@ -200,6 +229,22 @@
             return Verdict.UNVERIFIED
         return Verdict.CERTAIN
 
+    def forget_proof(self, proof: bytes | None) -> None:
+        """Accept a proof once more, for a statement that is sent again."""
+        self._digests.discard(hash(proof))
+
+    def _has_new_position(self, reply: statements.Reply) -> bool:
+        """Record an answer that looks like one to BEGIN; return whether it is no second copy."""
+        position, highest = reply.position, self._highest_begin_position
+        first = not self._had_begin
+        self._had_begin = True
+        if position is None:
+            return first
+        if highest is None or position > highest:
+            self._highest_begin_position = position
+            return True
+        return False
+
     def _is_repeated(self, text: bytes | str) -> bool:
         """Record a proof, an error or a status report; return whether there was an equal one."""
         digest = hash(text)
