Stop acting before the coordinator lease is released

Cause: a coordinator that hears too few owners releases its lease, and went on to grant until the store had answered; without an answer it took the release for undone. A successor that finds the lease released counts the last grants from that moment, so that both acted at once. Ruled out: the release at a graceful stop, which gives up the lease before it is sent. Change: coordinator_lease: no token from the request on. A refused release ends that at once, with the settling time of an interruption; after a lost answer only a renewal ends it. coordinator: the heartbeats of a token are kept over an interruption, else a coordinator whose release was refused would not resign again. The pause after a resignation has a shortest length, since a rest of less than the clock's resolution never ended on the paused clock. Conclusion: a coordinator whose release is not answered is without effect for up to a renewal.

--- a/bilberrystack/pooling/coordinator.py
+++ b/bilberrystack/pooling/coordinator.py
@@ -147,6 +147,7 @@
         "_metrics",
         "_own_instance",
         "_peers",
+        "_peers_heard_for",
         "_pending_promotions",
         "_platform",
         "_promotion_records",
@@ -191,6 +192,9 @@
         # number, also after an interruption of the lease.
         self._change_numbers: dict[str, int] = {}
         self._peers: dict[str, _PeerState] = {}
+        # The token under which the peers were heard. They are kept over an interruption of the
+        # lease, so that a coordinator that hears too few owners still knows that afterwards.
+        self._peers_heard_for: int | None = None
         # Pending promotion requests of all coordinators by group, also after an interruption of the
         # lease, and the names of their records by group and member.
         self._pending_promotions: dict[str, pending_promotions.PendingPromotions] = {}
@@ -291,7 +295,9 @@
         if token != self._token:
             self._token = token
             self._group_states.clear()
-            self._peers.clear()
+            if token not in (None, self._peers_heard_for):
+                self._peers_heard_for = token
+                self._peers.clear()
             self._majority_heard_at_s = self._token_since_s = self._clock()
         if token is None:
             return
--- a/bilberrystack/pooling/coordinator_lease.py
+++ b/bilberrystack/pooling/coordinator_lease.py
@@ -147,6 +147,7 @@
         "_platform",
         "_read_before_renewal",
         "_read_in_era",
+        "_release_requested",
         "_released",
         "_renewed_at_s",
         "_running_time",
@@ -196,6 +197,8 @@
         self._last_read: interfaces.LeaseRecord | None = None
         self._unchanged_since_s = 0.0
         self._released = False
+        # Whether the store was asked to release the held lease and may have done so or still do.
+        self._release_requested = False
         self._backoff_until_s = float("-inf")
         # Standbys of renewals that may have been stored or may still be.
         self._attempted_standbys: set[str] = set()
@@ -229,9 +232,10 @@
     @property
     def token(self) -> int | None:
         """The fencing token to act with now; None if this instance is not the coordinator."""
-        if self._held_record is None or self._clock() >= self.ends_at_s:
+        held = self._held_record
+        if held is None or self._release_requested or self._clock() >= self.ends_at_s:
             return None
-        return self._held_record.token
+        return held.token
 
     @property
     def coordinator(self) -> model.Instance | None:
@@ -297,14 +301,19 @@
 
     def _record_renewal(self, renewed: interfaces.LeaseRecord, sent_at_s: float) -> None:
         if self.token is None:
-            # A promotion request from before the interruption may still take effect.
-            self.settled_at_s = self._clock() + SETTLE_DELAY_S
-            self.leaving_replaceable_at_s = self.settled_at_s
-            _LOG.info("coordinator lease can be used again", token=renewed.token)
+            self._end_interruption(renewed.token)
         self._held_record, self._renewed_at_s = renewed, sent_at_s
         # An earlier renewal can't be stored any more, since it names an older revision.
         self._attempted_standbys.clear()
 
+    def _end_interruption(self, token: int) -> None:
+        """Permit to act on the held lease again, once it is certain that it was not released."""
+        self._release_requested = False
+        # A promotion request from before the interruption may still take effect.
+        self.settled_at_s = self._clock() + SETTLE_DELAY_S
+        self.leaving_replaceable_at_s = self.settled_at_s
+        _LOG.info("coordinator lease can be used again", token=token)
+
     async def _reconcile(self, held: interfaces.LeaseRecord) -> None:
         """Compare the held lease with the stored one after a failure or a return of the store."""
         sent_at_s = self._clock()
@@ -339,6 +348,7 @@
         _LOG.warning("coordinator lease lost", reason=reason, token=self._held_record.token)
         self._metrics.lease_changes.inc({"change": "lost"})
         self._last_read, self._held_record = None, None
+        self._release_requested = False
 
     def _is_own(self, record: interfaces.LeaseRecord) -> bool:
         return (
@@ -350,7 +360,7 @@
         """Acquire the lease if it is free, or wait until the next check is due."""
         backoff_s = self._backoff_until_s - self._clock()
         if backoff_s > 0:
-            await asyncio.sleep(backoff_s)
+            await asyncio.sleep(max(backoff_s, MIN_CHECK_DELAY_S))
             return
         unheard_s = self._clock() - self.coordinator_heard_at_s
         if (
@@ -520,13 +530,18 @@
     async def resign(self, reason: str) -> None:
         """Release the lease, so that an instance that hears more of the others can acquire it.
 
+        This instance stops acting before the release is sent: its successor counts the time of its
+        last grants from the moment at which it finds the lease released. Without an answer of the
+        store it acts again only after a renewal, which shows that the release was not stored.
+
         Args:
           reason: Why, for the log.
         """
         self._backoff_until_s = self._clock() + RESIGN_BACKOFF_S
         held = self._held_record
-        if held is None:
+        if held is None or self._release_requested:
             return
+        self._release_requested = True
         try:
             await self._platform.write_coordinator_lease(held, None, held.token)
         except interfaces.StoreFailure as failure:
@@ -536,9 +551,13 @@
                 reason=reason,
                 failure=type(failure).__name__,
             )
+            if self._held_record is held:
+                self._read_before_renewal = True
+                if isinstance(failure, interfaces.NotDone):
+                    self._end_interruption(held.token)
             return
         if self._held_record is held:
-            self._held_record = None
+            self._held_record, self._release_requested = None, False
             self._metrics.lease_changes.inc({"change": "released"})
             _LOG.info("coordinator lease released", token=held.token, reason=reason)
 
--- a/bilberrystack/pooling/coordinator_test.py
+++ b/bilberrystack/pooling/coordinator_test.py
@@ -230,3 +230,18 @@
         clocked.running.count_until(clocked.now_s)
         await _resigns(clocked)
     assert clocked.lease.resignations
+
+
+@pytest.mark.asyncio
+async def test_a_coordinator_whose_resignation_had_no_effect_resigns_again():
+    """Guards against a coordinator that forgets, in an interruption, that it hears too few."""
+    clocked = ClockedCoordinator()
+    clocked.advance(4.0, heard=(1, 2, 3, 4, 5))
+    clocked.now_s += 0.7
+    clocked.lease.token = None
+    clocked.coordinator.step()
+    clocked.lease.token = 7
+    for _ in range(20):
+        clocked.now_s += 0.1
+        await _resigns(clocked)
+    assert clocked.lease.resignations
--- a/bilberrystack/pooling/lease_takeover_test.py
+++ b/bilberrystack/pooling/lease_takeover_test.py
@@ -305,6 +305,41 @@
         await _play_faults(fleet, 120.0)
 
 
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("answer_loss", [0.0, 1.0])
+async def test_a_coordinator_does_not_act_on_a_lease_that_it_may_have_released(seed, answer_loss):
+    """A coordinator that resigned went on to grant until the store's answer, which may get lost.
+
+    Its successor already counted the time until the last grant has ended.
+    """
+    async with Fleet(seed) as fleet:
+        await fleet.advance(fleet.random.uniform(0.0, 2.0))
+        former = fleet.holder
+        former.cut_from_peers = True
+        await fleet.advance(1.0)
+        fleet.answer_loss = answer_loss
+        resigning = asyncio.create_task(former.lease.resign("test"))
+        while fleet.store.record.coordinator is not None:
+            assert not resigning.done()
+            await asyncio.sleep(0.001)
+        assert not former.acts
+        await resigning
+        fleet.answer_loss = 0.0
+        assert await fleet.wait_for_takeover(former) < 5.0
+        await fleet.advance(3.0)
+
+
+async def test_a_coordinator_whose_release_was_refused_acts_again():
+    """Guards against a group without a coordinator because the store refused one call."""
+    async with Fleet(1) as fleet:
+        holder = fleet.holder
+        _cut_from_store(holder)
+        await holder.lease.resign("test")
+        assert holder.acts
+        # What was begun before the interruption may still take effect.
+        assert holder.lease.settled_at_s >= _now() + coordinator_lease.SETTLE_DELAY_S
+
+
 @pytest.mark.parametrize("safeguard", ["support", "acknowledgements"])
 async def test_the_play_finds_two_coordinators_without_each_safeguard(safeguard, monkeypatch):
     """Guards against a play that can't find two coordinators at once."""
