Answer a request that arrives while a stop closes its session

Cause: a stop closes an idle session in two steps, 20 ms apart by design. A request that arrived between them stayed unread, and the close reset its connection; the same for a request that arrived behind an answer with which a stop ended the session. Where the process stood still in between, callers lost requests that had been with it for as long as the stall. Ruled out: requests in the buffer of the reader, which were served before. Conclusion: a request is cut off only if it arrives after the last look.

--- a/bilberrystack/pooling/graceful_stop_test.py
+++ b/bilberrystack/pooling/graceful_stop_test.py
@@ -3,10 +3,13 @@
 import asyncio
 import contextlib
 import itertools
+import socket
+import time
 
 import pytest
 
 from bilberrystack.pooling import graceful_stop
+from bilberrystack.pooling import session
 from bilberrystack_standins import line_group
 from bilberrystack_standins import line_site
 
@@ -139,6 +142,75 @@
         assert answer[-1].startswith("READY I")
 
 
+async def _connect_without_loop(site, request):
+    """Open a session on a socket of its own, and read once.
+
+    Returns:
+      The socket, with which the test can send while the event loop stands still.
+    """
+    endpoint = site.settings[0].sessions_endpoint
+    loop = asyncio.get_running_loop()
+    sock = socket.socket()
+    sock.setblocking(False)
+    await loop.sock_connect(sock, (endpoint.host, endpoint.port))
+    received = b""
+    for line, end in ((b"START strict tester", b"READY I -\r\n"), (request, b"READY I 1.0\r\n")):
+        await loop.sock_sendall(sock, line + b"\r\n")
+        while not received.endswith(end):
+            received += await loop.sock_recv(sock, 1000)
+    return sock
+
+
+def _send_during_stall(sock, line):
+    """Send a line that arrives while the event loop stands still."""
+    sock.send(line + b"\r\n")
+    time.sleep(0.05)
+
+
+@pytest.mark.asyncio
+async def test_a_request_that_arrived_during_a_stall_is_answered():
+    """Guards against a session that is closed although its client's request has arrived.
+
+    The process stood still between the two steps in which a session is closed, which took it longer
+    than the request was under way.
+    """
+    async with line_site.Site() as site:
+        sock = await _connect_without_loop(site, b"QUERY q1 READ x")
+        (served,) = site.instances[0]._sessions
+        await site.wait_until(lambda: served.quiescent)
+        with sock:
+            served.close_when_idle()
+            _send_during_stall(sock, b"QUERY q2 READ x")
+            served.close_when_idle()
+            answer = await asyncio.get_running_loop().sock_recv(sock, 1000)
+            assert answer.startswith(b"ROW -\r\nDONE proof")
+
+
+@pytest.mark.asyncio
+async def test_a_request_that_arrived_behind_an_answer_is_answered(monkeypatch):
+    """Guards against a stop that ends a session with its answer, although a request has arrived."""
+    async with line_site.Site() as site:
+        sock = await _connect_without_loop(site, b"QUERY q1 READ x")
+        (served,) = site.instances[0]._sessions
+        reply = session.Session._reply
+
+        def reply_and_stall(replying, lines):
+            monkeypatch.undo()
+            reply(replying, lines)
+            _send_during_stall(sock, b"QUERY q3 READ x")
+
+        with sock:
+            await site.wait_until(lambda: served.quiescent)
+            site.instances[0].stopping = True
+            monkeypatch.setattr(session.Session, "_reply", reply_and_stall)
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(sock, b"QUERY q2 READ x\r\n")
+            received = b""
+            while received.count(b"READY") < 2 and (data := await loop.sock_recv(sock, 1000)):
+                received += data
+            assert received.count(b"ROW -\r\nDONE proof") == 2
+
+
 @pytest.mark.asyncio
 async def test_an_idle_session_is_closed():
     """Guards against idle sessions that keep the process until the end of the grace time."""
--- a/bilberrystack/pooling/session.py
+++ b/bilberrystack/pooling/session.py
@@ -152,11 +152,15 @@
     def close_when_idle(self) -> None:
         """Close the connection at the second call in a row that finds the session quiescent.
 
-        The first call stops reading, so that a request that has been read meanwhile is answered and
-        one that arrives later was never read.
+        The first call stops reading, so that a request that has been read meanwhile is answered. A
+        request that has arrived since then is read and answered, too: between the two calls this
+        process may stand still, for much longer than a request takes to cross the network.
         """
         if self._reading_paused:
-            self.close()
+            if line_stream.has_received_data(self._writer):
+                self._resume_reading()
+            else:
+                self.close()
             return
         self._reading_paused = True
         # The transport has been closed, or the reader has paused it because of unread data.
@@ -290,8 +294,11 @@
             self._request_in_progress = False
         may_end = self._transaction is None and self._operation_expected_since_s is None
         # A client may have sent its next request without waiting for the answer.
-        may_end = may_end and not line_stream.has_unread_data(self._reader)
-        return not (self._host.stopping and may_end)
+        if not (self._host.stopping and may_end):
+            return True
+        return line_stream.has_unread_data(self._reader) or line_stream.has_received_data(
+            self._writer
+        )
 
     async def _next_line(self) -> bytes:
         """Read a line; roll the pinned transaction back if the client is idle for too long."""
