Refuse sessions that arrive as a stop ends

Cause: a stop that finds no work 2.5 s after its begin ends before it has refused anything. A session whose connection was accepted in that turn was told READY, and its statement could reach a member while the process ended. Ruled out: grace times under 5 s, where the refusing phase comes before those 2.5 s. Change: graceful_stop: a stop that has found no work refuses, in sessions and for other instances, until the process has ended. Conclusion: only the promise that nothing ran is given between the last check and the end.

--- a/bilberrystack/pooling/graceful_stop.py
+++ b/bilberrystack/pooling/graceful_stop.py
@@ -105,6 +105,8 @@
             self._enter(phase(elapsed_s, grace_s))
             self._end_sessions()
             if not self._has_pending_work() and elapsed_s >= ROTATION_REMOVAL_S:
+                # Until the listeners are closed, a session or a statement may still arrive.
+                self._enter(Phase.REFUSING)
                 return
             await asyncio.sleep(CHECK_INTERVAL_S)
 
--- a/bilberrystack/pooling/graceful_stop_test.py
+++ b/bilberrystack/pooling/graceful_stop_test.py
@@ -9,6 +9,7 @@
 import pytest
 
 from bilberrystack.pooling import graceful_stop
+from bilberrystack.pooling import line_stream
 from bilberrystack.pooling import session
 from bilberrystack_standins import line_group
 from bilberrystack_standins import line_site
@@ -211,6 +212,38 @@
             assert received.count(b"ROW -\r\nDONE proof") == 2
 
 
+@pytest.mark.asyncio
+async def test_a_session_that_arrives_as_the_stop_ends_is_refused(monkeypatch):
+    """Guards against a session that is accepted in the turn in which the stop has found no work.
+
+    Its client was told READY, and its statement could reach a member before the process ended.
+    """
+    async with line_site.Site() as site:
+        stopping = site.instances[0]
+        client_side, server_side = socket.socketpair()
+        server_reader, server_writer = await asyncio.open_connection(sock=server_side)
+        client = line_site.Client(*await asyncio.open_connection(sock=client_side))
+        client.writer.write(b"START strict tester\r\n")
+        await site.wait_until(lambda: line_stream.has_unread_data(server_reader))
+        end = stopping._graceful_stop.run
+        accepted = []
+
+        async def run():
+            # Long enough for the stop to end while it still begins new work.
+            await end(10.0)
+            # The listener starts this task when it accepts a connection.
+            accepted.append(
+                asyncio.create_task(stopping._serve_session(server_reader, server_writer))
+            )
+
+        monkeypatch.setattr(type(stopping._graceful_stop), "run", lambda *_: run())
+        stopping.request_stop()
+        await site.wait_until_stopped()
+        assert (await client.read_answer())[0].startswith("ERR BUSY")
+        await asyncio.gather(*accepted)
+        client.close()
+
+
 @pytest.mark.asyncio
 async def test_an_idle_session_is_closed():
     """Guards against idle sessions that keep the process until the end of the grace time."""
