Send nothing new to an owner that stops

Cause: a stopping owner declined new statements one by one, and senders turned to it again each 2 s. A write that reached it as its process ended had no answer, and the caller was told UNSURE; a read failed. Ruled out: to decline behind the last answer, which can't be done for what arrives later. Conclusion: open transactions go on as before. What is left are requests on a link that is opened in the last round trip of the process.

--- a/bilberrystack/pooling/forwarding.py
+++ b/bilberrystack/pooling/forwarding.py
@@ -49,6 +49,7 @@
         "_clock",
         "_endpoint",
         "_open_lock",
+        "_owner_stops",
         "_pending",
         "_running_time",
         "_sequence_numbers",
@@ -80,6 +81,8 @@
         self._sequence_numbers = itertools.count(1)
         self._open_lock = asyncio.Lock()
         self._writer: asyncio.StreamWriter | None = None
+        # Whether the owner begins nothing new on the present connection any more.
+        self._owner_stops = False
         self._pending: dict[int, asyncio.Future[frames.ForwardedOutcome]] = {}
 
     @property
@@ -109,6 +112,9 @@
             if self._writer is None or self._writer.is_closing():
                 await self._open()
         assert self._writer is not None
+        if self._owner_stops and (request.begin is not None or not request.transaction_number):
+            self._avoid("it stops")
+            raise OwnerUnavailable(str(self._endpoint))
         future: asyncio.Future[frames.ForwardedOutcome] = asyncio.get_running_loop().create_future()
         pending = self._pending
         pending[request.sequence_number] = future
@@ -146,7 +152,7 @@
         except member_link.LinkFailure as failure:
             self._avoid(type(failure).__name__)
             raise OwnerUnavailable(str(self._endpoint)) from failure
-        self._writer = writer
+        self._writer, self._owner_stops = writer, False
         # The former connection may still be read; its end must not fail requests on this one.
         self._pending = {}
         self._tasks.start(self._receive(reader, writer, self._pending))
@@ -181,6 +187,8 @@
                 if budget.spend(len(body) + turns.MESSAGE_WORK_BYTES):
                     await asyncio.sleep(0)
                 outcome = frames.unpack_outcome(body)
+                if outcome.stopping and writer is self._writer:
+                    self._owner_stops = True
                 future = pending.get(outcome.sequence_number)
                 if future is not None and not future.done():
                     future.set_result(outcome)
--- a/bilberrystack/pooling/forwarding_test.py
+++ b/bilberrystack/pooling/forwarding_test.py
@@ -9,6 +9,7 @@
 from bilberrystack.pooling import forwarding
 from bilberrystack.pooling import frames
 from bilberrystack.pooling import member_link
+from bilberrystack.pooling import owner_server
 from bilberrystack.pooling import tasks
 from bilberrystack.pooling import views
 from bilberrystack.routing import model
@@ -218,6 +219,30 @@
                 assert site.group.commit_counts[request_id] == answer.startswith("DONE")
 
 
+async def test_nothing_new_is_sent_to_an_owner_that_stops(monkeypatch):
+    """Guards against an unknown outcome of a write that reaches an owner as its process ends."""
+    async with line_site.Site(INSTANCES, TWO_OWNERS) as site:
+        session = await _connect_to_non_owner(site)
+        sender = site.instances[_are_owners(site).index(False)]
+        await session.query("WRITE x 1")
+        (link,) = [link for link in sender._owner_links.values() if link._writer is not None]
+        (stopping,) = [each for each in site.instances if each.endpoint == link._endpoint]
+        stopping.request_stop()
+        await asyncio.sleep(0.1)
+
+        accept = owner_server.OwnerServer._accept
+
+        def end_or_accept(server, *arguments):
+            if server is stopping._owner_server:
+                # The process ends before it answers the request.
+                raise EOFError
+            return accept(server, *arguments)
+
+        monkeypatch.setattr(owner_server.OwnerServer, "_accept", end_or_accept)
+        answer = await session.query("WRITE x 2", "late")
+        assert answer[0].startswith(("DONE proof", "ERR BUSY"))
+
+
 async def test_a_transaction_at_a_stopping_owner_can_commit():
     """Guards against a stopping owner that does not wait for forwarded transactions.
 
--- a/bilberrystack/pooling/frames.py
+++ b/bilberrystack/pooling/frames.py
@@ -111,6 +111,7 @@
       declined: Whether the owner can't serve the group at all, for example because it has just
         started. The request did not run.
       configuration_version: Version of the configuration in force at the owner.
+      stopping: Whether the owner begins nothing new on this link any more, since its process stops.
     """
 
     sequence_number: int
@@ -128,6 +129,7 @@
     transaction_pinned: bool
     declined: bool = False
     configuration_version: int = 0
+    stopping: bool = False
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -191,6 +193,13 @@
     )
 
 
+def stop_notice() -> ForwardedOutcome:
+    """Return the notice that the owner begins nothing new on a link; it answers no request."""
+    failure = execution.failure_outcome(statements.ErrorCode.BUSY, "the owner stops")
+    outcome = encode_outcome(0, failure, execution.Trace(), 0.0, None)
+    return msgspec.structs.replace(outcome, declined=True, stopping=True)
+
+
 def encode_request(
     request: execution.Request,
     sequence_number: int,
--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -548,7 +548,8 @@
 
     async def _stop(self) -> None:
         """Stop gracefully within the grace time."""
-        self.stopping = self._owner_server.stopping = True
+        self.stopping = True
+        self._owner_server.begin_stop()
         _LOG.info(
             "stopping",
             sessions=len(self._sessions),
--- a/bilberrystack/pooling/owner_server.py
+++ b/bilberrystack/pooling/owner_server.py
@@ -58,6 +58,7 @@
         "_directory",
         "_executor_of",
         "_link_transactions",
+        "_link_writers",
         "_running_requests",
         "_tasks",
         "refusing",
@@ -85,6 +86,7 @@
         self._directory = directory
         self._running_requests = 0
         self._link_transactions: list[dict[int, transaction.Transaction]] = []
+        self._link_writers: set[asyncio.StreamWriter] = set()
         self.stopping = False
         self.refusing = False
         self._dialect = dialect
@@ -101,6 +103,19 @@
         """Number of transactions that are open, on all links together."""
         return sum(map(len, self._link_transactions))
 
+    def begin_stop(self) -> None:
+        """Begin nothing new, and tell the senders so.
+
+        A sender can't tell whether a request that it sends as the process ends has run.
+        """
+        self.stopping = True
+        for writer in self._link_writers:
+            self._send_stop_notice(writer)
+
+    def _send_stop_notice(self, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(member_link.Lost):
+            member_link.write(writer, frames.pack(frames.stop_notice()))
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one link until it ends; then roll back the transactions that are open on it.
 
@@ -110,6 +125,9 @@
         """
         open_transactions: dict[int, transaction.Transaction] = {}
         self._link_transactions.append(open_transactions)
+        self._link_writers.add(writer)
+        if self.stopping:
+            self._send_stop_notice(writer)
         budget = turns.Budget()
         try:
             while True:
@@ -141,6 +159,7 @@
                 "malformed frame from another instance; closing the link", error=str(error)
             )
         finally:
+            self._link_writers.discard(writer)
             self._link_transactions = [
                 transactions
                 for transactions in self._link_transactions
