Remove a registration only of the process that has ended

Cause: registrations were deleted by name. A machine that came back after 20 s of silence lost the registration of its new process if the coordinator's list was older, and a process that stopped could remove its successor's, also seconds later, since the store may execute a call late. Owners then left it out, and it took itself off the list until its next check. Ruled out: a list of the coordinator that is read anew, since the deletion itself can be late. Change: client: the registration is read first, and deleted under the condition that it is still at the same revision and names the same process. instance: the coordinator passes the instance that it has found expired; at a stop the lease is released without waiting for the deletion. odd_entries_test expects the two calls in place of one. Conclusion: one more read for each stop and each expired instance.

--- a/bilberrystack/platform/client.py
+++ b/bilberrystack/platform/client.py
@@ -1,6 +1,7 @@
 """Client for the platform's store and for the platform's own API."""
 
 import collections.abc
+import contextlib
 import typing
 import urllib.parse
 
@@ -322,13 +323,30 @@
                 "PUT", _object_path(objects.INSTANCE_KIND, instance.name), body
             )
 
-    async def deregister_instance(self, name: str) -> None:
-        """Delete an instance's registration, if there is one.
+    async def deregister_instance(self, instance: model.Instance) -> None:
+        """Delete the registration of an instance's process, if there is one.
+
+        The registration of another process under the same name stays: a machine may have returned
+        since the instance was listed, and the store may execute a call seconds late.
 
         Raises:
           interfaces.StoreFailure: The registration may not have been deleted.
         """
-        await self._store.change("DELETE", _object_path(objects.INSTANCE_KIND, name))
+        path = _object_path(objects.INSTANCE_KIND, instance.name)
+        response = await self._store.get(path)
+        if response.status == 404:
+            return
+        stored = _decode_body(response, objects.StoredObject)
+        try:
+            registered = objects.decode_instance(instance.name, bytes(stored.spec))
+        except store_results.DECODING_ERRORS:
+            # It names no process, and nobody uses it.
+            pass
+        else:
+            if registered.incarnation != instance.incarnation:
+                return
+        with contextlib.suppress(interfaces.Conflict):
+            await self._store.change("DELETE", f"{path}?rev={stored.meta.rev}")
 
     @property
     def store_era(self) -> int:
--- a/bilberrystack/platform/odd_entries_test.py
+++ b/bilberrystack/platform/odd_entries_test.py
@@ -135,19 +135,21 @@
 
     async def call(_client, method, target, *_args, **_keywords):
         targets.append((method, target))
-        return http.Response(409 if method == "POST" else 200, b"{}", {})
+        body = b'{"meta": {"name": "a", "rev": 7}}' if method == "GET" else b"{}"
+        return http.Response(409 if method == "POST" else 200, body, {})
 
     monkeypatch.setattr(http.Client, "call", call)
     platform = client.Client(ENDPOINT, ENDPOINT, counters.Counters())
     name = "a/b?c\r\nd \xe4"
     quoted = "a%2Fb%3Fc%0D%0Ad%20%C3%A4"
     await platform.register_instance(model.Instance(name, "1f", ENDPOINT, "a"))
-    await platform.deregister_instance(name)
+    await platform.deregister_instance(model.Instance(name, "1", ENDPOINT, "a"))
     await platform.remove_promotion_record(name)
     assert targets == [
         ("POST", "/objects/bilberrystack-instances"),
         ("PUT", f"/objects/bilberrystack-instances/{quoted}"),
-        ("DELETE", f"/objects/bilberrystack-instances/{quoted}"),
+        ("GET", f"/objects/bilberrystack-instances/{quoted}"),
+        ("DELETE", f"/objects/bilberrystack-instances/{quoted}?rev=7"),
         ("DELETE", f"/objects/bilberrystack-promotions/{quoted}"),
     ]
 
--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -428,8 +428,11 @@
                 _LOG.info("own registration is missing from the store; registering again")
                 await self._register()
                 registered_at_s = self.clock()
-            for name in self._coordinator.expired_instances(self._directory.registered_instances()):
-                await self._remove_registration(name)
+            registered = self._directory.registered_instances()
+            expired = self._coordinator.expired_instances(registered)
+            for instance in registered:
+                if instance.name in expired:
+                    await self._remove_registration(instance)
 
     async def _register(self) -> None:
         while not self.stopping:
@@ -440,17 +443,17 @@
                 _LOG.info("registration failed; trying again", failure=type(failure).__name__)
                 await asyncio.sleep(REGISTRATION_RETRY_DELAY_S)
 
-    async def _remove_registration(self, name: str) -> None:
+    async def _remove_registration(self, instance: model.Instance) -> None:
         try:
-            await self._platform.deregister_instance(name)
+            await self._platform.deregister_instance(instance)
         except interfaces.StoreFailure as failure:
             _LOG.info(
                 "registration of a lost instance not removed; trying again later",
-                instance=name,
+                instance=instance.name,
                 failure=type(failure).__name__,
             )
         else:
-            _LOG.info("registration of a lost instance removed", instance=name)
+            _LOG.info("registration of a lost instance removed", instance=instance.name)
 
     def _apply_store_change(self) -> None:
         """Apply a change in the store to the groups."""
@@ -568,6 +571,9 @@
         await self.terminate()
 
     async def _deregister_and_release(self) -> None:
+        # A slow store must not delay the release, for which a successor waits.
+        await asyncio.gather(self._deregister(), self._lease.release())
+
+    async def _deregister(self) -> None:
         with contextlib.suppress(interfaces.StoreFailure):
-            await self._platform.deregister_instance(self._own_instance.name)
-        await self._lease.release()
+            await self._platform.deregister_instance(self._own_instance)
