Answer HTTP requests and responses that ask for another protocol

Cause: the parser reports a request or response with an upgrade by an exception of another class than its errors. A probe with such a header got no answer and an unhandled exception was logged; such a response of the store or the platform ended the work that had made the call. Ruled out: other bytes at the four listeners, see the new test: no other unhandled exception. Change: http: the request is answered like any other, and the connection ends with the answer. A response that the parser has not completed counts as none.

--- a/bilberrystack/pooling/http.py
+++ b/bilberrystack/pooling/http.py
@@ -89,9 +89,9 @@
         """
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if self.response is None:
-                raise
+                raise httptools.HttpParserError(str(error)) from error
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header field."""
@@ -265,14 +265,22 @@
 ) -> bool:
     request_parser = _RequestParser()
     received_bytes = 0
+    keeps_alive = True
     while not request_parser.complete:
         async with asyncio.timeout(REQUEST_TIMEOUT_S):
             data = await reader.read(MAX_REQUEST_BYTES)
         received_bytes += len(data)
         if not data or received_bytes > MAX_REQUEST_BYTES:
             return False
-        request_parser.parser.feed_data(data)
+        try:
+            request_parser.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # The request is answered like any other. What follows it speaks another protocol.
+            keeps_alive = False
+            break
+    if not request_parser.complete:
+        return False
     status, body = render_page(request_parser.target)
     head = f"HTTP/1.1 {status} -\r\nContent-Type: text/plain\r\nContent-Length: {len(body)}\r\n\r\n"
     member_link.write(writer, head.encode() + body)
-    return bool(request_parser.parser.should_keep_alive())
+    return keeps_alive and bool(request_parser.parser.should_keep_alive())
--- a/bilberrystack/pooling/http_test.py
+++ b/bilberrystack/pooling/http_test.py
@@ -1,6 +1,7 @@
 """Tests HTTP calls: the permission to send them, their heads, time limits and responses."""
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -140,3 +141,41 @@
             await server.client.call("POST", target, 0.5, b"{}", headers=headers)
         await server.client.call("POST", "/names/a%0Ab", 0.5, headers={"Sender": "\xe4 b"})
         assert len(server.received) == 1
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 101 -\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nother protocol",
+        b"HTTP/1.1 101 -\r\nConnection: upgrade\r\nUpgrade: x\r\nContent-Length: 9\r\n\r\n",
+    ],
+)
+async def test_a_change_of_the_protocol_is_a_response_or_none(answer):
+    """Guards against an error of the parser that ends the work that has made the call."""
+    async with ScriptedServer(answer, b"") as server:
+        with contextlib.suppress(http.NoResponse):
+            assert (await server.client.call("GET", "/", 0.3)).status == 101
+
+
+@pytest.mark.parametrize(
+    "request_head",
+    [
+        b"GET /ready HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n",
+        b"CONNECT /ready HTTP/1.1\r\n\r\n",
+        b"GET /ready HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: websocket\r\n\r\n\x81\x00",
+    ],
+)
+async def test_a_request_for_another_protocol_is_answered(request_head):
+    """An instance left such a probe without an answer, and logged an unhandled exception."""
+    unhandled = []
+    asyncio.get_running_loop().set_exception_handler(lambda _, context: unhandled.append(context))
+
+    async def serve(reader, writer):
+        await http.serve_pages(reader, writer, lambda _target: (200, b"ready\n"))
+
+    async with await asyncio.start_server(serve, "127.0.0.1", 0) as server:
+        reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+        writer.write(request_head)
+        assert (await reader.read()).startswith(b"HTTP/1.1 200 ")
+        writer.close()
+    assert unhandled == []
--- a/bilberrystack/pooling/malformed_test.py
+++ b/bilberrystack/pooling/malformed_test.py
@@ -1,6 +1,8 @@
 """Tests that messages of other processes neither stop an instance nor close its socket."""
 
 import asyncio
+import contextlib
+import gc
 import math
 import random
 import time
@@ -283,3 +285,70 @@
     values.popitem()
     unpacked = frames.unpack_request(frames.pack(request)[frames.LENGTH_BYTES :])
     assert unpacked.values == values
+
+
+_ODD_NUMBERS = (0, 1, -1, 7, 2**63 - 1, -(2**63))
+_ODD_TIMES_S = (0.0, -1.0, 1.0, 1e308, float("nan"), float("inf"))
+_ODD_TEXTS = ("", "READ x", "WRITE x 1", "COMMIT", "-", "store-1", "strict", "\0" * 9, "x" * 5_000)
+
+FIRST_BYTES = (
+    b"START strict t\r\nQUERY q1 WRITE x 1\r\nQUERY q2 BEGIN\r\nQUERY q3 SET a b\r\nBYE\r\n",
+    b"START strict t\r\nQUERY q1 PREPARE p READ z\r\nQUERY q2 EXEC p 1\r\nQUERY q3 COMMIT\r\n",
+    b"GET /ready HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET /metrics HTTP/1.1\r\n\r\n",
+    b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+    b"GET / HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: websocket\r\n\r\n\x81\x00",
+    b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+    b"127.0.0.1:99999\n",
+    b"\0\xff\r\n\n",
+)
+
+
+def _odd_request(rng):
+    """Return a forwarded request of the right types whose values are drawn."""
+    number, time_s, text = _ODD_NUMBERS, _ODD_TIMES_S, _ODD_TEXTS
+    begin = frames.ForwardedBegin(rng.choice(text), rng.choice(("BEGIN", "BEGIN READ")), True)
+    last_write = (*rng.choices(number, k=3), rng.choice(time_s))
+    request = frames.ForwardedRequest(
+        *(rng.choice(number), rng.choice(("read", "write", "run", "commit", "leave", "x"))),
+        *(*rng.choices(text, k=2), rng.choice(("read", "write", "x"))),
+        *(rng.choice((None, ("read", "z"), ("x", ""))), rng.choice(time_s)),
+        *("store-1", rng.choice(text), rng.choice(("primary", "bounded_age", "x"))),
+        *(*rng.choices(time_s, k=2), rng.choice(number), rng.choice((None, *time_s))),
+        *({rng.choice(text): rng.choice(text)}, rng.choice((None, last_write))),
+        *(rng.choice(number), rng.choice((None, begin)), rng.choice(number)),
+    )
+    return b"forward\n" + frames.pack(request)
+
+
+async def _send_odd_bytes(endpoint, rng):
+    data = bytearray(rng.choice([*FIRST_BYTES, *(_odd_request(rng) for _ in range(4))]))
+    for _ in range(rng.randrange(4)):
+        data[rng.randrange(len(data))] = rng.randrange(256)
+    reader, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
+    writer.write(bytes(data[: rng.randint(0, len(data))] if rng.random() < 0.3 else data))
+    with contextlib.suppress(OSError, TimeoutError):
+        async with asyncio.timeout(0.1):
+            await reader.read(2_000)
+    writer.transport.abort()
+
+
+@pytest.mark.asyncio
+async def test_no_bytes_at_a_listener_end_more_than_their_connection():
+    """Guards against an unhandled exception, of clients, other instances, probes and operators."""
+    rng = random.Random(5)
+    unhandled = []
+    async with line_site.Site(2) as site:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: unhandled.append(context))
+        settings = site.settings[0]
+        endpoints = (
+            *(settings.sessions_endpoint, settings.readiness_endpoint, settings.metrics_endpoint),
+            *(settings.peers_endpoint,) * 3,
+        )
+        for _ in range(30):
+            await asyncio.gather(*(_send_odd_bytes(rng.choice(endpoints), rng) for _ in range(20)))
+        session = await site.connect("strict")
+        assert (await session.query("WRITE x 1"))[0].startswith("DONE proof")
+        assert site.instances[0].ready
+    gc.collect()
+    assert unhandled == []
