Take a list of the store for as old as its oldest page

Cause: a list counted as one of its first page's revision. Each page of a cheap list is a call of its own and may be answered with older data than the one before, so that a member or an instance that had left could come back from a later page; no watch corrected it, since it continued behind the removal. Ruled out: up-to-date lists, whose pages only get newer. Change: client: the lowest revision of the pages counts. The cache then ignores the list, or watches from that revision.

--- a/bilberrystack/platform/client.py
+++ b/bilberrystack/platform/client.py
@@ -169,11 +169,11 @@
             response = await self._store.get(target)
             page = await turns.run(store_results.list_page_steps(response.body))
             page_revision = interfaces.Revision(self._store.era_of(response), page.current_rev)
-            # A watch continues from the revision of the first page, so that it returns changes that
-            # are made while the pages are read.
-            revision = revision or page_revision
-            if page_revision.era != revision.era:
+            if revision is not None and page_revision.era != revision.era:
                 raise interfaces.NotDone("the pages of the list are from two eras of the store")
+            # A watch continues from the oldest page, so that it returns the changes since then. It
+            # is the first one, unless a later one may be stale and is answered with older data.
+            revision = page_revision if revision is None else min(revision, page_revision)
             last_name = ""
             for name, item in await turns.run(self._objects_steps(page.items)):
                 last_name = name or last_name
