Handle signals before the first connection is accepted

Cause: the handlers were installed once all listeners were open. A SIGTERM in between ended the process at once, with the sessions that the first listener had accepted. Ruled out: a signal during the imports, when nothing has been accepted; SIGHUP is ignored from the first line on. Change: instance: the handlers come first. Figures: the new test fails on the parent commit with the default handlers. Conclusion: a stop that is requested while the listeners open follows the usual phases.

--- a/bilberrystack/pooling/graceful_stop_test.py
+++ b/bilberrystack/pooling/graceful_stop_test.py
@@ -3,12 +3,14 @@
 import asyncio
 import contextlib
 import itertools
+import signal
 import socket
 import time
 
 import pytest
 
 from bilberrystack.pooling import graceful_stop
+from bilberrystack.pooling import instance
 from bilberrystack.pooling import line_stream
 from bilberrystack.pooling import session
 from bilberrystack_standins import line_group
@@ -244,6 +246,22 @@
         client.close()
 
 
+@pytest.mark.asyncio
+async def test_a_stop_is_graceful_from_the_first_connection_on(monkeypatch):
+    """Guards against a SIGTERM that ends the process while it opens its other listeners."""
+    handlers = []
+    listen = instance.Instance._listen
+
+    async def record_handlers_and_listen(started):
+        handlers.extend(map(signal.getsignal, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)))
+        await listen(started)
+
+    monkeypatch.setattr(instance.Instance, "_listen", record_handlers_and_listen)
+    async with line_site.Site():
+        assert len(handlers) == 3
+        assert not {signal.SIG_DFL, signal.default_int_handler} & set(handlers)
+
+
 @pytest.mark.asyncio
 async def test_an_idle_session_is_closed():
     """Guards against idle sessions that keep the process until the end of the grace time."""
--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -289,6 +289,11 @@
 
     async def run(self) -> None:
         """Serve until a signal requests a stop, then stop gracefully."""
+        # Before the first connection is accepted: the default action cuts off all sessions.
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.request_stop)
+        loop.add_signal_handler(signal.SIGINT, self.request_stop)
+        loop.add_signal_handler(signal.SIGHUP, self._log_reload_ignored)
         await self._listen()
         _LOG.info("started", name=self._own_instance.name, lifetime=self._own_instance.incarnation)
         for factory in (
@@ -301,10 +306,6 @@
             self._fleet.send_heartbeats,
         ):
             self._tasks.supervise(factory)
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self.request_stop)
-        loop.add_signal_handler(signal.SIGINT, self.request_stop)
-        loop.add_signal_handler(signal.SIGHUP, self._log_reload_ignored)
         await self._stop_requested.wait()
         await self._stop()
 
