--- a/bilberrystack/pooling/graceful_stop_test.py
+++ b/bilberrystack/pooling/graceful_stop_test.py
@@ -3,10 +3,16 @@
 import asyncio
 import contextlib
 import itertools
+import signal
+import socket
+import time
 
 import pytest
 
 from bilberrystack.pooling import graceful_stop
+from bilberrystack.pooling import instance
+from bilberrystack.pooling import line_stream
+from bilberrystack.pooling import session
 from bilberrystack_standins import line_group
 from bilberrystack_standins import line_site
 
@@ -139,6 +145,123 @@
         assert answer[-1].startswith("READY I")
 
 
+async def _connect_without_loop(site, request):
+    """Open a session on a socket of its own, and read once.
+
+    Returns:
+      The socket, with which the test can send while the event loop stands still.
+    """
+    endpoint = site.settings[0].sessions_endpoint
+    loop = asyncio.get_running_loop()
+    sock = socket.socket()
+    sock.setblocking(False)
+    await loop.sock_connect(sock, (endpoint.host, endpoint.port))
+    received = b""
+    for line, end in ((b"START strict tester", b"READY I -\r\n"), (request, b"READY I 1.0\r\n")):
+        await loop.sock_sendall(sock, line + b"\r\n")
+        while not received.endswith(end):
+            received += await loop.sock_recv(sock, 1000)
+    return sock
+
+
+def _send_during_stall(sock, line):
+    """Send a line that arrives while the event loop stands still."""
+    sock.send(line + b"\r\n")
+    time.sleep(0.05)
+
+
+@pytest.mark.asyncio
+async def test_a_request_that_arrived_during_a_stall_is_answered():
+    """Guards against a session that is closed although its client's request has arrived.
+
+    The process stood still between the two steps in which a session is closed, which took it longer
+    than the request was under way.
+    """
+    async with line_site.Site() as site:
+        sock = await _connect_without_loop(site, b"QUERY q1 READ x")
+        (served,) = site.instances[0]._sessions
+        await site.wait_until(lambda: served.quiescent)
+        with sock:
+            served.close_when_idle()
+            _send_during_stall(sock, b"QUERY q2 READ x")
+            served.close_when_idle()
+            answer = await asyncio.get_running_loop().sock_recv(sock, 1000)
+            assert answer.startswith(b"ROW -\r\nDONE proof")
+
+
+@pytest.mark.asyncio
+async def test_a_request_that_arrived_behind_an_answer_is_answered(monkeypatch):
+    """Guards against a stop that ends a session with its answer, although a request has arrived."""
+    async with line_site.Site() as site:
+        sock = await _connect_without_loop(site, b"QUERY q1 READ x")
+        (served,) = site.instances[0]._sessions
+        reply = session.Session._reply
+
+        def reply_and_stall(replying, lines):
+            monkeypatch.undo()
+            reply(replying, lines)
+            _send_during_stall(sock, b"QUERY q3 READ x")
+
+        with sock:
+            await site.wait_until(lambda: served.quiescent)
+            site.instances[0].stopping = True
+            monkeypatch.setattr(session.Session, "_reply", reply_and_stall)
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(sock, b"QUERY q2 READ x\r\n")
+            received = b""
+            while received.count(b"READY") < 2 and (data := await loop.sock_recv(sock, 1000)):
+                received += data
+            assert received.count(b"ROW -\r\nDONE proof") == 2
+
+
+@pytest.mark.asyncio
+async def test_a_session_that_arrives_as_the_stop_ends_is_refused(monkeypatch):
+    """Guards against a session that is accepted in the turn in which the stop has found no work.
+
+    Its client was told READY, and its statement could reach a member before the process ended.
+    """
+    async with line_site.Site() as site:
+        stopping = site.instances[0]
+        client_side, server_side = socket.socketpair()
+        server_reader, server_writer = await asyncio.open_connection(sock=server_side)
+        client = line_site.Client(*await asyncio.open_connection(sock=client_side))
+        client.writer.write(b"START strict tester\r\n")
+        await site.wait_until(lambda: line_stream.has_unread_data(server_reader))
+        end = stopping._graceful_stop.run
+        accepted = []
+
+        async def run():
+            # Long enough for the stop to end while it still begins new work.
+            await end(10.0)
+            # The listener starts this task when it accepts a connection.
+            accepted.append(
+                asyncio.create_task(stopping._serve_session(server_reader, server_writer))
+            )
+
+        monkeypatch.setattr(type(stopping._graceful_stop), "run", lambda *_: run())
+        stopping.request_stop()
+        await site.wait_until_stopped()
+        assert (await client.read_answer())[0].startswith("ERR BUSY")
+        await asyncio.gather(*accepted)
+        client.close()
+
+
+@pytest.mark.asyncio
+async def test_a_stop_is_graceful_from_the_first_connection_on(monkeypatch):
+    """Guards against a SIGTERM that ends the process while it opens its other listeners."""
+    handlers = []
+    listen = instance.Instance._listen
+
+    async def record_handlers_and_listen(started):
+        handlers.extend(map(signal.getsignal, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)))
+        await listen(started)
+
+    monkeypatch.setattr(instance.Instance, "_listen", record_handlers_and_listen)
+    async with line_site.Site():
+        assert len(handlers) == 3
+        assert not {signal.SIG_DFL, signal.default_int_handler} & set(handlers)
+
+
 @pytest.mark.asyncio
 async def test_an_idle_session_is_closed():
     """Guards against idle sessions that keep the process until the end of the grace time."""
