--- a/bilberrystack_standins/line_group.py
+++ b/bilberrystack_standins/line_group.py
@@ -9,12 +9,14 @@
 
 import asyncio
 import collections
+import collections.abc
 import contextlib
 import dataclasses
 import errno
 import itertools
 import math
 import random
+import time
 
 from bilberrystack_standins import member_answers
 
@@ -84,6 +86,21 @@
     shape: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Promotion:
+    """A promotion that has taken effect.
+
+    Attributes:
+      member_id: The promoted member.
+      term: The term that it leads.
+      log: Its log at that moment. Commits of earlier terms that are not in it are rolled back.
+    """
+
+    member_id: str
+    term: int
+    log: tuple[CommittedEntry, ...]
+
+
 @dataclasses.dataclass(slots=True)
 class GroupOptions:
     """Options of a group.
@@ -185,6 +202,8 @@
       active_statements: The number of statements that run or wait for a slot.
       port: The port that the member listens on; 0 before the first start.
       born_ms: Start of the member's process in its record, in Unix milliseconds.
+      record_withheld: Whether the member does not write its record, a fault. It ends when the
+        member becomes or stops being primary.
     """
 
     def __init__(self, group: "LineGroup", member_id: str, is_primary: bool) -> None:
@@ -211,7 +230,8 @@
         self.oversized_messages = 0
         self.active_statements = 0
         self.port = 0
-        self.born_ms = 1_700_000_000_000
+        self.born_ms = 0
+        self.record_withheld = False
         self._busy_until_s = -math.inf
         self._stop_count = 0
         self._slots = asyncio.Semaphore(group.options.slots)
@@ -234,8 +254,22 @@
             return "1.0"
         return f"{self.log[entry_count - 1].term}.{self.log[entry_count - 1].index}"
 
-    async def start(self) -> None:
-        """Starts listening; after a stop, on the same port as before."""
+    async def start(
+        self, announce: collections.abc.Callable[[], collections.abc.Awaitable[None]] | None = None
+    ) -> None:
+        """Starts a process, which listens on the same port as the one before.
+
+        It is a replica if another member was promoted meanwhile, and otherwise what it was.
+
+        Args:
+          announce: Called after the start of the process, before it listens.
+        """
+        self.born_ms = max(self.born_ms + 1, int(time.time() * 1000))
+        self.held_term = 0
+        if self.group.has_newer_primary(self.term):
+            self.is_primary = False
+        if announce is not None:
+            await announce()
         while self._server is None:
             try:
                 self._server = await asyncio.start_server(
@@ -247,9 +281,12 @@
                     raise
                 await asyncio.sleep(_PORT_RETRY_S)
         self.port = self._server.sockets[0].getsockname()[1]
-        self.held_term = 0
         for primary in self.group.primaries:
             self.step_down(primary)
+            if primary is not self and primary.is_running:
+                self.group.replicate(primary)
+        if self.is_primary:
+            self.group.replicate(self)
 
     @property
     def is_running(self) -> bool:
@@ -275,12 +312,15 @@
           pause_s: Time between the end and the start.
         """
         await self.stop()
-        self.is_primary, self.term = False, 1
-        self.log, self.applied_count = [], 0
-        self.born_ms += 1
+        self.lose_log()
         await asyncio.sleep(pause_s)
         await self.start()
 
+    def lose_log(self) -> None:
+        """Makes a stopped member start as a replica without entries in the first term."""
+        self.is_primary, self.term = False, 1
+        self.log, self.applied_count = [], 0
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         self.connection_count += 1
@@ -493,7 +533,7 @@
             case ["DEMOTE", term]:
                 if self.is_primary and int(term) > self.term:
                     self.is_primary, self.term = False, int(term)
-                    self.group.notify_role_change()
+                    self.group.notify_role_change(self)
             case ["HOLD", term]:
                 if not self.is_primary and int(term) > self.term:
                     self.held_term = int(term)
@@ -637,9 +677,10 @@
             return
         if self.is_primary:
             self.is_primary = False
-            self.group.notify_role_change()
+            self.group.notify_role_change(self)
         self.term = primary.term
-        self.receive_log(primary)
+        if primary.is_running:
+            self.receive_log(primary)
 
     def _apply(self, entry_count: int) -> None:
         self.applied_count = max(self.applied_count, min(entry_count, len(self.log)))
@@ -662,6 +703,7 @@
       executed_statements: All statements that members have executed, in order.
       commit_counts: The number of commits by request id.
       committed_entries: All entries committed by any member, also those that were rolled back.
+      promotions: All promotions that have taken effect, in order.
       members: The members by id.
       role_change_events: Events that are set whenever a member becomes or stops being primary.
     """
@@ -675,6 +717,7 @@
         self.executed_statements: list[ExecutedStatement] = []
         self.commit_counts: collections.Counter[str] = collections.Counter()
         self.committed_entries: list[CommittedEntry] = []
+        self.promotions: list[Promotion] = []
         self.members = {
             member_id: LineMember(self, member_id, is_primary=member_id == members[0])
             for member_id in members
@@ -697,8 +740,9 @@
         """The members that regard themselves as the primary."""
         return [member for member in self.members.values() if member.is_primary]
 
-    def notify_role_change(self) -> None:
-        """Sets the events that wait for a role change."""
+    def notify_role_change(self, changed: LineMember) -> None:
+        """Sets the events that wait for a role change, and lets the member write its record."""
+        changed.record_withheld = False
         for event in self.role_change_events:
             event.set()
 
@@ -729,24 +773,32 @@
         return True
 
     def has_newer_primary(self, term: int) -> bool:
-        """Returns whether a member is primary of a newer term."""
-        return any(member.is_primary and member.term > term for member in self.members.values())
+        """Returns whether a member is primary of a newer term, or was until it started again."""
+        return any(promotion.term > term for promotion in self.promotions) or any(
+            member.is_primary and member.term > term for member in self.members.values()
+        )
 
     def _complete_promotion(self, promoted: LineMember) -> None:
         if not promoted.is_running:
             return
-        promoted.term = max(member.term for member in self.members.values()) + 1
+        # Members that have started again without their logs may all know older terms only.
+        newest_term = max((promotion.term for promotion in self.promotions), default=0)
+        newest_term = max(newest_term, *(member.term for member in self.members.values()))
+        promoted.term = newest_term + 1
         promoted.is_primary = True
         promoted.applied_count = len(promoted.log)
+        self.promotions.append(Promotion(promoted.id, promoted.term, tuple(promoted.log)))
         for member in self.members.values():
             member.held_term = 0
-            if member is not promoted and not member.is_primary and not member.replication_stopped:
-                member.term = promoted.term
-                member.receive_log(promoted)
-            elif member is not promoted and member.is_primary:
+            if member is promoted or not member.is_running:
+                continue
+            if member.is_primary:
                 loop = asyncio.get_running_loop()
                 loop.call_later(self.options.step_down_delay_s, member.step_down, promoted)
-        self.notify_role_change()
+            elif not member.replication_stopped:
+                member.term = promoted.term
+                member.receive_log(promoted)
+        self.notify_role_change(promoted)
 
 
 async def read_line(reader: asyncio.StreamReader) -> str:
--- a/bilberrystack_standins/line_group_test.py
+++ b/bilberrystack_standins/line_group_test.py
@@ -275,3 +275,64 @@
         await _wait_until(lambda: not primary.active_statements)
         assert (primary.log, replica.log) == ([], [])
         assert (await (await _start(primary)).query("WRITE x 2", "w2"))[0] == "DONE proof-a-w2"
+
+
+async def test_a_primary_that_restarts_with_its_log_is_what_it_was_unless_another_was_promoted():
+    """Guards against a stand-in whose former primary leads again, or whose primary never does."""
+    async with _group(promotion_delay_s=0.0) as group:
+        first, second = group.members["a"], group.members["b"]
+        client = await _start(first)
+        assert (await client.query("WRITE x 1"))[0].startswith("DONE")
+        await first.stop()
+        await first.start()
+        assert (first.is_primary, first.term, first.value("x")) == (True, 1, "1")
+        await first.stop()
+        assert group.promote("b")
+        await _wait_until(lambda: second.is_primary)
+        await first.start()
+        assert (first.is_primary, first.term, first.log) == (False, 2, second.log)
+
+
+async def test_a_replica_that_restarts_without_its_log_receives_it_again():
+    """Guards against a replica that stays empty until the next commit."""
+    async with _group(apply_lag_s=0.0) as group:
+        primary, replica = group.members["a"], group.members["b"]
+        client = await _start(primary)
+        assert (await client.query("WRITE x 1"))[0].startswith("DONE")
+        await _wait_until(lambda: replica.value("x") == "1")
+        await replica.stop()
+        replica.lose_log()
+        assert replica.value("x") == "-"
+        await replica.start()
+        await _wait_until(lambda: replica.value("x") == "1")
+        assert replica.log == primary.log
+
+
+async def test_terms_rise_although_all_members_have_restarted_without_their_logs():
+    """Guards against a term that two primaries lead, and positions that are given out again."""
+    async with _group(promotion_delay_s=0.0) as group:
+        for member_id, term in (("b", 2), ("a", 3)):
+            promoted = group.members[member_id]
+            assert group.promote(member_id)
+            await _wait_until(lambda leader=promoted: leader.is_primary)
+            assert promoted.term == term
+            for member in group.members.values():
+                await member.stop()
+                member.lose_log()
+            await group.start()
+            assert {member.term for member in group.members.values()} == {1}
+            assert group.primaries == []
+
+
+async def test_a_promotion_is_recorded_with_the_log_of_its_member():
+    """Guards against a check that can't tell which commits a promotion rolled back."""
+    async with _group(promotion_delay_s=0.0, step_down_delay_s=0.0) as group:
+        first, second = group.members["a"], group.members["b"]
+        client = await _start(first)
+        assert (await client.query("WRITE x 1"))[0].startswith("DONE")
+        second.replication_stopped = True
+        assert (await client.query("WRITE x 2"))[0].startswith("DONE")
+        assert group.promote("b")
+        await _wait_until(lambda: second.is_primary and not first.is_primary)
+        kept, _ = group.committed_entries
+        assert group.promotions == [line_group.Promotion("b", 2, (kept,))]
--- a/bilberrystack_standins/line_site.py
+++ b/bilberrystack_standins/line_site.py
@@ -113,7 +113,11 @@
             await role_changed.wait()
             role_changed.clear()
             for member in self.group.members.values():
-                if member.id in self.platform.object_names("servers"):
+                if (
+                    member.id in self.platform.object_names("servers")
+                    and member.is_running
+                    and not member.record_withheld
+                ):
                     await self.platform.register_member(member)
 
     def start_instance(self, name: str) -> instance.Instance:
--- a/bilberrystack_standins/platform_server.py
+++ b/bilberrystack_standins/platform_server.py
@@ -8,6 +8,7 @@
 import collections
 import copy
 import dataclasses
+import enum
 import json
 from typing import Any
 
@@ -47,6 +48,31 @@
     fencing_token: int
 
 
+class News(enum.Enum):
+    """When the record of a restarted member is written."""
+
+    EARLY = "before it listens"
+    LATE = "some time after it listens"
+    LOST = "once its role changes"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Restart:
+    """How a member restarts.
+
+    Attributes:
+      keeps_log: Whether the new process has the log of the one before.
+      pause_s: Time between the end and the start.
+      news: When its record is written.
+      news_delay_s: Time between the start and a late record.
+    """
+
+    keeps_log: bool
+    pause_s: float
+    news: News = News.EARLY
+    news_delay_s: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreCopy:
     """A copy of the store's contents.
@@ -349,27 +375,54 @@
         Args:
           member: The member.
           state: "ready" or "draining"; empty to keep the state of the existing record, or "ready"
-            if there is none.
+            if there is none of this process.
           address: The address at which instances reach the member; empty for the address that it
             listens on.
         """
-        existing_record = self._objects["servers"].get(member.id)
-        state = state or (
-            existing_record["spec"]["state"] if existing_record is not None else "ready"
-        )
+        stored_object = self._objects["servers"].get(member.id)
+        written = None if stored_object is None else stored_object["spec"]
+        if written is not None and written["born"] != member.born_ms:
+            # A process counts its reports from its own start and knows no state of the one before.
+            written = None
         spec = member_record(
             member.group.name,
             address or member.address,
             slots=member.group.options.slots,
-            state=state,
+            state=state or ("ready" if written is None else written["state"]),
             primary=member.is_primary,
+            started_ms=member.born_ms,
         )
-        if existing_record is not None:
-            spec["seq"] = existing_record["spec"]["seq"]
-            if spec != existing_record["spec"]:
+        if written is not None:
+            spec["seq"] = written["seq"]
+            if spec != written:
                 spec["seq"] += 1
         await self.put("servers", member.id, spec)
 
+    async def restart_member(
+        self, member: line_group.LineMember, restart: Restart, address: str = ""
+    ) -> None:
+        """Ends a member like a killed process and starts another one under its id and address.
+
+        Args:
+          member: The member.
+          restart: How it restarts. Returns after a late record has been written.
+          address: The address in its record, as for `register_member`.
+        """
+
+        async def write_record() -> None:
+            member.record_withheld = False
+            await self.register_member(member, address=address)
+
+        member.record_withheld = True
+        await member.stop()
+        if not restart.keeps_log:
+            member.lose_log()
+        await asyncio.sleep(restart.pause_s)
+        await member.start(write_record if restart.news is News.EARLY else None)
+        if restart.news is News.LATE:
+            await asyncio.sleep(restart.news_delay_s)
+            await write_record()
+
 
 def member_record(
     service: str,
--- a/soak/site.py
+++ b/soak/site.py
@@ -221,6 +221,7 @@
         """
         self.group = line_group.LineGroup(SERVICE, MEMBERS, options)
         self.platform = platform_server.PlatformServer({SERVICE: self.group})
+        self.platform.sync_replicas = options.sync_replicas
         self.processes: list[InstanceProcess] = []
         self.links: dict[str, links.Link] = {}
         self.in_rotation: dict[str, str] = {}
@@ -298,7 +299,7 @@
             await roles_changed.wait()
             roles_changed.clear()
             for member in self.group.members.values():
-                if member.is_running:
+                if member.is_running and not member.record_withheld:
                     await self.register(member)
 
     async def _copy_store(self) -> None:
