Exempt only commits that a promotion rolled back from freshness

Cause: the check of the soak exempted each commit that was not in the log of the last primary, so commits that a restart had removed counted as lost, and reads without them as right. The check of lost commits looked at the last log only. Change: a commit is exempt if the log of a member that was promoted to a later term lacked it. Each promoted member and the last primary have to have each acknowledged commit in a group with synchronous replicas.

--- a/soak/account.py
+++ b/soak/account.py
@@ -66,6 +66,7 @@
       commit_counts: Number of commits by request id.
       committed_entries: Every log entry that any member ever committed.
       final_log: Log of the group's last primary at the end of the run.
+      promotions: Promotions that took effect, with the logs of the promoted members.
       promotion_requests: Promotion requests in the order of their arrival.
       leaving_since_s: When each member that leaves announced it, on the event loop's clock.
       synchronous: Whether a commit is acknowledged once a replica has received it.
@@ -80,6 +81,7 @@
     committed_entries: list[line_group.CommittedEntry]
     final_log: list[line_group.CommittedEntry]
     promotion_requests: list[platform_server.PromotionRequest]
+    promotions: list[line_group.Promotion] = dataclasses.field(default_factory=list)
     leaving_since_s: dict[str, float] = dataclasses.field(default_factory=dict)
     synchronous: bool = False
     planned_only: bool = False
@@ -262,10 +264,13 @@
 ) -> list[Violation]:
     """Checks that a read sees each commit that was acknowledged early enough.
 
-    Commits that were lost in a promotion are exempt.
+    Only commits that a promotion rolled back are exempt. A commit that the log of a primary lacks
+    for another reason, such as a restart, still counts.
     """
-    surviving = {id(entry): entry for entry in trace.final_log}
-    entry_of_request = {entry.request_id: entry for entry in surviving.values()}
+    rolled_back = _rolled_back(trace)
+    entry_of_request = {
+        entry.request_id: entry for entry in trace.committed_entries if id(entry) not in rolled_back
+    }
     acknowledged = sorted(
         (
             (
@@ -306,15 +311,33 @@
     return violations
 
 
+def _rolled_back(trace: Trace) -> set[int]:
+    """Returns the identities of the entries that a promotion rolled back.
+
+    These are entries of an earlier term that the promoted member's log lacked, also those that a
+    replaced primary committed afterwards.
+    """
+    rolled_back: set[int] = set()
+    for promotion in trace.promotions:
+        kept = {id(entry) for entry in promotion.log}
+        rolled_back.update(
+            id(entry)
+            for entry in trace.committed_entries
+            if entry.term < promotion.term and id(entry) not in kept
+        )
+    return rolled_back
+
+
 def _check_lost_commits(trace: Trace) -> list[Violation]:
-    """Checks that the last primary has each acknowledged commit."""
-    committed = {entry.request_id for entry in trace.committed_entries}
-    surviving = {entry.request_id for entry in trace.final_log}
+    """Checks that each promoted member and the last primary have each acknowledged commit."""
+    rolled_back = _rolled_back(trace)
+    surviving = {id(entry) for entry in trace.final_log} - rolled_back
+    lost = {entry.request_id for entry in trace.committed_entries if id(entry) not in surviving}
     return [
         Violation("an acknowledged commit survives a promotion", statement.id)
         for operation in trace.operations
         for statement in operation.statements
-        if statement.succeeded and statement.id in committed - surviving
+        if statement.succeeded and statement.id in lost
     ]
 
 
--- a/soak/account_test.py
+++ b/soak/account_test.py
@@ -279,3 +279,76 @@
     """Guards against a check that passes over a changed answer or a changed statement."""
     guarantee, trace = WRONG_ANSWERS_AND_STATEMENTS[name]
     assert {violation.guarantee for violation in account.check(trace)} == {guarantee}
+
+
+FRESHNESS = "a read is as fresh as its database guarantees"
+
+# Time between the acknowledgement of a write and a read that may lack it no longer, by database,
+# and the session that wrote. The session that reads has the number 1.
+FRESHNESS_LIMITS = {"strict": (0.1, 2), "aged": (1.6, 2), "own": (0.1, 1), "own, aged": (2.6, 2)}
+
+
+def _trace_of_read_from_empty_log(limit, promoted_with_commit=None, lead_s=0.0):
+    """Return a trace with a write, and a read at its primary, which has started again since.
+
+    Args:
+      limit: A key of FRESHNESS_LIMITS.
+      promoted_with_commit: Whether the member that is promoted afterwards has the commit; None if
+        no member is promoted.
+      lead_s: Time by which the read precedes the limit.
+    """
+    age_s, writer = FRESHNESS_LIMITS[limit]
+    database = limit.split(",")[0]
+    entry = _commit(1)
+    log = [entry] if promoted_with_commit else []
+    read = _operation(
+        _statement(2, READ, rows=("-",)), database=database, started_at_s=1.1 + age_s - lead_s
+    )
+    return _trace(
+        [_operation(_statement(1, WRITE), session_number=writer), read],
+        [_executed(1, WRITE), _executed(2, READ)],
+        commit_counts={"q1": 1},
+        committed_entries=[entry],
+        final_log=log,
+        promotions=(
+            [] if promoted_with_commit is None else [line_group.Promotion("b", 2, tuple(log))]
+        ),
+    )
+
+
+@pytest.mark.parametrize("limit", FRESHNESS_LIMITS)
+@pytest.mark.parametrize("promoted_with_commit", [True, None])
+def test_a_read_from_an_empty_log_before_the_next_promotion_is_found(limit, promoted_with_commit):
+    """Guards against a check that exempts commits which no promotion has rolled back.
+
+    Without a promotion the group's last log lacks the commit as well.
+    """
+    trace = _trace_of_read_from_empty_log(limit, promoted_with_commit)
+    assert {violation.guarantee for violation in account.check(trace)} == {FRESHNESS}
+
+
+@pytest.mark.parametrize("limit", FRESHNESS_LIMITS)
+def test_a_read_may_lack_commits_that_a_promotion_rolled_back(limit):
+    """Guards against a check that is stricter than the guarantee."""
+    assert account.check(_trace_of_read_from_empty_log(limit, promoted_with_commit=False)) == []
+
+
+@pytest.mark.parametrize("limit", ["aged", "own, aged"])
+def test_a_read_may_lack_young_commits_of_other_sessions(limit):
+    """Guards against a check that is stricter than the guarantee."""
+    assert account.check(_trace_of_read_from_empty_log(limit, lead_s=0.2)) == []
+
+
+def test_a_promotion_of_an_empty_log_loses_acknowledged_commits():
+    """Guards against a check that only knows the last log, which may have the commit again."""
+    entry = _commit(1)
+    trace = _trace(
+        [_operation(_statement(1, WRITE))],
+        [_executed(1, WRITE)],
+        committed_entries=[entry],
+        final_log=[entry],
+        promotions=[line_group.Promotion("b", 2, ())],
+        synchronous=True,
+    )
+    guarantees = {violation.guarantee for violation in account.check(trace)}
+    assert guarantees == {"an acknowledged commit survives a promotion"}
--- a/soak/soaking.py
+++ b/soak/soaking.py
@@ -149,6 +149,8 @@
         committed_entries=group.committed_entries,
         final_log=last_primary.log,
         promotion_requests=soak_site.platform.promotion_requests,
+        promotions=group.promotions,
+        synchronous=bool(group.options.sync_replicas),
         leaving_since_s=soak_site.leaving_since_s,
         planned_only=planned_only,
         departures=soak_site.departures,
--- a/soak/whole_site_test.py
+++ b/soak/whole_site_test.py
@@ -78,6 +78,7 @@
         committed_entries=site.group.committed_entries,
         final_log=last_primary.log,
         promotion_requests=site.platform.promotion_requests,
+        promotions=site.group.promotions,
         synchronous=bool(site.group.options.sync_replicas),
     )
 
