Play restarts of members in the soak

Members with stalled links still exchanged entries. A member can be isolated, so that it neither sends nor receives entries and promotions.

--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,11 @@
 soak-departures: setup
 	$(PY) -m soak --departures --seeds $(SEEDS) --first-seed $(FIRST_SEED)
 
+# Members start again, with or without their logs, alone and together with other faults.
+.PHONY: soak-restarts
+soak-restarts: setup
+	$(PY) -m soak --restarts --seeds $(SEEDS) --first-seed $(FIRST_SEED)
+
 measure: setup
 	$(PY) -m faults.measure --processes $(PROCESSES)
 	$(PY) -m system.throughput
--- a/bilberrystack_standins/line_group.py
+++ b/bilberrystack_standins/line_group.py
@@ -182,6 +182,8 @@
       log: The received entries.
       applied_count: The number of applied entries, which reads see.
       replication_stopped: Whether the member receives no entries, a fault.
+      is_isolated: Whether the member and the others exchange no entries and no news of promotions,
+        a fault. Promotion requests still reach it.
       unresponsive: Whether the member neither runs nor answers statements, a fault. It still
         accepts connections and answers START.
       answers_to_lose: Number of the next executed statements whose answers are lost, a fault.
@@ -215,6 +217,7 @@
         self.log: list[CommittedEntry] = []
         self.applied_count = 0
         self.replication_stopped = False
+        self.is_isolated = False
         self.unresponsive = False
         self.answers_to_lose = 0
         self.reads_to_fail = 0
@@ -283,10 +286,7 @@
         self.port = self._server.sockets[0].getsockname()[1]
         for primary in self.group.primaries:
             self.step_down(primary)
-            if primary is not self and primary.is_running:
-                self.group.replicate(primary)
-        if self.is_primary:
-            self.group.replicate(self)
+        self.group.resume_replication(self)
 
     @property
     def is_running(self) -> bool:
@@ -321,6 +321,15 @@
         self.is_primary, self.term = False, 1
         self.log, self.applied_count = [], 0
 
+    def end_isolation(self) -> None:
+        """Ends the isolation; a former primary steps down after the delay."""
+        self.is_isolated = False
+        loop = asyncio.get_running_loop()
+        for primary in self.group.primaries:
+            for member in self.group.members.values():
+                loop.call_later(self.group.options.step_down_delay_s, member.step_down, primary)
+        self.group.resume_replication(self)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         self.connection_count += 1
@@ -657,6 +666,8 @@
             self._server is None
             or self.is_primary
             or self.replication_stopped
+            or self.is_isolated
+            or primary.is_isolated
             or self.held_term
             or primary.term < self.term
         ):
@@ -666,6 +677,7 @@
             self._busy_until_s = (
                 asyncio.get_running_loop().time() + self.group.options.rollback_time_s
             )
+        self.term = primary.term
         self.log = entries
         self.applied_count = min(self.applied_count, len(self.log))
         loop = asyncio.get_running_loop()
@@ -675,6 +687,8 @@
         """Follows a new primary; entries that only this member has are rolled back."""
         if self._server is None or not primary.is_primary or primary.term <= self.term:
             return
+        if self.is_isolated or primary.is_isolated:
+            return
         if self.is_primary:
             self.is_primary = False
             self.group.notify_role_change(self)
@@ -758,6 +772,12 @@
             else:
                 member.receive_log(primary)
 
+    def resume_replication(self, member: LineMember) -> None:
+        """Sends the logs of the running primaries after a member has come back."""
+        for primary in self.primaries:
+            if primary.is_running and (primary is member or not member.is_primary):
+                self.replicate(primary)
+
     def promote(self, member_id: str) -> bool:
         """Accepts a promotion request, which takes effect after the promotion delay.
 
@@ -795,7 +815,7 @@
             if member.is_primary:
                 loop = asyncio.get_running_loop()
                 loop.call_later(self.options.step_down_delay_s, member.step_down, promoted)
-            elif not member.replication_stopped:
+            elif not member.replication_stopped and not member.is_isolated:
                 member.term = promoted.term
                 member.receive_log(promoted)
         self.notify_role_change(promoted)
--- a/bilberrystack_standins/line_group_test.py
+++ b/bilberrystack_standins/line_group_test.py
@@ -336,3 +336,19 @@
         await _wait_until(lambda: second.is_primary and not first.is_primary)
         kept, _ = group.committed_entries
         assert group.promotions == [line_group.Promotion("b", 2, (kept,))]
+
+
+async def test_an_isolated_primary_goes_on_until_it_reaches_the_next_one():
+    """Guards against a stand-in whose dark primary still replicates, or never steps down."""
+    async with _group(promotion_delay_s=0.0, step_down_delay_s=0.01) as group:
+        first, second = group.members["a"], group.members["b"]
+        first.is_isolated = True
+        client = await _start(first)
+        assert (await client.query("WRITE x 1"))[0].startswith("DONE")
+        assert group.promote("b")
+        await _wait_until(lambda: second.is_primary)
+        await asyncio.sleep(0.05)
+        assert (first.is_primary, first.value("x"), second.log) == (True, "1", [])
+        first.end_isolation()
+        await _wait_until(lambda: not first.is_primary)
+        assert (first.term, first.log) == (2, [])
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,14 +14,18 @@
 
 
 def _run_seed(
-    seed: int, logs: pathlib.Path | None, restores: bool, departures: bool
+    seed: int, logs: pathlib.Path | None, restores: bool, departures: bool, restarts: bool
 ) -> soaking.Report:
     loguru.logger.remove()
     log_folder = None
     if logs is not None:
         log_folder = logs / f"seed-{seed}"
         log_folder.mkdir(parents=True, exist_ok=True)
-    return asyncio.run(soaking.run_seed(seed, log_folder, restores=restores, departures=departures))
+    return asyncio.run(
+        soaking.run_seed(
+            seed, log_folder, restores=restores, departures=departures, restarts=restarts
+        )
+    )
 
 
 @app.default
@@ -33,6 +37,7 @@
     logs: pathlib.Path | None = None,
     restores: bool = False,
     departures: bool = False,
+    restarts: bool = False,
 ) -> None:
     """Runs seeds and prints a line for each; the exit code is 1 if a guarantee was violated.
 
@@ -43,11 +48,12 @@
       logs: Folder for the logs of the instances; without it the logs are discarded.
       restores: Whether the store also returns from older copies.
       departures: Whether the primary leaves while the coordinator fails, in place of other faults.
+      restarts: Whether members start again with or without their logs, in place of other faults.
     """
     failed_seeds = []
     with concurrent.futures.ProcessPoolExecutor(processes) as pool:
         seed_range = range(first_seed, first_seed + seeds)
-        options = [[logs] * seeds, [restores] * seeds, [departures] * seeds]
+        options = [[logs] * seeds, [restores] * seeds, [departures] * seeds, [restarts] * seeds]
         for report in pool.map(_run_seed, seed_range, *options):
             print(
                 f"seed {report.seed}: {report.operation_count} operations,"
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -12,6 +12,9 @@
 DATABASES = ("strict", "aged", "own")
 ITEMS = tuple(f"item{number}" for number in range(12))
 
+# Share of the statements that write, unless a play has another one.
+WRITE_SHARE = 0.4
+
 # Maximum wait of a client for a reply. Statements have a time limit of 1 s.
 REPLY_TIMEOUT_S = 4.0
 
@@ -50,6 +53,7 @@
         database: str,
         instance: str,
         data_rng: random.Random | None,
+        write_share: float = WRITE_SHARE,
     ) -> None:
         """Creates a session on a connection that has been answered READY.
 
@@ -58,8 +62,10 @@
           database: Name of the database.
           instance: Name of the instance.
           data_rng: Source of data with any characters; None for data of letters and digits.
+          write_share: Share of the statements that write.
         """
         self._data_rng = data_rng
+        self._write_share = write_share
         self._client = client
         self._database = database
         self._instance = instance
@@ -136,7 +142,7 @@
     def _draw_statement(self, rng: random.Random) -> tuple[str, str, str]:
         """Returns the text to send, and the text and the shape that a member has to execute."""
         item = rng.choice(ITEMS)
-        access = "WRITE" if rng.random() < 0.4 else "READ"
+        access = "WRITE" if rng.random() < self._write_share else "READ"
         expected_text = f"{access} {item}" + (
             f" {self._draw_data(f'w{next(_REQUEST_NUMBERS)}')}" if access == "WRITE" else ""
         )
@@ -204,6 +210,7 @@
     rng: random.Random,
     record: list[history.Operation],
     data_rng: random.Random | None = None,
+    write_share: float = WRITE_SHARE,
 ) -> None:
     """Opens one session after the other until cancelled.
 
@@ -212,6 +219,7 @@
       rng: Source of all random choices.
       record: List to which the operations are added.
       data_rng: Source of data with any characters; None for data of letters and digits.
+      write_share: Share of the statements that write.
 
     Raises:
       WrongReply: The client received what can't be the reply to its request.
@@ -221,9 +229,11 @@
         if not instances:
             continue
         name = rng.choice(sorted(instances))
-        session = await _open_session(name, instances[name], rng.choice(DATABASES), data_rng)
-        if session is None:
+        database = rng.choice(DATABASES)
+        client = await _open_connection(instances[name], database)
+        if client is None:
             continue
+        session = Session(client, database, name, data_rng, write_share)
         try:
             await session.prepare(rng)
             for _ in range(rng.randint(1, MAX_OPERATIONS_PER_SESSION)):
@@ -236,9 +246,8 @@
             session.close()
 
 
-async def _open_session(
-    name: str, address: str, database: str, data_rng: random.Random | None
-) -> Session | None:
+async def _open_connection(address: str, database: str) -> line_site.Client | None:
+    """Starts a session at an instance; returns None if it isn't accepted."""
     host, _, port = address.rpartition(":")
     try:
         async with asyncio.timeout(2.0):
@@ -250,4 +259,4 @@
     if reply != ["READY I -"]:
         writer.close()
         return None
-    return Session(client, database, name, data_rng)
+    return client
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -296,7 +296,8 @@
     seed: int
 
     def __str__(self) -> str:
-        return f"{self.start_s:.2f} s {self.fault.__name__}"
+        name = getattr(self.fault, "__name__", str(self.fault))
+        return f"{self.start_s:.2f} s {name}"
 
 
 def draw_series(seed: int, planned_only: bool) -> list[ScheduledFault]:
--- a/soak/soaking.py
+++ b/soak/soaking.py
@@ -11,6 +11,7 @@
 from soak import conditions as play_conditions
 from soak import faults
 from soak import history
+from soak import restarts as member_restarts
 from soak import site
 
 INSTANCE_COUNT = 3
@@ -61,6 +62,7 @@
     *,
     restores: bool = False,
     departures: bool = False,
+    restarts: bool = False,
     conditions: play_conditions.Conditions | None = None,
 ) -> Report:
     """Runs the series of faults of a seed under load and checks the guarantees.
@@ -71,20 +73,29 @@
       restores: Whether the store also returns from older copies.
       departures: Whether the series has a departure of the primary while the coordinator fails, in
         place of the other faults.
+      restarts: Whether members start again with or without their logs, in place of the other
+        faults.
       conditions: The clients' data and the members' answers; None for those of the seed, or the
-        usual ones in a series with restores or departures.
+        usual ones in a series with restores, departures or restarts.
 
     Raises:
       RuntimeError: Not all instances became ready within START_TIMEOUT_S.
     """
-    planned_only = seed % PLANNED_ONLY_INTERVAL == 0 and not departures
-    series = faults.draw_departures(seed) if departures else faults.draw_series(seed, planned_only)
+    planned_only = seed % PLANNED_ONLY_INTERVAL == 0 and not departures and not restarts
+    if restarts:
+        series = member_restarts.draw_series(seed)
+    elif departures:
+        series = faults.draw_departures(seed)
+    else:
+        series = faults.draw_series(seed, planned_only)
     if restores:
         series = faults.add_restores(series, seed)
     if conditions is None:
-        usual = restores or departures
+        usual = restores or departures or restarts
         conditions = play_conditions.Conditions() if usual else play_conditions.draw(seed)
     options = play_conditions.group_options(conditions, seed)
+    if restarts:
+        options = member_restarts.group_options(seed)
     record: list[history.Operation] = []
     started_at_s = asyncio.get_running_loop().time()
     async with site.Site(INSTANCE_COUNT, folder, options) as soak_site:
