Play a whole site whose primary restarts without its log

Change: whole_site_test plays five instances and 24 clients of a primary route while the primary starts again without its log after 0.01 or 0.3 s and its record is late, in a group with many writes and in one with few, also with the coordinator and another instance cut off from the store. Clients of a play can have habits of their own.

--- a/bilberrystack_standins/line_site.py
+++ b/bilberrystack_standins/line_site.py
@@ -120,8 +120,15 @@
                 ):
                     await self.platform.register_member(member)
 
-    def start_instance(self, name: str) -> instance.Instance:
-        """Starts an instance."""
+    def start_instance(
+        self, name: str, store_endpoint: model.Endpoint | None = None
+    ) -> instance.Instance:
+        """Starts an instance.
+
+        Args:
+          name: Its name.
+          store_endpoint: The address at which it reaches the store; None for the store's own.
+        """
         host = unused_loopback_address()
         platform_endpoint = model.Endpoint("127.0.0.1", self.platform.port)
         instance_settings = settings.Settings(
@@ -131,14 +138,16 @@
             readiness_endpoint=model.Endpoint(host, 7001),
             peers_endpoint=model.Endpoint(host, 7002),
             metrics_endpoint=model.Endpoint(host, 7003),
-            store_endpoint=platform_endpoint,
+            store_endpoint=store_endpoint or platform_endpoint,
             platform_endpoint=platform_endpoint,
             store_history_s=20.0,
             grace_s=4.0,
             first_start=True,
         )
         instance_counters = counters.Counters()
-        client = platform_client.Client(platform_endpoint, platform_endpoint, instance_counters)
+        client = platform_client.Client(
+            instance_settings.store_endpoint, platform_endpoint, instance_counters
+        )
         started = instance.Instance(instance_settings, client, wire, instance_counters)
         self.settings.append(instance_settings)
         self.instances.append(started)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import itertools
 import random
 
@@ -12,9 +13,6 @@
 DATABASES = ("strict", "aged", "own")
 ITEMS = tuple(f"item{number}" for number in range(12))
 
-# Share of the statements that write, unless a play has another one.
-WRITE_SHARE = 0.4
-
 # Maximum wait of a client for a reply. Statements have a time limit of 1 s.
 REPLY_TIMEOUT_S = 4.0
 
@@ -23,8 +21,6 @@
 # Maximum length of data without a request that is shown in a violation.
 MAX_UNREAD_BYTES = 1000
 
-# Maximum pause between two operations of a session.
-MAX_OPERATION_PAUSE_S = 0.03
 
 # Maximum pause before a client opens its next session, also after a failed attempt.
 MAX_RECONNECT_PAUSE_S = 0.05
@@ -36,6 +32,24 @@
 _REQUEST_NUMBERS = itertools.count(1)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Habits:
+    """What clients do.
+
+    Attributes:
+      databases: The databases that they choose from.
+      write_share: Share of the statements that write.
+      max_pause_s: Maximum pause between two operations of a session.
+    """
+
+    databases: tuple[str, ...] = DATABASES
+    write_share: float = 0.4
+    max_pause_s: float = 0.03
+
+
+USUAL_HABITS = Habits()
+
+
 class SessionEnded(Exception):
     """The connection of the session ended, or a reply did not arrive in time."""
 
@@ -53,7 +67,7 @@
         database: str,
         instance: str,
         data_rng: random.Random | None,
-        write_share: float = WRITE_SHARE,
+        habits: Habits = USUAL_HABITS,
     ) -> None:
         """Creates a session on a connection that has been answered READY.
 
@@ -62,10 +76,10 @@
           database: Name of the database.
           instance: Name of the instance.
           data_rng: Source of data with any characters; None for data of letters and digits.
-          write_share: Share of the statements that write.
+          habits: What the client does.
         """
         self._data_rng = data_rng
-        self._write_share = write_share
+        self._habits = habits
         self._client = client
         self._database = database
         self._instance = instance
@@ -130,7 +144,7 @@
             if not statement.succeeded:
                 await self._send_unrecorded("ROLLBACK")
                 return
-            await asyncio.sleep(rng.uniform(0, MAX_OPERATION_PAUSE_S))
+            await asyncio.sleep(rng.uniform(0, self._habits.max_pause_s))
         match rng.random():
             case share if share < 0.1:
                 await self._send_unrecorded("ROLLBACK")
@@ -142,7 +156,7 @@
     def _draw_statement(self, rng: random.Random) -> tuple[str, str, str]:
         """Returns the text to send, and the text and the shape that a member has to execute."""
         item = rng.choice(ITEMS)
-        access = "WRITE" if rng.random() < self._write_share else "READ"
+        access = "WRITE" if rng.random() < self._habits.write_share else "READ"
         expected_text = f"{access} {item}" + (
             f" {self._draw_data(f'w{next(_REQUEST_NUMBERS)}')}" if access == "WRITE" else ""
         )
@@ -210,7 +224,7 @@
     rng: random.Random,
     record: list[history.Operation],
     data_rng: random.Random | None = None,
-    write_share: float = WRITE_SHARE,
+    habits: Habits = USUAL_HABITS,
 ) -> None:
     """Opens one session after the other until cancelled.
 
@@ -219,7 +233,7 @@
       rng: Source of all random choices.
       record: List to which the operations are added.
       data_rng: Source of data with any characters; None for data of letters and digits.
-      write_share: Share of the statements that write.
+      habits: What the client does.
 
     Raises:
       WrongReply: The client received what can't be the reply to its request.
@@ -229,16 +243,16 @@
         if not instances:
             continue
         name = rng.choice(sorted(instances))
-        database = rng.choice(DATABASES)
+        database = rng.choice(habits.databases)
         client = await _open_connection(instances[name], database)
         if client is None:
             continue
-        session = Session(client, database, name, data_rng, write_share)
+        session = Session(client, database, name, data_rng, habits)
         try:
             await session.prepare(rng)
             for _ in range(rng.randint(1, MAX_OPERATIONS_PER_SESSION)):
                 await session.run_operation(rng, record)
-                await asyncio.sleep(rng.uniform(0, MAX_OPERATION_PAUSE_S))
+                await asyncio.sleep(rng.uniform(0, habits.max_pause_s))
         except SessionEnded:
             # The record shows which statement has no reply; the client opens its next session.
             pass
--- a/soak/whole_site_test.py
+++ b/soak/whole_site_test.py
@@ -5,15 +5,20 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 
 import pytest
 
+from bilberrystack.routing import model
 from bilberrystack_standins import line_site
+from bilberrystack_standins import platform_server
 from soak import account
 from soak import callers
 from soak import conditions
+from soak import links
+from soak import site as soak_site
 
 pytestmark = pytest.mark.asyncio
 
@@ -43,14 +48,10 @@
 
 def _start_clients(site, seed, any_characters, record):
     """Start clients that use all instances; return their tasks."""
-    addresses = {
-        settings.name: f"{settings.sessions_endpoint.host}:{settings.sessions_endpoint.port}"
-        for settings in site.settings
-    }
     return [
         asyncio.create_task(
             callers.run_client(
-                addresses,
+                _addresses(site),
                 random.Random(f"{seed} {number}"),
                 record,
                 random.Random(f"data {seed} {number}") if any_characters else None,
@@ -60,6 +61,14 @@
     ]
 
 
+def _addresses(site):
+    """Return the addresses of the instances, by name."""
+    return {
+        settings.name: f"{settings.sessions_endpoint.host}:{settings.sessions_endpoint.port}"
+        for settings in site.settings
+    }
+
+
 async def _change_primary(site):
     """Announce that the primary leaves, and end it once another member is the primary."""
     first = site.group.members["a"]
@@ -70,7 +79,8 @@
 
 
 def _trace(site, record):
-    last_primary = max(site.group.primaries, key=lambda member: member.term)
+    members = site.group.members.values()
+    last_primary = max(members, key=lambda member: (member.is_primary, member.term))
     return account.Trace(
         operations=record,
         executed_statements=site.group.executed_statements,
@@ -142,3 +152,102 @@
     )
     assert (wrong_replies, violations) == ([], {})
     assert succeeded > MIN_SUCCEEDED_STATEMENTS
+
+
+# Clients read often, since the first members that notice a restart end the reads from an empty log.
+RESTART_CLIENT_COUNT = 24
+MANY_WRITES = callers.Habits(("strict",), max_pause_s=0.005)
+
+# With so few writes no rejected write shows that the primary has restarted.
+FEW_WRITES = dataclasses.replace(MANY_WRITES, write_share=0.002)
+
+# Time for which each item is written before a play with few writes.
+FIRST_WRITES_S = 0.7
+
+# The record of a restarted member is written so much later, unless its role has changed before.
+NEWS_DELAY_S = 2.0
+
+
+@contextlib.asynccontextmanager
+async def _open_site_with_store_links(group_options):
+    """Start a site; return it and the links between its instances and the store, by name."""
+    async with line_site.Site(0, group_options) as site, contextlib.AsyncExitStack() as stack:
+        store_links = {}
+        for number in range(INSTANCE_COUNT):
+            link = await stack.enter_async_context(links.Link(site.platform.port))
+            name = f"proxy-{number}"
+            store_links[name] = link
+            site.start_instance(name, model.Endpoint("127.0.0.1", link.port))
+        await site.wait_until(lambda: all(started.ready for started in site.instances))
+        yield site, store_links
+
+
+def _cut_off_from_store(site, store_links):
+    """Cut the coordinator and one more instance off from the store."""
+    coordinator = site.platform.get(soak_site.LEASE_KIND, soak_site.LEASE_NAME)["holder"]["name"]
+    other = next(name for name in store_links if name != coordinator)
+    for name in (coordinator, other):
+        store_links[name].faults.refusing = True
+        store_links[name].reset()
+
+
+async def _stop_clients(clients):
+    """Stop clients; return those that received a wrong reply."""
+    for client in clients:
+        client.cancel()
+    results = await asyncio.gather(*clients, return_exceptions=True)
+    return [result for result in results if not isinstance(result, asyncio.CancelledError)]
+
+
+async def _play_restart(pause_s, habits, cut_off, seed):
+    """Run clients while the primary starts again without its log.
+
+    Returns:
+      The wrong replies, the violations, and the number of succeeded reads of the primary route.
+    """
+    restart = platform_server.Restart(False, pause_s, platform_server.News.LATE, NEWS_DELAY_S)
+    record = []
+    group_options = conditions.group_options(conditions.Conditions(), seed)
+    async with _open_site_with_store_links(group_options) as (site, store_links):
+        clients = _start_clients(site, seed, False, record)
+        await asyncio.sleep(FIRST_WRITES_S)
+        wrong_replies = await _stop_clients(clients)
+        clients = [
+            asyncio.create_task(
+                callers.run_client(
+                    _addresses(site), random.Random(f"{seed} reads {number}"), record, habits=habits
+                )
+            )
+            for number in range(RESTART_CLIENT_COUNT)
+        ]
+        await asyncio.sleep(FIRST_WRITES_S)
+        if cut_off:
+            _cut_off_from_store(site, store_links)
+        news = asyncio.create_task(site.platform.restart_member(site.group.members["a"], restart))
+        await site.wait_until(lambda: site.group.promotions)
+        await asyncio.sleep(LOAD_S)
+        wrong_replies += await _stop_clients(clients)
+        await news
+        violations = account.check(_trace(site, record))
+    read_count = sum(
+        statement.succeeded and statement.expected_text.startswith("READ")
+        for operation in record
+        if operation.database == "strict"
+        for statement in operation.statements
+    )
+    return wrong_replies, violations, read_count
+
+
+@pytest.mark.parametrize("cut_off", [False, True])
+@pytest.mark.parametrize("pause_s", [0.01, 0.3])
+@pytest.mark.parametrize("habits", [MANY_WRITES, FEW_WRITES], ids=["many writes", "few writes"])
+async def test_no_read_runs_on_the_empty_log_of_a_restarted_primary(habits, pause_s, cut_off):
+    """Guards against reads that lack commits until the next primary leads.
+
+    The record of the new process is late, so that instances have to notice it by themselves.
+    """
+    wrong_replies, violations, read_count = await _play_restart(pause_s, habits, cut_off, seed=1)
+    stale = [each for each in violations if " of strict lacks " in each.detail]
+    assert wrong_replies == []
+    assert violations == [], f"{len(stale)} of {read_count} reads of the primary route are stale"
+    assert read_count > MIN_SUCCEEDED_STATEMENTS
