Play a replica that restarts empty before the primary goes dark

Cause: nothing showed what happens to commits that only the primary and a replica have, if that replica forgets them just before the primary is out of reach. A member with a stalled link still accepted connections, which instances take for life, so it was never replaced. Change: a member or a link of the soak can be dark: it neither accepts nor refuses connections. whole_site_test plays the fault in a synchronous group; the soak's restarts use it too.

--- a/bilberrystack_standins/line_group.py
+++ b/bilberrystack_standins/line_group.py
@@ -18,6 +18,7 @@
 import random
 import time
 
+from bilberrystack_standins import dark_port
 from bilberrystack_standins import member_answers
 
 # Longest message that a member reads, without its line end.
@@ -239,6 +240,7 @@
         self._stop_count = 0
         self._slots = asyncio.Semaphore(group.options.slots)
         self._server: asyncio.Server | None = None
+        self._dark_port: dark_port.DarkPort | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._random = random.Random(f"{group.options.seed} {member_id}")
 
@@ -273,6 +275,12 @@
             self.is_primary = False
         if announce is not None:
             await announce()
+        await self._listen()
+        for primary in self.group.primaries:
+            self.step_down(primary)
+        self.group.resume_replication(self)
+
+    async def _listen(self) -> None:
         while self._server is None:
             try:
                 self._server = await asyncio.start_server(
@@ -284,9 +292,6 @@
                     raise
                 await asyncio.sleep(_PORT_RETRY_S)
         self.port = self._server.sockets[0].getsockname()[1]
-        for primary in self.group.primaries:
-            self.step_down(primary)
-        self.group.resume_replication(self)
 
     @property
     def is_running(self) -> bool:
@@ -295,6 +300,9 @@
 
     async def stop(self) -> None:
         """Stops abruptly, like a killed process; the log is kept."""
+        if self._dark_port is not None:
+            self._dark_port.close()
+            self._dark_port = None
         if self._server is not None:
             self._server.close()
             self._server = None
@@ -321,6 +329,26 @@
         self.is_primary, self.term = False, 1
         self.log, self.applied_count = [], 0
 
+    def go_dark(self) -> None:
+        """Takes the member off the network, while its process runs on.
+
+        No connection is accepted or refused, none of the open ones carries data, and the member is
+        isolated.
+        """
+        assert self._server is not None
+        self.is_isolated = self.unresponsive = True
+        self._server.close()
+        self._dark_port = dark_port.DarkPort(self.port)
+
+    async def end_darkness(self) -> None:
+        """Returns the member to the network."""
+        if self._dark_port is not None:
+            self._dark_port.close()
+            self._dark_port = self._server = None
+            await self._listen()
+        self.unresponsive = False
+        self.end_isolation()
+
     def end_isolation(self) -> None:
         """Ends the isolation; a former primary steps down after the delay."""
         self.is_isolated = False
@@ -408,6 +436,8 @@
             answer = result
         else:
             answer = self._execute(request_id, words, min_position, connection)
+        if self.unresponsive:
+            return False
         data = encode(f"{answer}\r\nREADY {connection.transaction_state} {self.position}\r\n")
         await sender.send(data, self._draw_delivery(to_start=False))
         return not sender.ended
--- a/bilberrystack_standins/line_group_test.py
+++ b/bilberrystack_standins/line_group_test.py
@@ -352,3 +352,20 @@
         first.end_isolation()
         await _wait_until(lambda: not first.is_primary)
         assert (first.term, first.log) == (2, [])
+
+
+async def test_a_dark_member_neither_accepts_nor_refuses_connections():
+    """Guards against plays in which a silent member still shows life by accepting connections."""
+    async with _group() as group:
+        member = group.members["a"]
+        client = await _start(member)
+        member.go_dark()
+        read = asyncio.create_task(client.query("READ x"))
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await _open(member)
+        assert member.is_running and not read.done()
+        await member.end_darkness()
+        await _start(member)
+        client.close()
+        await asyncio.wait({read})
--- a/soak/links.py
+++ b/soak/links.py
@@ -5,6 +5,8 @@
 import dataclasses
 import enum
 
+from bilberrystack_standins import dark_port
+
 READ_BYTES = 65_536
 
 # Interval at which a stalled direction is checked for its release.
@@ -46,6 +48,7 @@
         self.port = 0
         self._target_port = target_port
         self._server: asyncio.Server | None = None
+        self._dark_port: dark_port.DarkPort | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -55,11 +58,31 @@
         return f"127.0.0.1:{self.port}"
 
     async def __aenter__(self) -> "Link":
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = self._server.sockets[0].getsockname()[1]
+        await self._listen()
         return self
 
+    async def _listen(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def go_dark(self) -> None:
+        """Stalls all connections, and neither accepts nor refuses new ones."""
+        self.faults.stalled.update(Direction)
+        if self._server is not None and self._dark_port is None:
+            self._server.close()
+            self._dark_port = dark_port.DarkPort(self.port)
+
+    async def end_darkness(self) -> None:
+        """Accepts connections and forwards data again."""
+        self.faults.stalled.clear()
+        if self._dark_port is not None:
+            self._dark_port.close()
+            self._dark_port = None
+            await self._listen()
+
     async def __aexit__(self, *_: object) -> None:
+        if self._dark_port is not None:
+            self._dark_port.close()
         if self._server is not None:
             self._server.close()
         self.reset()
--- a/soak/restarts.py
+++ b/soak/restarts.py
@@ -8,7 +8,6 @@
 from bilberrystack_standins import line_group
 from bilberrystack_standins import platform_server
 from soak import faults
-from soak import links
 from soak import site
 
 # Number of restarts in one series, and the time between their starts. In a group with synchronous
@@ -21,6 +20,9 @@
 # Maximum time until the record of a restarted member is written if it is late.
 MAX_NEWS_DELAY_S = 3.0
 
+# Maximum duration of the other fault. A dark primary is replaced within it.
+MAX_DURATION_S = 4.0
+
 # Other faults start this long before or after the end of the member's process.
 MAX_LEAD_S, MAX_LAG_S = 0.5, 0.5
 
@@ -32,13 +34,13 @@
     """What else happens while a member restarts."""
 
     NOTHING = "alone"
-    SILENCE = "its link stalls"
+    SILENCE = "its link is dark"
     CUT_STORE = "an instance is cut off from the store"
     STOPPED_STORE = "the store is away"
     PAUSED_COORDINATOR = "the coordinator is suspended"
     KILLED_COORDINATOR = "the coordinator is killed"
     PAUSED_INSTANCES = "all instances but one are suspended"
-    DARK_PRIMARY = "the primary is cut off"
+    DARK_PRIMARY = "the primary is dark"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,7 +90,7 @@
         coordinator = target.coordinator() or draw.process()
         match self.companion:
             case Companion.SILENCE:
-                await _stall(target, member, self.duration_s)
+                await _darken(target, member, self.duration_s)
             case Companion.CUT_STORE:
                 await faults.cut_store(draw)
             case Companion.STOPPED_STORE:
@@ -103,16 +105,16 @@
                 await asyncio.gather(*(process.pause(self.duration_s) for process in paused))
             case Companion.DARK_PRIMARY:
                 primary.is_isolated = True
-                await _stall(target, primary, self.duration_s)
+                await _darken(target, primary, self.duration_s)
                 primary.end_isolation()
 
 
-async def _stall(target: site.Site, member: line_group.LineMember, duration_s: float) -> None:
-    """Stalls the data to and from a member for a time."""
-    stalled = target.links[member.id].faults.stalled
-    stalled.update(links.Direction)
+async def _darken(target: site.Site, member: line_group.LineMember, duration_s: float) -> None:
+    """Takes the link of a member off the network for a time."""
+    link = target.links[member.id]
+    link.go_dark()
     await asyncio.sleep(duration_s)
-    stalled.clear()
+    await link.end_darkness()
 
 
 def _draw_restart(rng: random.Random) -> MemberRestart:
@@ -132,7 +134,7 @@
         companion=companion,
         # A primary that is dark before the end of a replica acknowledges nothing in between.
         companion_start_s=rng.uniform(0.0, restart.pause_s) if dark else start_s,
-        duration_s=rng.uniform(0.3, faults.MAX_DURATION_S),
+        duration_s=rng.uniform(0.3, MAX_DURATION_S),
     )
 
 
