Let stand-in members keep unreachable connections and vary the rows of reads

Cause: two of the places in which the stand-ins were kinder than the protocol: a connection whose far end is unreachable was dropped at once, and each read returned one row. Change: a member can lose its clients, and keeps their connections, which count, for 3 s. An item can have up to three rows or none. whole_site_test plays both, the rows with any characters and faulty answers. The check of answers knows the rows.

--- a/bilberrystack_standins/line_group.py
+++ b/bilberrystack_standins/line_group.py
@@ -3,8 +3,7 @@
 Members replicate asynchronously, run statements in slots, limit their connections and follow the
 promotions of the platform's stand-in. A message ends in CR LF; data may have any other character.
 Tests can make members unresponsive, stop their replication, or let them lose answers, cut them off,
-send them in pieces or send them twice. A real member drops the connection of a client that it
-cannot reach; here the connections simply end.
+send them in pieces or send them twice, or make the far ends of connections unreachable.
 """
 
 import asyncio
@@ -17,6 +16,7 @@
 import math
 import random
 import time
+import zlib
 
 from bilberrystack_standins import dark_port
 from bilberrystack_standins import member_answers
@@ -31,6 +31,12 @@
 # Statements that may carry the prefix AFTER. An EXEC may run a prepared read.
 _READ_AFTER_POSITION = ("READ", "EXEC", "BEGIN")
 
+# Time for which a member keeps a connection whose far end is unreachable.
+UNREACHABLE_LIMIT_S = 3.0
+
+# Interval at which a member checks whether its process has ended meanwhile.
+_END_CHECK_INTERVAL_S = 0.05
+
 # Interval at which a primary sends its log again while no replica has received a commit.
 _RESEND_INTERVAL_S = 0.01
 
@@ -129,6 +135,7 @@
       truncated_share: Share of the answers that are cut off before their end. The member sends
         nothing more on the connection then, and closes it or keeps it open.
       split_share: Share of the answers whose bytes arrive in pieces.
+      varied_rows: Whether a read returns several rows or none, depending on the item.
       seed: Determines which answers are sent in which way, and when.
     """
 
@@ -150,6 +157,7 @@
     truncated_repetition_share: float = 0.0
     truncated_share: float = 0.0
     split_share: float = 0.0
+    varied_rows: bool = False
     seed: int = 0
 
 
@@ -242,6 +250,7 @@
         self._server: asyncio.Server | None = None
         self._dark_port: dark_port.DarkPort | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._unreachable: set[asyncio.StreamWriter] = set()
         self._random = random.Random(f"{group.options.seed} {member_id}")
 
     @property
@@ -307,6 +316,7 @@
             self._server.close()
             self._server = None
         self._stop_count += 1
+        self.connection_count = 0
         for writer in list(self._writers):
             writer.transport.abort()
         await asyncio.sleep(0)
@@ -329,6 +339,15 @@
         self.is_primary, self.term = False, 1
         self.log, self.applied_count = [], 0
 
+    def lose_clients(self) -> None:
+        """Makes the far ends of all connections unreachable.
+
+        The clients' sides end. The member keeps the connections, which count, for a time.
+        """
+        self._unreachable.update(self._writers)
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     def go_dark(self) -> None:
         """Takes the member off the network, while its process runs on.
 
@@ -361,6 +380,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         self.connection_count += 1
+        stop_count = self._stop_count
         sender = member_answers.AnswerSender(
             writer, self._random, self.group.options.repetition_delay_s
         )
@@ -393,12 +413,23 @@
         except asyncio.LimitOverrunError:
             self.oversized_messages += 1
         finally:
-            self.connection_count -= 1
             self._writers.discard(writer)
             sender.close()
+            if writer in self._unreachable:
+                self._unreachable.discard(writer)
+                await self._wait_while_running(UNREACHABLE_LIMIT_S, stop_count)
+            if stop_count == self._stop_count:
+                self.connection_count -= 1
             with contextlib.suppress(OSError):
                 writer.close()
 
+    async def _wait_while_running(self, duration_s: float, stop_count: int) -> None:
+        """Waits for a time, or until the process that had stopped so often has ended."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + duration_s
+        while loop.time() < end_s and stop_count == self._stop_count:
+            await asyncio.sleep(_END_CHECK_INTERVAL_S)
+
     def _refusal(self, words: list[str]) -> str:
         if len(words) < 3 or words[0] != "START":
             return "BAD"
@@ -606,7 +637,8 @@
             if self.reads_to_fail > 0:
                 self.reads_to_fail -= 1
                 return self._fail("FAILED", connection)
-            return f"ROW {self.value(words[1])}\r\nDONE proof-{self.id}-{request_id}"
+            rows = rows_of_item(words[1], self.value(words[1]), self.group.options.varied_rows)
+            return "".join(f"ROW {row}\r\n" for row in rows) + f"DONE proof-{self.id}-{request_id}"
         write = (words[1], " ".join(words[2:]))
         if connection.transaction_state == "T":
             connection.writes.append(write)
@@ -738,6 +770,18 @@
         return "-"
 
 
+def rows_of_item(item: str, value: str, varied: bool) -> tuple[str, ...]:
+    """Returns the rows of a read.
+
+    Args:
+      item: The item that is read.
+      value: Its value.
+      varied: Whether some items have several rows or none.
+    """
+    row_count = zlib.crc32(item.encode()) % 4 if varied else 1
+    return tuple(f"{value}{'+' * number}" for number in range(row_count))
+
+
 class LineGroup:
     """The members of one group.
 
--- a/bilberrystack_standins/line_group_test.py
+++ b/bilberrystack_standins/line_group_test.py
@@ -369,3 +369,28 @@
         await _start(member)
         client.close()
         await asyncio.wait({read})
+
+
+async def test_a_connection_with_an_unreachable_far_end_counts_until_it_is_dropped(monkeypatch):
+    """Guards against a proxy that reckons with a member's connections too early."""
+    monkeypatch.setattr(line_group, "UNREACHABLE_LIMIT_S", 0.2)
+    async with _group(max_connections=1) as group:
+        member = group.members["a"]
+        lost = await _start(member)
+        member.lose_clients()
+        assert await lost.read_answer() == []
+        rejected = await _open(member)
+        assert await rejected.send(f"START s other {member.id}") == ["ERR TOOMANY a"]
+        await _wait_until(lambda: member.connection_count == 0)
+        await _start(member)
+        member.lose_clients()
+        await member.stop()
+        assert member.connection_count == 0
+
+
+async def test_reads_return_several_rows_or_none():
+    """Guards against a proxy that expects one row for each read."""
+    async with _group(varied_rows=True) as group:
+        client = await _start(group.members["a"])
+        answers = [await client.query(f"READ item{number}") for number in range(12)]
+        assert {len(answer) - 2 for answer in answers} == {0, 1, 2, 3}
--- a/soak/account.py
+++ b/soak/account.py
@@ -70,6 +70,7 @@
       promotion_requests: Promotion requests in the order of their arrival.
       leaving_since_s: When each member that leaves announced it, on the event loop's clock.
       synchronous: Whether a commit is acknowledged once a replica has received it.
+      varied_rows: Whether members return several rows or none for some items.
       planned_only: Whether the run had planned work only and no failures.
       departures: Departures of members.
       disturbances: Start and end of the faults of each instance, by its name.
@@ -84,6 +85,7 @@
     promotions: list[line_group.Promotion] = dataclasses.field(default_factory=list)
     leaving_since_s: dict[str, float] = dataclasses.field(default_factory=dict)
     synchronous: bool = False
+    varied_rows: bool = False
     planned_only: bool = False
     departures: list[Departure] = dataclasses.field(default_factory=list)
     disturbances: dict[str, list[tuple[float, float]]] = dataclasses.field(default_factory=dict)
@@ -137,7 +139,7 @@
                     )
                 )
             if statement.succeeded and not _is_reply_of_member(
-                statement, executed_by_request[statement.id]
+                statement, executed_by_request[statement.id], trace.varied_rows
             ):
                 violations.append(
                     Violation(
@@ -181,11 +183,13 @@
 
 
 def _is_reply_of_member(
-    statement: history.Statement, executed_statements: list[line_group.ExecutedStatement]
+    statement: history.Statement,
+    executed_statements: list[line_group.ExecutedStatement],
+    varied_rows: bool,
 ) -> bool:
     return any(
         statement.proof == _expected_proof(statement, executed)
-        and _rows_match_log(statement, executed)
+        and _rows_match_log(statement, executed, varied_rows)
         for executed in executed_statements
     )
 
@@ -194,15 +198,17 @@
     return f"proof-{executed.member_id}-{statement.id}"
 
 
-def _rows_match_log(statement: history.Statement, executed: line_group.ExecutedStatement) -> bool:
+def _rows_match_log(
+    statement: history.Statement, executed: line_group.ExecutedStatement, varied_rows: bool
+) -> bool:
     if not statement.expected_text.startswith("READ"):
         return not statement.rows
     item = statement.expected_text.split(" ")[1]
     for entry in reversed(executed.log[: executed.applied_count]):
         for name, value in reversed(entry.writes):
             if name == item:
-                return statement.rows == (value,)
-    return statement.rows == ("-",)
+                return statement.rows == line_group.rows_of_item(item, value, varied_rows)
+    return statement.rows == line_group.rows_of_item(item, "-", varied_rows)
 
 
 def _check_transactions(
--- a/soak/account_test.py
+++ b/soak/account_test.py
@@ -221,6 +221,18 @@
     assert account.check(_trace_of_read(("w1\nROW w2",))) == []
 
 
+def _trace_of_read_with_varied_rows(rows):
+    """Return a trace with a read of an item that has three rows."""
+    trace = _trace_of_read(rows, "w1")
+    trace.varied_rows = True
+    return trace
+
+
+def test_several_rows_violate_no_guarantee():
+    """Guards against a check that expects one row for each read."""
+    assert account.check(_trace_of_read_with_varied_rows(("w1", "w1+", "w1++"))) == []
+
+
 SENT = "WRITE x w1\nQUERY q2 WRITE y 2"
 REPLY, STATEMENT = (
     "a reply matches the member's execution",
@@ -235,6 +247,9 @@
     "row without its carriage return": (REPLY, _trace_of_read(("w1",), "w1\r")),
     "no row": (REPLY, _trace_of_read(())),
     "row sent twice": (REPLY, _trace_of_read(("w1\nROW w2", "w1\nROW w2"))),
+    "row missing at the end": (REPLY, _trace_of_read_with_varied_rows(("w1", "w1+"))),
+    "row missing at the start": (REPLY, _trace_of_read_with_varied_rows(("w1+", "w1++"))),
+    "all rows missing": (REPLY, _trace_of_read_with_varied_rows(())),
     "row of a write": (
         REPLY,
         _trace([_operation(_statement(1, WRITE, rows=("1",)))], [_executed(1, WRITE)]),
--- a/soak/conditions.py
+++ b/soak/conditions.py
@@ -37,10 +37,12 @@
       any_characters: Whether data, values, shapes and the texts of errors have any characters that
         the protocol permits.
       faulty_answers: Whether members send answers twice, late, in pieces or in part.
+      varied_rows: Whether reads return several rows or none.
     """
 
     any_characters: bool = False
     faulty_answers: bool = False
+    varied_rows: bool = False
 
 
 def draw(seed: int) -> Conditions:
@@ -56,7 +58,9 @@
     """Returns the options of the group under the conditions of a play."""
     options = FAULTY_ANSWERS if conditions.faulty_answers else site.GROUP_OPTIONS
     error_text = draw_text("error", random.Random(seed)) if conditions.any_characters else ""
-    return dataclasses.replace(options, error_text=error_text, seed=seed)
+    return dataclasses.replace(
+        options, error_text=error_text, varied_rows=conditions.varied_rows, seed=seed
+    )
 
 
 def draw_text(text: str, rng: random.Random) -> str:
--- a/soak/whole_site_test.py
+++ b/soak/whole_site_test.py
@@ -12,6 +12,7 @@
 import pytest
 
 from bilberrystack.routing import model
+from bilberrystack_standins import line_group
 from bilberrystack_standins import line_site
 from bilberrystack_standins import platform_server
 from soak import account
@@ -38,6 +39,7 @@
     "any characters": conditions.Conditions(any_characters=True),
     "faulty answers": conditions.Conditions(faulty_answers=True),
     "any characters and faulty answers": conditions.Conditions(True, True),
+    "several rows or none": conditions.Conditions(True, True, varied_rows=True),
 }
 
 
@@ -94,6 +96,7 @@
         promotion_requests=site.platform.promotion_requests,
         promotions=site.group.promotions,
         synchronous=bool(site.group.options.sync_replicas),
+        varied_rows=site.group.options.varied_rows,
     )
 
 
@@ -323,3 +326,28 @@
     )
     assert (wrong_replies, violations) == ([], {})
     assert succeeded > MIN_SUCCEEDED_STATEMENTS
+
+
+async def _lose_clients_of_members(site):
+    """Make the far ends of the members' connections unreachable, and wait until they are dropped.
+
+    The primary accepts no connection until then.
+    """
+    for member in site.group.members.values():
+        member.lose_clients()
+    await asyncio.sleep(line_group.UNREACHABLE_LIMIT_S)
+    for number in range(INSTANCE_COUNT):
+        client = await site.connect("strict", number)
+        async with asyncio.timeout(RECOVERY_S):
+            while (await client.query("READ item0", callers.probe_id()))[-2][:4] != "DONE":
+                await asyncio.sleep(0.05)
+    assert site.platform.promotion_requests == []
+
+
+async def test_connections_with_an_unreachable_far_end_replace_no_primary():
+    """Guards against a full member that is taken for a silent one, and use that never resumes."""
+    succeeded, wrong_replies, violations = await _play(
+        "usual conditions", 1, _lose_clients_of_members
+    )
+    assert (wrong_replies, violations) == ([], {})
+    assert succeeded > MIN_SUCCEEDED_STATEMENTS
