--- a/bilberrystack_standins/line_group.py
+++ b/bilberrystack_standins/line_group.py
@@ -3,19 +3,22 @@
 Members replicate asynchronously, run statements in slots, limit their connections and follow the
 promotions of the platform's stand-in. A message ends in CR LF; data may have any other character.
 Tests can make members unresponsive, stop their replication, or let them lose answers, cut them off,
-send them in pieces or send them twice. A real member drops the connection of a client that it
-cannot reach; here the connections simply end.
+send them in pieces or send them twice, or make the far ends of connections unreachable.
 """
 
 import asyncio
 import collections
+import collections.abc
 import contextlib
 import dataclasses
 import errno
 import itertools
 import math
 import random
+import time
+import zlib
 
+from bilberrystack_standins import dark_port
 from bilberrystack_standins import member_answers
 
 # Longest message that a member reads, without its line end.
@@ -28,6 +31,12 @@
 # Statements that may carry the prefix AFTER. An EXEC may run a prepared read.
 _READ_AFTER_POSITION = ("READ", "EXEC", "BEGIN")
 
+# Time for which a member keeps a connection whose far end is unreachable.
+UNREACHABLE_LIMIT_S = 3.0
+
+# Interval at which a member checks whether its process has ended meanwhile.
+_END_CHECK_INTERVAL_S = 0.05
+
 # Interval at which a primary sends its log again while no replica has received a commit.
 _RESEND_INTERVAL_S = 0.01
 
@@ -84,6 +93,21 @@
     shape: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Promotion:
+    """A promotion that has taken effect.
+
+    Attributes:
+      member_id: The promoted member.
+      term: The term that it leads.
+      log: Its log at that moment. Commits of earlier terms that are not in it are rolled back.
+    """
+
+    member_id: str
+    term: int
+    log: tuple[CommittedEntry, ...]
+
+
 @dataclasses.dataclass(slots=True)
 class GroupOptions:
     """Options of a group.
@@ -111,6 +135,7 @@
       truncated_share: Share of the answers that are cut off before their end. The member sends
         nothing more on the connection then, and closes it or keeps it open.
       split_share: Share of the answers whose bytes arrive in pieces.
+      varied_rows: Whether a read returns several rows or none, depending on the item.
       seed: Determines which answers are sent in which way, and when.
     """
 
@@ -132,6 +157,7 @@
     truncated_repetition_share: float = 0.0
     truncated_share: float = 0.0
     split_share: float = 0.0
+    varied_rows: bool = False
     seed: int = 0
 
 
@@ -165,6 +191,8 @@
       log: The received entries.
       applied_count: The number of applied entries, which reads see.
       replication_stopped: Whether the member receives no entries, a fault.
+      is_isolated: Whether the member and the others exchange no entries and no news of promotions,
+        a fault. Promotion requests still reach it.
       unresponsive: Whether the member neither runs nor answers statements, a fault. It still
         accepts connections and answers START.
       answers_to_lose: Number of the next executed statements whose answers are lost, a fault.
@@ -185,6 +213,8 @@
       active_statements: The number of statements that run or wait for a slot.
       port: The port that the member listens on; 0 before the first start.
       born_ms: Start of the member's process in its record, in Unix milliseconds.
+      record_withheld: Whether the member does not write its record, a fault. It ends when the
+        member becomes or stops being primary.
     """
 
     def __init__(self, group: "LineGroup", member_id: str, is_primary: bool) -> None:
@@ -196,6 +226,7 @@
         self.log: list[CommittedEntry] = []
         self.applied_count = 0
         self.replication_stopped = False
+        self.is_isolated = False
         self.unresponsive = False
         self.answers_to_lose = 0
         self.reads_to_fail = 0
@@ -211,12 +242,15 @@
         self.oversized_messages = 0
         self.active_statements = 0
         self.port = 0
-        self.born_ms = 1_700_000_000_000
+        self.born_ms = 0
+        self.record_withheld = False
         self._busy_until_s = -math.inf
         self._stop_count = 0
         self._slots = asyncio.Semaphore(group.options.slots)
         self._server: asyncio.Server | None = None
+        self._dark_port: dark_port.DarkPort | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._unreachable: set[asyncio.StreamWriter] = set()
         self._random = random.Random(f"{group.options.seed} {member_id}")
 
     @property
@@ -234,8 +268,28 @@
             return "1.0"
         return f"{self.log[entry_count - 1].term}.{self.log[entry_count - 1].index}"
 
-    async def start(self) -> None:
-        """Starts listening; after a stop, on the same port as before."""
+    async def start(
+        self, announce: collections.abc.Callable[[], collections.abc.Awaitable[None]] | None = None
+    ) -> None:
+        """Starts a process, which listens on the same port as the one before.
+
+        It is a replica if another member was promoted meanwhile, and otherwise what it was.
+
+        Args:
+          announce: Called after the start of the process, before it listens.
+        """
+        self.born_ms = max(self.born_ms + 1, int(time.time() * 1000))
+        self.held_term = 0
+        if self.group.has_newer_primary(self.term):
+            self.is_primary = False
+        if announce is not None:
+            await announce()
+        await self._listen()
+        for primary in self.group.primaries:
+            self.step_down(primary)
+        self.group.resume_replication(self)
+
+    async def _listen(self) -> None:
         while self._server is None:
             try:
                 self._server = await asyncio.start_server(
@@ -247,9 +301,6 @@
                     raise
                 await asyncio.sleep(_PORT_RETRY_S)
         self.port = self._server.sockets[0].getsockname()[1]
-        self.held_term = 0
-        for primary in self.group.primaries:
-            self.step_down(primary)
 
     @property
     def is_running(self) -> bool:
@@ -258,10 +309,14 @@
 
     async def stop(self) -> None:
         """Stops abruptly, like a killed process; the log is kept."""
+        if self._dark_port is not None:
+            self._dark_port.close()
+            self._dark_port = None
         if self._server is not None:
             self._server.close()
             self._server = None
         self._stop_count += 1
+        self.connection_count = 0
         for writer in list(self._writers):
             writer.transport.abort()
         await asyncio.sleep(0)
@@ -275,15 +330,57 @@
           pause_s: Time between the end and the start.
         """
         await self.stop()
-        self.is_primary, self.term = False, 1
-        self.log, self.applied_count = [], 0
-        self.born_ms += 1
+        self.lose_log()
         await asyncio.sleep(pause_s)
         await self.start()
 
+    def lose_log(self) -> None:
+        """Makes a stopped member start as a replica without entries in the first term."""
+        self.is_primary, self.term = False, 1
+        self.log, self.applied_count = [], 0
+
+    def lose_clients(self) -> None:
+        """Makes the far ends of all connections unreachable.
+
+        The clients' sides end. The member keeps the connections, which count, for a time.
+        """
+        self._unreachable.update(self._writers)
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def go_dark(self) -> None:
+        """Takes the member off the network, while its process runs on.
+
+        No connection is accepted or refused, none of the open ones carries data, and the member is
+        isolated.
+        """
+        assert self._server is not None
+        self.is_isolated = self.unresponsive = True
+        self._server.close()
+        self._dark_port = dark_port.DarkPort(self.port)
+
+    async def end_darkness(self) -> None:
+        """Returns the member to the network."""
+        if self._dark_port is not None:
+            self._dark_port.close()
+            self._dark_port = self._server = None
+            await self._listen()
+        self.unresponsive = False
+        self.end_isolation()
+
+    def end_isolation(self) -> None:
+        """Ends the isolation; a former primary steps down after the delay."""
+        self.is_isolated = False
+        loop = asyncio.get_running_loop()
+        for primary in self.group.primaries:
+            for member in self.group.members.values():
+                loop.call_later(self.group.options.step_down_delay_s, member.step_down, primary)
+        self.group.resume_replication(self)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         self.connection_count += 1
+        stop_count = self._stop_count
         sender = member_answers.AnswerSender(
             writer, self._random, self.group.options.repetition_delay_s
         )
@@ -316,12 +413,23 @@
         except asyncio.LimitOverrunError:
             self.oversized_messages += 1
         finally:
-            self.connection_count -= 1
             self._writers.discard(writer)
             sender.close()
+            if writer in self._unreachable:
+                self._unreachable.discard(writer)
+                await self._wait_while_running(UNREACHABLE_LIMIT_S, stop_count)
+            if stop_count == self._stop_count:
+                self.connection_count -= 1
             with contextlib.suppress(OSError):
                 writer.close()
 
+    async def _wait_while_running(self, duration_s: float, stop_count: int) -> None:
+        """Waits for a time, or until the process that had stopped so often has ended."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + duration_s
+        while loop.time() < end_s and stop_count == self._stop_count:
+            await asyncio.sleep(_END_CHECK_INTERVAL_S)
+
     def _refusal(self, words: list[str]) -> str:
         if len(words) < 3 or words[0] != "START":
             return "BAD"
@@ -359,6 +467,8 @@
             answer = result
         else:
             answer = self._execute(request_id, words, min_position, connection)
+        if self.unresponsive:
+            return False
         data = encode(f"{answer}\r\nREADY {connection.transaction_state} {self.position}\r\n")
         await sender.send(data, self._draw_delivery(to_start=False))
         return not sender.ended
@@ -493,7 +603,7 @@
             case ["DEMOTE", term]:
                 if self.is_primary and int(term) > self.term:
                     self.is_primary, self.term = False, int(term)
-                    self.group.notify_role_change()
+                    self.group.notify_role_change(self)
             case ["HOLD", term]:
                 if not self.is_primary and int(term) > self.term:
                     self.held_term = int(term)
@@ -527,7 +637,8 @@
             if self.reads_to_fail > 0:
                 self.reads_to_fail -= 1
                 return self._fail("FAILED", connection)
-            return f"ROW {self.value(words[1])}\r\nDONE proof-{self.id}-{request_id}"
+            rows = rows_of_item(words[1], self.value(words[1]), self.group.options.varied_rows)
+            return "".join(f"ROW {row}\r\n" for row in rows) + f"DONE proof-{self.id}-{request_id}"
         write = (words[1], " ".join(words[2:]))
         if connection.transaction_state == "T":
             connection.writes.append(write)
@@ -617,6 +728,8 @@
             self._server is None
             or self.is_primary
             or self.replication_stopped
+            or self.is_isolated
+            or primary.is_isolated
             or self.held_term
             or primary.term < self.term
         ):
@@ -626,6 +739,7 @@
             self._busy_until_s = (
                 asyncio.get_running_loop().time() + self.group.options.rollback_time_s
             )
+        self.term = primary.term
         self.log = entries
         self.applied_count = min(self.applied_count, len(self.log))
         loop = asyncio.get_running_loop()
@@ -635,11 +749,14 @@
         """Follows a new primary; entries that only this member has are rolled back."""
         if self._server is None or not primary.is_primary or primary.term <= self.term:
             return
+        if self.is_isolated or primary.is_isolated:
+            return
         if self.is_primary:
             self.is_primary = False
-            self.group.notify_role_change()
+            self.group.notify_role_change(self)
         self.term = primary.term
-        self.receive_log(primary)
+        if primary.is_running:
+            self.receive_log(primary)
 
     def _apply(self, entry_count: int) -> None:
         self.applied_count = max(self.applied_count, min(entry_count, len(self.log)))
@@ -653,6 +770,18 @@
         return "-"
 
 
+def rows_of_item(item: str, value: str, varied: bool) -> tuple[str, ...]:
+    """Returns the rows of a read.
+
+    Args:
+      item: The item that is read.
+      value: Its value.
+      varied: Whether some items have several rows or none.
+    """
+    row_count = zlib.crc32(item.encode()) % 4 if varied else 1
+    return tuple(f"{value}{'+' * number}" for number in range(row_count))
+
+
 class LineGroup:
     """The members of one group.
 
@@ -662,6 +791,7 @@
       executed_statements: All statements that members have executed, in order.
       commit_counts: The number of commits by request id.
       committed_entries: All entries committed by any member, also those that were rolled back.
+      promotions: All promotions that have taken effect, in order.
       members: The members by id.
       role_change_events: Events that are set whenever a member becomes or stops being primary.
     """
@@ -675,6 +805,7 @@
         self.executed_statements: list[ExecutedStatement] = []
         self.commit_counts: collections.Counter[str] = collections.Counter()
         self.committed_entries: list[CommittedEntry] = []
+        self.promotions: list[Promotion] = []
         self.members = {
             member_id: LineMember(self, member_id, is_primary=member_id == members[0])
             for member_id in members
@@ -697,8 +828,9 @@
         """The members that regard themselves as the primary."""
         return [member for member in self.members.values() if member.is_primary]
 
-    def notify_role_change(self) -> None:
-        """Sets the events that wait for a role change."""
+    def notify_role_change(self, changed: LineMember) -> None:
+        """Sets the events that wait for a role change, and lets the member write its record."""
+        changed.record_withheld = False
         for event in self.role_change_events:
             event.set()
 
@@ -714,6 +846,12 @@
             else:
                 member.receive_log(primary)
 
+    def resume_replication(self, member: LineMember) -> None:
+        """Sends the logs of the running primaries after a member has come back."""
+        for primary in self.primaries:
+            if primary.is_running and (primary is member or not member.is_primary):
+                self.replicate(primary)
+
     def promote(self, member_id: str) -> bool:
         """Accepts a promotion request, which takes effect after the promotion delay.
 
@@ -729,24 +867,32 @@
         return True
 
     def has_newer_primary(self, term: int) -> bool:
-        """Returns whether a member is primary of a newer term."""
-        return any(member.is_primary and member.term > term for member in self.members.values())
+        """Returns whether a member is primary of a newer term, or was until it started again."""
+        return any(promotion.term > term for promotion in self.promotions) or any(
+            member.is_primary and member.term > term for member in self.members.values()
+        )
 
     def _complete_promotion(self, promoted: LineMember) -> None:
         if not promoted.is_running:
             return
-        promoted.term = max(member.term for member in self.members.values()) + 1
+        # Members that have started again without their logs may all know older terms only.
+        newest_term = max((promotion.term for promotion in self.promotions), default=0)
+        newest_term = max(newest_term, *(member.term for member in self.members.values()))
+        promoted.term = newest_term + 1
         promoted.is_primary = True
         promoted.applied_count = len(promoted.log)
+        self.promotions.append(Promotion(promoted.id, promoted.term, tuple(promoted.log)))
         for member in self.members.values():
             member.held_term = 0
-            if member is not promoted and not member.is_primary and not member.replication_stopped:
-                member.term = promoted.term
-                member.receive_log(promoted)
-            elif member is not promoted and member.is_primary:
+            if member is promoted or not member.is_running:
+                continue
+            if member.is_primary:
                 loop = asyncio.get_running_loop()
                 loop.call_later(self.options.step_down_delay_s, member.step_down, promoted)
-        self.notify_role_change()
+            elif not member.replication_stopped and not member.is_isolated:
+                member.term = promoted.term
+                member.receive_log(promoted)
+        self.notify_role_change(promoted)
 
 
 async def read_line(reader: asyncio.StreamReader) -> str:
--- a/bilberrystack_standins/line_group_test.py
+++ b/bilberrystack_standins/line_group_test.py
@@ -275,3 +275,122 @@
         await _wait_until(lambda: not primary.active_statements)
         assert (primary.log, replica.log) == ([], [])
         assert (await (await _start(primary)).query("WRITE x 2", "w2"))[0] == "DONE proof-a-w2"
+
+
+async def test_a_primary_that_restarts_with_its_log_is_what_it_was_unless_another_was_promoted():
+    """Guards against a stand-in whose former primary leads again, or whose primary never does."""
+    async with _group(promotion_delay_s=0.0) as group:
+        first, second = group.members["a"], group.members["b"]
+        client = await _start(first)
+        assert (await client.query("WRITE x 1"))[0].startswith("DONE")
+        await first.stop()
+        await first.start()
+        assert (first.is_primary, first.term, first.value("x")) == (True, 1, "1")
+        await first.stop()
+        assert group.promote("b")
+        await _wait_until(lambda: second.is_primary)
+        await first.start()
+        assert (first.is_primary, first.term, first.log) == (False, 2, second.log)
+
+
+async def test_a_replica_that_restarts_without_its_log_receives_it_again():
+    """Guards against a replica that stays empty until the next commit."""
+    async with _group(apply_lag_s=0.0) as group:
+        primary, replica = group.members["a"], group.members["b"]
+        client = await _start(primary)
+        assert (await client.query("WRITE x 1"))[0].startswith("DONE")
+        await _wait_until(lambda: replica.value("x") == "1")
+        await replica.stop()
+        replica.lose_log()
+        assert replica.value("x") == "-"
+        await replica.start()
+        await _wait_until(lambda: replica.value("x") == "1")
+        assert replica.log == primary.log
+
+
+async def test_terms_rise_although_all_members_have_restarted_without_their_logs():
+    """Guards against a term that two primaries lead, and positions that are given out again."""
+    async with _group(promotion_delay_s=0.0) as group:
+        for member_id, term in (("b", 2), ("a", 3)):
+            promoted = group.members[member_id]
+            assert group.promote(member_id)
+            await _wait_until(lambda leader=promoted: leader.is_primary)
+            assert promoted.term == term
+            for member in group.members.values():
+                await member.stop()
+                member.lose_log()
+            await group.start()
+            assert {member.term for member in group.members.values()} == {1}
+            assert group.primaries == []
+
+
+async def test_a_promotion_is_recorded_with_the_log_of_its_member():
+    """Guards against a check that can't tell which commits a promotion rolled back."""
+    async with _group(promotion_delay_s=0.0, step_down_delay_s=0.0) as group:
+        first, second = group.members["a"], group.members["b"]
+        client = await _start(first)
+        assert (await client.query("WRITE x 1"))[0].startswith("DONE")
+        second.replication_stopped = True
+        assert (await client.query("WRITE x 2"))[0].startswith("DONE")
+        assert group.promote("b")
+        await _wait_until(lambda: second.is_primary and not first.is_primary)
+        kept, _ = group.committed_entries
+        assert group.promotions == [line_group.Promotion("b", 2, (kept,))]
+
+
+async def test_an_isolated_primary_goes_on_until_it_reaches_the_next_one():
+    """Guards against a stand-in whose dark primary still replicates, or never steps down."""
+    async with _group(promotion_delay_s=0.0, step_down_delay_s=0.01) as group:
+        first, second = group.members["a"], group.members["b"]
+        first.is_isolated = True
+        client = await _start(first)
+        assert (await client.query("WRITE x 1"))[0].startswith("DONE")
+        assert group.promote("b")
+        await _wait_until(lambda: second.is_primary)
+        await asyncio.sleep(0.05)
+        assert (first.is_primary, first.value("x"), second.log) == (True, "1", [])
+        first.end_isolation()
+        await _wait_until(lambda: not first.is_primary)
+        assert (first.term, first.log) == (2, [])
+
+
+async def test_a_dark_member_neither_accepts_nor_refuses_connections():
+    """Guards against plays in which a silent member still shows life by accepting connections."""
+    async with _group() as group:
+        member = group.members["a"]
+        client = await _start(member)
+        member.go_dark()
+        read = asyncio.create_task(client.query("READ x"))
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await _open(member)
+        assert member.is_running and not read.done()
+        await member.end_darkness()
+        await _start(member)
+        client.close()
+        await asyncio.wait({read})
+
+
+async def test_a_connection_with_an_unreachable_far_end_counts_until_it_is_dropped(monkeypatch):
+    """Guards against a proxy that reckons with a member's connections too early."""
+    monkeypatch.setattr(line_group, "UNREACHABLE_LIMIT_S", 0.2)
+    async with _group(max_connections=1) as group:
+        member = group.members["a"]
+        lost = await _start(member)
+        member.lose_clients()
+        assert await lost.read_answer() == []
+        rejected = await _open(member)
+        assert await rejected.send(f"START s other {member.id}") == ["ERR TOOMANY a"]
+        await _wait_until(lambda: member.connection_count == 0)
+        await _start(member)
+        member.lose_clients()
+        await member.stop()
+        assert member.connection_count == 0
+
+
+async def test_reads_return_several_rows_or_none():
+    """Guards against a proxy that expects one row for each read."""
+    async with _group(varied_rows=True) as group:
+        client = await _start(group.members["a"])
+        answers = [await client.query(f"READ item{number}") for number in range(12)]
+        assert {len(answer) - 2 for answer in answers} == {0, 1, 2, 3}
--- a/soak/account.py
+++ b/soak/account.py
@@ -66,9 +66,11 @@
       commit_counts: Number of commits by request id.
       committed_entries: Every log entry that any member ever committed.
       final_log: Log of the group's last primary at the end of the run.
+      promotions: Promotions that took effect, with the logs of the promoted members.
       promotion_requests: Promotion requests in the order of their arrival.
       leaving_since_s: When each member that leaves announced it, on the event loop's clock.
       synchronous: Whether a commit is acknowledged once a replica has received it.
+      varied_rows: Whether members return several rows or none for some items.
       planned_only: Whether the run had planned work only and no failures.
       departures: Departures of members.
       disturbances: Start and end of the faults of each instance, by its name.
@@ -80,8 +82,10 @@
     committed_entries: list[line_group.CommittedEntry]
     final_log: list[line_group.CommittedEntry]
     promotion_requests: list[platform_server.PromotionRequest]
+    promotions: list[line_group.Promotion] = dataclasses.field(default_factory=list)
     leaving_since_s: dict[str, float] = dataclasses.field(default_factory=dict)
     synchronous: bool = False
+    varied_rows: bool = False
     planned_only: bool = False
     departures: list[Departure] = dataclasses.field(default_factory=list)
     disturbances: dict[str, list[tuple[float, float]]] = dataclasses.field(default_factory=dict)
@@ -135,7 +139,7 @@
                     )
                 )
             if statement.succeeded and not _is_reply_of_member(
-                statement, executed_by_request[statement.id]
+                statement, executed_by_request[statement.id], trace.varied_rows
             ):
                 violations.append(
                     Violation(
@@ -179,11 +183,13 @@
 
 
 def _is_reply_of_member(
-    statement: history.Statement, executed_statements: list[line_group.ExecutedStatement]
+    statement: history.Statement,
+    executed_statements: list[line_group.ExecutedStatement],
+    varied_rows: bool,
 ) -> bool:
     return any(
         statement.proof == _expected_proof(statement, executed)
-        and _rows_match_log(statement, executed)
+        and _rows_match_log(statement, executed, varied_rows)
         for executed in executed_statements
     )
 
@@ -192,15 +198,17 @@
     return f"proof-{executed.member_id}-{statement.id}"
 
 
-def _rows_match_log(statement: history.Statement, executed: line_group.ExecutedStatement) -> bool:
+def _rows_match_log(
+    statement: history.Statement, executed: line_group.ExecutedStatement, varied_rows: bool
+) -> bool:
     if not statement.expected_text.startswith("READ"):
         return not statement.rows
     item = statement.expected_text.split(" ")[1]
     for entry in reversed(executed.log[: executed.applied_count]):
         for name, value in reversed(entry.writes):
             if name == item:
-                return statement.rows == (value,)
-    return statement.rows == ("-",)
+                return statement.rows == line_group.rows_of_item(item, value, varied_rows)
+    return statement.rows == line_group.rows_of_item(item, "-", varied_rows)
 
 
 def _check_transactions(
@@ -262,10 +270,13 @@
 ) -> list[Violation]:
     """Checks that a read sees each commit that was acknowledged early enough.
 
-    Commits that were lost in a promotion are exempt.
+    Only commits that a promotion rolled back are exempt. A commit that the log of a primary lacks
+    for another reason, such as a restart, still counts.
     """
-    surviving = {id(entry): entry for entry in trace.final_log}
-    entry_of_request = {entry.request_id: entry for entry in surviving.values()}
+    rolled_back = _rolled_back(trace)
+    entry_of_request = {
+        entry.request_id: entry for entry in trace.committed_entries if id(entry) not in rolled_back
+    }
     acknowledged = sorted(
         (
             (
@@ -306,15 +317,33 @@
     return violations
 
 
+def _rolled_back(trace: Trace) -> set[int]:
+    """Returns the identities of the entries that a promotion rolled back.
+
+    These are entries of an earlier term that the promoted member's log lacked, also those that a
+    replaced primary committed afterwards.
+    """
+    rolled_back: set[int] = set()
+    for promotion in trace.promotions:
+        kept = {id(entry) for entry in promotion.log}
+        rolled_back.update(
+            id(entry)
+            for entry in trace.committed_entries
+            if entry.term < promotion.term and id(entry) not in kept
+        )
+    return rolled_back
+
+
 def _check_lost_commits(trace: Trace) -> list[Violation]:
-    """Checks that the last primary has each acknowledged commit."""
-    committed = {entry.request_id for entry in trace.committed_entries}
-    surviving = {entry.request_id for entry in trace.final_log}
+    """Checks that each promoted member and the last primary have each acknowledged commit."""
+    rolled_back = _rolled_back(trace)
+    surviving = {id(entry) for entry in trace.final_log} - rolled_back
+    lost = {entry.request_id for entry in trace.committed_entries if id(entry) not in surviving}
     return [
         Violation("an acknowledged commit survives a promotion", statement.id)
         for operation in trace.operations
         for statement in operation.statements
-        if statement.succeeded and statement.id in committed - surviving
+        if statement.succeeded and statement.id in lost
     ]
 
 
