Grant no primary whose newest report names it as a replica

Cause: PrimaryChange went on returning the last leader while the newest reports named no primary: up to 0.3 s until the change began, for as long as an order to a replica took (1.2 s), and in the answer to the very heartbeat that reported the former primary as a replica. Ruled out: silence. A silent member is the primary by its last report, and keeps its grants as before (test). Change: PrimaryChange.observe takes reports into account without a decision; the coordinator calls it while an order is in progress and before it answers a heartbeat that contradicts the primary. Two log lines. Conclusion: after the coordinator has learned that a primary restarted, no grant names it. Grants that were given before last up to 1.5 s; connections have to show their process themselves.

--- a/bilberrystack/pooling/coordinator.py
+++ b/bilberrystack/pooling/coordinator.py
@@ -119,6 +119,7 @@
       granted_until_s: When the grants in use end, by the incarnation that holds them.
       withdrawal_sent_at_s: When the last withdrawal was sent.
       action_running: Whether an order to a member or a promotion request is in progress.
+      contradicted: Whether the newest reports name no member as the primary that was granted last.
     """
 
     change_machine: primary_change.PrimaryChange
@@ -127,6 +128,7 @@
     granted_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
     withdrawal_sent_at_s: float = 0.0
     action_running: bool = False
+    contradicted: bool = False
 
 
 class Coordinator:
@@ -359,11 +361,9 @@
         now_s = self._clock()
         self._poll_members(service, served_group, state, now_s)
         self._resend_withdrawal(service, state, token, now_s)
-        views = [
-            self._member_view(served_group, member_pool, now_s)
-            for member_pool in served_group.pools.values()
-        ]
+        views = self._member_views(served_group, now_s)
         if state.action_running:
+            self._observe(state, served_group, views, now_s)
             return
         phase_before = state.change_machine.phase
         grants_end_s = self._unacknowledged_grants_end_s(state)
@@ -375,6 +375,7 @@
             served_group.service.sync_replicas,
         )
         self._remove_resolved_promotions(service)
+        self._log_contradiction(state, served_group, views)
         if state.change_machine.phase is not phase_before:
             # The candidates' positions are needed at once.
             self._poll_members(service, served_group, state, now_s)
@@ -384,11 +385,7 @@
                 phase=state.change_machine.phase.value,
                 reason=state.change_machine.reason,
                 token=token,
-                members=[
-                    f"{view.id} {'p' if view.primary else 'r'} {view.term} {view.received_position}"
-                    f" {round(min(now_s - view.last_contact_at_s, 99) * 1000)}ms"
-                    for view in views
-                ],
+                members=_describe(views, now_s),
             )
         match action:
             case primary_change.Withdraw():
@@ -403,6 +400,38 @@
                 self._start_action(state, self._promote(service, state, member))
         self._grant_to_self(served_group, state, token, now_s)
 
+    def _observe(
+        self,
+        state: _GroupState,
+        served_group: group.Group,
+        views: list[member_view.MemberView],
+        now_s: float,
+    ) -> None:
+        """Take the newest reports into account for grants, without a decision."""
+        state.change_machine.observe(views, now_s)
+        self._log_contradiction(state, served_group, views)
+
+    def _log_contradiction(
+        self, state: _GroupState, served_group: group.Group, views: list[member_view.MemberView]
+    ) -> None:
+        """Log that the reports begin, or cease, to contradict the primary that was granted last."""
+        change = state.change_machine
+        contradicted = change.leader is not None and not change.leader_reported
+        if contradicted is state.contradicted or change.phase is not primary_change.Phase.STEADY:
+            return
+        state.contradicted = contradicted
+        _LOG.info(
+            (
+                "grants withheld: no member reports itself as the primary of the newest term"
+                if contradicted
+                else "grants no longer withheld: the primary reports itself again"
+            ),
+            service=served_group.service.name,
+            leader=None if change.leader is None else change.leader.member,
+            term=None if change.leader is None else change.leader.term,
+            members=_describe(views, self._clock()),
+        )
+
     def _start_action(
         self, state: _GroupState, action: collections.abc.Coroutine[None, None, None]
     ) -> None:
@@ -470,6 +499,14 @@
         for owner in random.sample(owners, min(MAX_PROBING_INSTANCES, len(owners))):
             self.send(messages.ProbeRequest(service, member), owner.endpoint)
 
+    def _member_views(
+        self, served_group: group.Group, now_s: float
+    ) -> list[member_view.MemberView]:
+        return [
+            self._member_view(served_group, member_pool, now_s)
+            for member_pool in served_group.pools.values()
+        ]
+
     def _member_view(
         self, served_group: group.Group, member_pool: pool.MemberPool, now_s: float
     ) -> member_view.MemberView:
@@ -741,8 +778,13 @@
         grants = []
         for service in heartbeat.owned_services:
             state, served_group = self._group_states.get(service), self._groups.get(service)
-            leader = None if state is None else self._grantable_primary(state, now_s)
-            if state is None or served_group is None or leader is None:
+            if state is None or served_group is None:
+                continue
+            if self._contradicts_primary(heartbeat, state, served_group):
+                views = self._member_views(served_group, now_s)
+                self._observe(state, served_group, views, now_s)
+            leader = self._grantable_primary(state, now_s)
+            if leader is None:
                 continue
             state.granted_until_s[heartbeat.incarnation] = now_s + valid_s
             grants.append(
@@ -761,6 +803,21 @@
         )
         self.send(answer, sender)
 
+    def _contradicts_primary(
+        self, heartbeat: messages.Heartbeat, state: _GroupState, served_group: group.Group
+    ) -> bool:
+        """Return whether a heartbeat reports another role of the primary, or a newer term."""
+        leader = state.change_machine.leader
+        return leader is not None and any(
+            report.member in served_group.pools
+            and report.status_age_s < HEARTBEAT_MAX_AGE_S
+            and (
+                report.term > leader.term
+                or (report.member == leader.member and report.term > 0 and not report.primary)
+            )
+            for report in heartbeat.reports
+        )
+
     def _told_renewal(self, receiver: str) -> messages.Renewal | None:
         """Return the last renewal of the lease, as an answer tells it to an incarnation."""
         renewal = self._lease.renewal
@@ -832,5 +889,14 @@
             self.send(message, peer.endpoint)
 
 
+def _describe(views: list[member_view.MemberView], now_s: float) -> list[str]:
+    """Return role, term, position and time since the last contact of members, for log lines."""
+    return [
+        f"{view.id} {'p' if view.primary else 'r'} {view.term} {view.received_position}"
+        f" {round(min(now_s - view.last_contact_at_s, 99) * 1000)}ms"
+        for view in views
+    ]
+
+
 def _to_position(received: messages.Position | None) -> positions.Position | None:
     return None if received is None else positions.Position(received.term, received.index)
--- a/bilberrystack/pooling/coordinator_test.py
+++ b/bilberrystack/pooling/coordinator_test.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bilberrystack.core import positions
 from bilberrystack.platform import wire
 from bilberrystack.pooling import coordinator
 from bilberrystack.pooling import counters
@@ -13,6 +14,7 @@
 from bilberrystack.routing import lease_terms
 from bilberrystack.routing import model
 from bilberrystack.routing import running_time
+from bilberrystack.routing import statements
 
 SERVICE = model.Service("store", max_connections=16, sync_replicas=0)
 ENDPOINT = model.Endpoint("127.0.0.1", 1)
@@ -36,6 +38,9 @@
         self.resignations.append(reason)
 
 
+MEMBERS = [model.Member(name, "store", ENDPOINT, "zone", 3, False, None, 1) for name in "abc"]
+
+
 class ClockedCoordinator:
     """A coordinator without groups, on a clock that the tests advance."""
 
@@ -230,3 +235,62 @@
         clocked.running.count_until(clocked.now_s)
         await _resigns(clocked)
     assert clocked.lease.resignations
+
+
+class Observed(ClockedCoordinator):
+    """A coordinator of one group of three members, whose reports the test sets."""
+
+    def __init__(self):
+        super().__init__(with_group=True)
+        self.group = self.groups["store"]
+        self.group.update(SERVICE, MEMBERS, frozenset())
+        self.sent = []
+        self.coordinator.send = lambda message, _to: self.sent.append(message)
+        self.coordinator._promotions_loaded_for = FakeLease.token
+        # No query is sent while one is in progress; the test sets the reports.
+        self.coordinator._status_pending.update("abc")
+
+    def report(self, member, primary=False, term=2, index=10):
+        """Set a member's status report as an answer to this instance."""
+        observations = self.group.pools[member].observations
+        observations.status = statements.MemberStatus(
+            primary, term, positions.Position(term, index), 0.0, 0, 1
+        )
+        observations.status_at_s = observations.contact_at_s = self.now_s
+
+    def granted(self, number=1, reports=()):
+        """Return the members that the answer to a heartbeat grants."""
+        heartbeat = messages.Heartbeat(
+            f"proxy-{number}", f"{number}", self.now_s, list(reports), 0, ["store"]
+        )
+        self.coordinator.receive(heartbeat, ENDPOINT)
+        return [(grant.member, grant.term) for grant in self.sent[-1].grants]
+
+
+@pytest.mark.asyncio
+async def test_the_report_in_a_heartbeat_counts_for_the_answer_to_it():
+    """The answer granted a primary that the heartbeat itself reported as a replica."""
+    observed = Observed()
+    for member in "abc":
+        observed.report(member, primary=member == "a")
+    observed.now_s += 0.04
+    observed.coordinator.step()
+    assert observed.granted() == [("a", 2)]
+    observed.now_s += 0.01
+    replica = messages.Report("a", 0.0, False, 0.0, False, 1, messages.Position(1, 0))
+    assert observed.granted(reports=[replica]) == []
+
+
+@pytest.mark.asyncio
+async def test_no_former_primary_is_granted_while_an_order_is_in_progress():
+    """Guards against grants by reports from before an order to a replica that takes 0.6 s."""
+    observed = Observed()
+    for member in "abc":
+        observed.report(member, primary=member == "a")
+    observed.now_s += 0.04
+    observed.coordinator.step()
+    observed.coordinator._group_states["store"].action_running = True
+    observed.report("a", primary=False)
+    observed.now_s += 0.04
+    observed.coordinator.step()
+    assert observed.granted() == []
--- a/bilberrystack/routing/primary_change.py
+++ b/bilberrystack/routing/primary_change.py
@@ -120,9 +120,9 @@
         "_first_settled_at_s",
         "_fixed_at_s",
         "_leader",
+        "_leader_reported",
         "_leaving_replaceable_at_s",
         "_missing_since_s",
-        "_newer_term_seen",
         "_no_primary_since_s",
         "_observed_since_s",
         "_pending",
@@ -156,9 +156,10 @@
         """
         self._running_time = running
         self._pending = pending_promotions.PendingPromotions() if pending is None else pending
-        self._newer_term_seen = False
         self._phase = Phase.STEADY
         self._leader: permission.Leader | None = None
+        # Whether the leader is the primary by the newest reports.
+        self._leader_reported = False
         self._first_settled_at_s = settled_at_s
         self._settled_at_s = settled_at_s
         self._leaving_replaceable_at_s = (
@@ -186,6 +187,11 @@
         """The last observed primary; None if none has been observed."""
         return self._leader
 
+    @property
+    def leader_reported(self) -> bool:
+        """Whether the newest reports name the last observed primary as the primary."""
+        return self._leader_reported
+
     @property
     def without_primary(self) -> bool:
         """Whether no member is known to be the primary of the newest term."""
@@ -204,12 +210,13 @@
     def grantable_primary(self, now_s: float) -> permission.Leader | None:
         """Returns the primary for which grants may be given.
 
-        There is none during a primary change, while a promotion request may still take effect, and
-        if a member knows a newer term than the primary's.
+        There is none during a primary change, while a promotion request may still take effect, if a
+        member knows a newer term than the primary's, and if the last report of the primary names it
+        as a replica. A member that is only silent remains the primary by its last report.
         """
         if self._phase is not Phase.STEADY or now_s < self._settled_at_s:
             return None
-        if self.promotion_pending or self._newer_term_seen:
+        if self.promotion_pending or not self._leader_reported:
             return None
         return self._leader
 
@@ -268,11 +275,7 @@
         Returns:
           The action; None to wait.
         """
-        self._pending.update(views, now_s)
-        leader = self._newest_primary(views)
-        self._newer_term_seen = leader is None and any(
-            self._leader is not None and view.term > self._leader.term for view in views
-        )
+        leader = self.observe(views, now_s)
         match self._phase:
             case Phase.STEADY:
                 return self._step_steady(leader, views, now_s, isolated)
@@ -285,6 +288,25 @@
                     self._phase = Phase.STEADY
         return None
 
+    def observe(
+        self, views: collections.abc.Sequence[member_view.MemberView], now_s: float
+    ) -> member_view.MemberView | None:
+        """Takes the newest reports into account for grants, without a decision.
+
+        Args:
+          views: Observed state of the group's members.
+          now_s: Current time.
+        Returns:
+          The primary of the newest term; None if there is none.
+        """
+        self._pending.update(views, now_s)
+        leader = self._newest_primary(views)
+        self._leader_reported = leader is not None and self._leader in (
+            None,
+            permission.Leader(leader.id, leader.term),
+        )
+        return leader
+
     def _silent_s(self, view: member_view.MemberView, now_s: float) -> float:
         """Returns for how long a member could have been heard and was not."""
         return self._running_time.elapsed_s(view.last_contact_at_s, now_s)
@@ -308,6 +330,7 @@
             self._observed_since_s = now_s
         if leader is not None:
             self._leader = permission.Leader(leader.id, leader.term)
+            self._leader_reported = True
         if leader is None and self._awaits_first_reports(views, now_s):
             return None
         reason = self._change_reason(leader, now_s, isolated)
@@ -470,6 +493,7 @@
         old_term = self._leader.term if self._leader is not None else 0
         if leader is not None and leader.term > old_term and leader.id == self._candidate:
             self._leader = permission.Leader(leader.id, leader.term)
+            self._leader_reported = True
             self._settled_at_s = max(now_s, self._first_settled_at_s)
             self._phase = Phase.STEADY
             self._no_primary_since_s = None
--- a/bilberrystack/routing/primary_change_test.py
+++ b/bilberrystack/routing/primary_change_test.py
@@ -362,6 +362,36 @@
     assert group.change.grantable_primary(0.1) is None
 
 
+def test_a_member_that_reports_itself_as_a_replica_is_not_granted():
+    """Guards against grants, up to the begin of the change, of a primary that has restarted."""
+    group = _Group()
+    group.step(0.0)
+    group.set("a", primary=False)
+    assert group.step(0.1) is None
+    assert group.change.grantable_primary(0.1) is None
+    group.set("a", primary=True)
+    group.step(0.2)
+    assert group.change.grantable_primary(0.2) == permission.Leader("a", 1)
+
+
+def test_reports_count_without_a_decision():
+    """Guards against grants of a former primary while an order to a replica is in progress."""
+    group = _Group()
+    group.step(0.0)
+    group.set("a", primary=False)
+    group.change.observe(list(group.views.values()), 0.1)
+    assert group.change.grantable_primary(0.1) is None
+
+
+def test_a_primary_that_is_only_silent_is_granted_until_the_change_begins():
+    """Guards against grants that end with each short silence, which costs confirmation rounds."""
+    group = _Group()
+    group.step(0.0)
+    before_s = primary_change.UNRESPONSIVE_TIMEOUT_S - 0.1
+    assert group.step(before_s, unresponsive="a") is None
+    assert group.change.grantable_primary(before_s) == permission.Leader("a", 1)
+
+
 def test_a_promotion_of_an_earlier_coordinator_withholds_grants():
     """Guards against a coordinator that grants the old primary because it knows of no promotion."""
     group = _Group()
