Take only the last observed primary's step-down for a fence of the group

Cause: record_fenced noted that "the old primary" had stepped down, whichever member it was. When a member of an older term that still called itself the primary was fenced while the newest primary was silent, a synchronous group's replicas were not held, and commits could be acknowledged after their positions had been read. Change: PrimaryChange keeps the ids of the members that have stepped down; the group is fenced if the last observed primary is one of them. Each member that calls itself the primary is fenced once. The calls of record_fenced in tests name the member.

--- a/bilberrystack/pooling/coordinator.py
+++ b/bilberrystack/pooling/coordinator.py
@@ -603,7 +603,7 @@
             stepped_back=status is not None and not status.primary,
         )
         if status is not None and not status.primary:
-            state.change_machine.record_fenced()
+            state.change_machine.record_fenced(member)
 
     async def _hold(
         self, served_group: group.Group, state: _GroupState, members: tuple[str, ...], term: int
--- a/bilberrystack/routing/primary_change.py
+++ b/bilberrystack/routing/primary_change.py
@@ -116,7 +116,6 @@
 
     __slots__ = (
         "_candidate",
-        "_fenced",
         "_first_settled_at_s",
         "_fixed_at_s",
         "_leader",
@@ -134,6 +133,7 @@
         "_running_time",
         "_settled_at_s",
         "_started_at_s",
+        "_stepped_down",
     )
 
     def __init__(
@@ -169,7 +169,7 @@
         self._observed_since_s: float | None = None
         self._requested_at_s: float | None = None
         self._candidate: str | None = None
-        self._fenced = False
+        self._stepped_down: set[str] = set()
         self._fixed_at_s = math.inf
         self._no_primary_since_s: float | None = None
         self._missing_since_s: float | None = None
@@ -220,9 +220,16 @@
             return None
         return self._leader
 
-    def record_fenced(self) -> None:
-        """Records that the old primary has stepped down."""
-        self._fenced = True
+    def record_fenced(self, member: str) -> None:
+        """Records that a member has stepped down as the primary.
+
+        Only the last observed primary can have acknowledged the newest commits. Another one, of an
+        older term, shows nothing about them.
+
+        Args:
+          member: Id of the member.
+        """
+        self._stepped_down.add(member)
 
     def record_held(self, now_s: float) -> None:
         """Records that replicas were ordered to receive nothing more.
@@ -307,6 +314,11 @@
         )
         return leader
 
+    @property
+    def _fenced(self) -> bool:
+        """Whether the last observed primary has stepped down in this change."""
+        return self._leader is not None and self._leader.member in self._stepped_down
+
     def _silent_s(self, view: member_view.MemberView, now_s: float) -> float:
         """Returns for how long a member could have been heard and was not."""
         return self._running_time.elapsed_s(view.last_contact_at_s, now_s)
@@ -342,7 +354,7 @@
         self._reason = reason
         self._started_at_s = now_s
         self._requested_at_s = None
-        self._fenced = False
+        self._stepped_down.clear()
         self._fixed_at_s = math.inf
         return Withdraw(reason)
 
@@ -451,7 +463,7 @@
             for view in views
             if view.primary
             and self._silent_s(view, now_s) < UNRESPONSIVE_TIMEOUT_S
-            and not self._fenced
+            and view.id not in self._stepped_down
         ]
         newest = max((view.term for view in views), default=0)
         waited_s = self._running_time.elapsed_s(self._started_at_s, now_s)
--- a/bilberrystack/routing/primary_change_test.py
+++ b/bilberrystack/routing/primary_change_test.py
@@ -85,7 +85,7 @@
     group.set("a", leaving=True, received_position=positions.Position(1, 13))
     assert isinstance(group.step(0.1), primary_change.Withdraw)
     assert group.step(0.14) == primary_change.Fence("a", 2)
-    group.change.record_fenced()
+    group.change.record_fenced("a")
     group.set("a", primary=False, term=2)
     assert group.step(0.2) is None
     group.set("c", received_position=positions.Position(1, 13))
@@ -99,7 +99,7 @@
     group.set("a", leaving=True, received_position=positions.Position(1, 99))
     group.step(0.1)
     group.step(0.14)
-    group.change.record_fenced()
+    group.change.record_fenced("a")
     group.set("a", primary=False, term=2)
     assert group.step(0.2) is None
     assert group.step(0.1 + primary_change.CATCH_UP_TIMEOUT_S) == primary_change.Promote("c")
@@ -273,7 +273,7 @@
     assert group.step(0.4) is None
     assert isinstance(group.step(0.5), primary_change.Withdraw)
     assert group.step(0.54) == primary_change.Fence("a", 2)
-    group.change.record_fenced()
+    group.change.record_fenced("a")
     group.set("a", primary=False, term=2)
     assert group.step(0.6) == primary_change.Promote("c")
     group.change.record_reply("c", primary_change.PromotionReply.ACCEPTED, 0.6)
@@ -288,7 +288,7 @@
     """A promotion that takes effect after the new one leaves no grant for the replaced primary."""
     group = _takeover_group()
     group.step(0.5)
-    group.change.record_fenced()
+    group.change.record_fenced("a")
     group.set("a", primary=False, term=2)
     assert group.step(0.6) == primary_change.Promote("c")
     group.change.record_reply("c", primary_change.PromotionReply.ACCEPTED, 0.6)
@@ -504,3 +504,20 @@
     running.record_stall(1.25, 1.7)
     assert group.change.step(views, NO_GRANTS, 1.7) is None
     assert group.step(1.75, unresponsive="a") == primary_change.Promote("c")
+
+
+def test_an_older_primary_that_steps_down_does_not_fence_the_newest_one():
+    """Guards against commits of a silent primary that are acknowledged while a member is chosen.
+
+    An older primary had stepped down, so that the replicas of a synchronous group were not held.
+    """
+    group = _Group()
+    group.sync_replicas = 1
+    group.set("a", term=3)
+    group.step(0.0)
+    group.set("b", primary=True, term=2)
+    group.step(1.0, unresponsive="a")
+    assert group.step(1.1, unresponsive="a") == primary_change.Fence("b", 4)
+    group.change.record_fenced("b")
+    group.set("b", primary=False, term=4)
+    assert isinstance(group.step(2.0, unresponsive="a"), primary_change.Hold)
--- a/bilberrystack/routing/takeover_model_test.py
+++ b/bilberrystack/routing/takeover_model_test.py
@@ -109,7 +109,7 @@
             case primary_change.Fence(name, term):
                 if self.members[name].alive:
                     self.members[name].primary, self.members[name].term = False, term
-                    self.change.record_fenced()
+                    self.change.record_fenced(name)
             case primary_change.Promote(name):
                 if self.pending_promotions:
                     raise InvariantViolation("two promotions are outstanding")
