Keep a group's newest term when no member shows it any more

Cause: PrimaryChange took the newest primary among the members that are visible. When the members that knew a newer term were unreachable for the store, or had restarted without their log, a primary of an older term was granted. A primary without any report was granted too, in term 0, by its record in the store. Ruled out: a group that stays blocked when all that knew the term are lost. A promotion may then lead to a lower term; its primary is fenced above the newest one and the next promotion leads to a newer term (test, below 8 s). Change: routing/newest_term.py keeps the newest term and primary of a group, through interruptions of the lease. A primary below it counts as none: the change fences it above the newest term and promotes by position. Conclusion: within one process the term never goes back. A new coordinator still knows only what members tell it.

--- a/bilberrystack/pooling/coordinator.py
+++ b/bilberrystack/pooling/coordinator.py
@@ -18,6 +18,7 @@
 from bilberrystack.routing import lease_terms
 from bilberrystack.routing import member_view
 from bilberrystack.routing import model
+from bilberrystack.routing import newest_term
 from bilberrystack.routing import pending_promotions
 from bilberrystack.routing import permission
 from bilberrystack.routing import primary_change
@@ -147,6 +148,7 @@
         "_lease",
         "_majority_heard_at_s",
         "_metrics",
+        "_newest_terms",
         "_own_instance",
         "_peers",
         "_pending_promotions",
@@ -197,6 +199,8 @@
         # lease, and the names of their records by group and member.
         self._pending_promotions: dict[str, pending_promotions.PendingPromotions] = {}
         self._promotion_records: dict[tuple[str, str], set[str]] = {}
+        # The newest term and primary of each group, also after an interruption of the lease.
+        self._newest_terms: dict[str, newest_term.NewestTerm] = {}
         # The token under which the requests of earlier coordinators were read.
         self._promotions_loaded_for: int | None = None
         self._promotions_task: asyncio.Task[None] | None = None
@@ -312,12 +316,14 @@
                     self._lease.leaving_replaceable_at_s,
                     self._pending_of(service),
                     self._running_time,
+                    self._newest_terms.setdefault(service, newest_term.NewestTerm()),
                 )
                 number = self._change_numbers.get(service, 0)
                 state = self._group_states[service] = _GroupState(change, number)
             self._step_group(service, served_group, state, token)
         for removed in self._group_states.keys() - self._groups.keys():
             del self._group_states[removed]
+            self._newest_terms.pop(removed, None)
 
     def _lacks_majority(self) -> bool:
         """Return whether less than half of the recently active owners are heard now.
--- a/bilberrystack/routing/primary_change.py
+++ b/bilberrystack/routing/primary_change.py
@@ -15,6 +15,7 @@
 
 from bilberrystack.routing import candidates
 from bilberrystack.routing import member_view
+from bilberrystack.routing import newest_term
 from bilberrystack.routing import pending_promotions
 from bilberrystack.routing import permission
 from bilberrystack.routing import running_time
@@ -122,6 +123,7 @@
         "_leader_reported",
         "_leaving_replaceable_at_s",
         "_missing_since_s",
+        "_newest",
         "_no_primary_since_s",
         "_observed_since_s",
         "_pending",
@@ -142,6 +144,7 @@
         leaving_replaceable_at_s: float | None = None,
         pending: pending_promotions.PendingPromotions | None = None,
         running: running_time.RunningTime = running_time.ALWAYS_RUNNING,
+        newest: newest_term.NewestTerm | None = None,
     ) -> None:
         """Starts to observe a group.
 
@@ -153,8 +156,10 @@
             promotion request of the previous coordinator still takes effect, no grant suffers.
           pending: Promotion requests of earlier coordinators; None for none.
           running: Time in which this process ran.
+          newest: Newest term and primary of the group that are known already; None for none.
         """
         self._running_time = running
+        self._newest = newest_term.NewestTerm() if newest is None else newest
         self._pending = pending_promotions.PendingPromotions() if pending is None else pending
         self._phase = Phase.STEADY
         self._leader: permission.Leader | None = None
@@ -195,7 +200,7 @@
     @property
     def without_primary(self) -> bool:
         """Whether no member is known to be the primary of the newest term."""
-        return self._leader is None or self._no_primary_since_s is not None
+        return not self._leader_reported or self._no_primary_since_s is not None
 
     @property
     def promotion_pending(self) -> bool:
@@ -218,7 +223,8 @@
             return None
         if self.promotion_pending or not self._leader_reported:
             return None
-        return self._leader
+        # Without a report, a primary is one by its record in the store alone, in no known term.
+        return self._leader if self._leader is not None and self._leader.term > 0 else None
 
     def record_fenced(self, member: str) -> None:
         """Records that a member has stepped down as the primary.
@@ -307,10 +313,13 @@
           The primary of the newest term; None if there is none.
         """
         self._pending.update(views, now_s)
+        self._newest.observe(views)
+        known = self._newest.leader
+        if known is not None and (self._leader is None or known.term > self._leader.term):
+            self._leader = known
         leader = self._newest_primary(views)
-        self._leader_reported = leader is not None and self._leader in (
-            None,
-            permission.Leader(leader.id, leader.term),
+        self._leader_reported = (
+            leader is not None and permission.Leader(leader.id, leader.term) == self._leader
         )
         return leader
 
@@ -326,10 +335,16 @@
     def _newest_primary(
         self, views: collections.abc.Sequence[member_view.MemberView]
     ) -> member_view.MemberView | None:
-        newest = max((view.term for view in views), default=0)
-        primaries = [view for view in views if view.primary and view.term == newest]
+        primaries = [view for view in views if view.primary and view.term == self._newest.term]
         return max(primaries, key=lambda view: view.last_contact_at_s, default=None)
 
+    def _take(self, leader: member_view.MemberView) -> None:
+        self._leader = permission.Leader(leader.id, leader.term)
+        self._leader_reported = True
+        if leader.term > 0:
+            # A member that has not reported yet is the primary by its record in the store alone.
+            self._newest.record_primary(self._leader)
+
     def _step_steady(
         self,
         leader: member_view.MemberView | None,
@@ -341,8 +356,7 @@
             # A member that has not been queried yet is not unresponsive.
             self._observed_since_s = now_s
         if leader is not None:
-            self._leader = permission.Leader(leader.id, leader.term)
-            self._leader_reported = True
+            self._take(leader)
         if leader is None and self._awaits_first_reports(views, now_s):
             return None
         reason = self._change_reason(leader, now_s, isolated)
@@ -465,7 +479,7 @@
             and self._silent_s(view, now_s) < UNRESPONSIVE_TIMEOUT_S
             and view.id not in self._stepped_down
         ]
-        newest = max((view.term for view in views), default=0)
+        newest = self._newest.term
         waited_s = self._running_time.elapsed_s(self._started_at_s, now_s)
         if reachable and waited_s < UNRESPONSIVE_TIMEOUT_S:
             return Fence(reachable[0].id, newest + 1)
@@ -504,8 +518,7 @@
     def _step_calling(self, leader: member_view.MemberView | None, now_s: float) -> Action | None:
         old_term = self._leader.term if self._leader is not None else 0
         if leader is not None and leader.term > old_term and leader.id == self._candidate:
-            self._leader = permission.Leader(leader.id, leader.term)
-            self._leader_reported = True
+            self._take(leader)
             self._settled_at_s = max(now_s, self._first_settled_at_s)
             self._phase = Phase.STEADY
             self._no_primary_since_s = None
--- a/bilberrystack/routing/primary_change_test.py
+++ b/bilberrystack/routing/primary_change_test.py
@@ -4,6 +4,7 @@
 
 from bilberrystack.core import positions
 from bilberrystack.routing import member_view
+from bilberrystack.routing import newest_term
 from bilberrystack.routing import pending_promotions
 from bilberrystack.routing import permission
 from bilberrystack.routing import primary_change
@@ -383,6 +384,15 @@
     assert group.change.grantable_primary(0.1) is None
 
 
+def test_a_primary_that_has_reported_no_term_is_not_granted():
+    """Guards against grants that rest on a record in the store, which a restart outlives."""
+    group = _Group()
+    for member in "abc":
+        group.set(member, term=0, received_position=None)
+    group.step(0.0)
+    assert group.change.grantable_primary(0.0) is None
+
+
 def test_a_primary_that_is_only_silent_is_granted_until_the_change_begins():
     """Guards against grants that end with each short silence, which costs confirmation rounds."""
     group = _Group()
@@ -506,6 +516,91 @@
     assert group.step(1.75, unresponsive="a") == primary_change.Promote("c")
 
 
+def test_a_primary_of_an_older_term_counts_as_none():
+    """Guards against grants below a term whose members are unreachable or have restarted empty."""
+    group = _Group()
+    group.set("a", term=3)
+    group.step(0.0)
+    group.set("a", primary=False, term=1, received_position=positions.Position(1, 0))
+    group.set("b", primary=True, term=2)
+    group.set("c", term=2)
+    assert group.step(0.1) is None
+    assert group.change.grantable_primary(0.1) is None
+    assert isinstance(group.step(0.5), primary_change.Withdraw)
+    assert group.step(0.6) == primary_change.Fence("b", 4)
+    group.change.record_fenced("b")
+    group.set("b", primary=False, term=4)
+    assert group.step(0.7) == primary_change.Promote("c")
+    group.set("c", primary=True, term=5)
+    group.step(0.8)
+    assert group.change.grantable_primary(0.8) == permission.Leader("c", 5)
+
+
+def test_the_term_does_not_go_back_after_an_interruption_of_the_lease():
+    """Guards against a coordinator that forgets the newest term together with its lease."""
+    newest = newest_term.NewestTerm()
+    group = _Group()
+    group.change = primary_change.PrimaryChange(0.0, newest=newest)
+    group.set("b", term=2)
+    group.step(0.0)
+    group.change = primary_change.PrimaryChange(0.0, newest=newest)
+    group.set("b", term=1)
+    group.step(0.1)
+    assert group.change.grantable_primary(0.1) is None
+
+
+def _group_with_recorded_primary(term):
+    """Return a group of which a new coordinator knows by a record that "x" has led a term."""
+    newest = newest_term.NewestTerm()
+    newest.record_primary(permission.Leader("x", term))
+    group = _Group()
+    group.change = primary_change.PrimaryChange(0.0, newest=newest)
+    return group
+
+
+def test_a_new_coordinator_grants_nothing_below_the_recorded_term():
+    """Guards against grants of an older primary while the recorded one is unreachable."""
+    group = _group_with_recorded_primary(9)
+    assert group.step(0.0) is None
+    assert group.change.without_primary
+    assert group.change.grantable_primary(0.0) is None
+    assert isinstance(group.step(0.4), primary_change.Withdraw)
+    assert group.step(0.5) == primary_change.Fence("a", 10)
+
+
+def test_the_recorded_primary_is_granted_when_it_reports_itself():
+    """Guards against a needless change after each change of the coordinator."""
+    group = _group_with_recorded_primary(9)
+    group.set("b", primary=True, term=9)
+    group.step(0.0)
+    assert group.change.grantable_primary(0.0) == permission.Leader("b", 9)
+
+
+def _next_term(group):
+    return 1 + max(view.term for view in group.views.values())
+
+
+def test_a_group_that_has_forgotten_the_recorded_term_gets_a_primary_again():
+    """Guards against a group without a primary for good: all that knew the term are lost.
+
+    A promotion of members that know term 1 alone leads to term 2. Its primary is fenced above the
+    recorded term, so that the next promotion leads to a newer one.
+    """
+    group = _group_with_recorded_primary(9)
+    group.set("a", primary=False)
+    now_s = 0.0
+    while group.change.grantable_primary(now_s) is None and now_s < 20.0:
+        now_s += 0.05
+        match group.step(now_s):
+            case primary_change.Fence(member, term):
+                group.change.record_fenced(member)
+                group.set(member, primary=False, term=term)
+            case primary_change.Promote(member):
+                group.set(member, primary=True, term=_next_term(group))
+    assert group.change.grantable_primary(now_s).term > 9
+    assert now_s < 8.0
+
+
 def test_an_older_primary_that_steps_down_does_not_fence_the_newest_one():
     """Guards against commits of a silent primary that are acknowledged while a member is chosen.
 
