Store the primary of a term before its first grant

Cause: a new coordinator knew terms only from members. If those that knew the newest one were unreachable or had restarted without their log, it granted a primary of an older term. Ruled out: one record that each coordinator replaces. A delayed write of an earlier coordinator would replace a newer term, and the list of a kind carries no revisions to prevent it. One record for each term can't go back. Terms above 2^31 are left out.

--- a/bilberrystack/platform/client.py
+++ b/bilberrystack/platform/client.py
@@ -269,7 +269,7 @@
       configurations: The configuration objects.
       members: The records of members.
       instances: The registrations of instances.
-      promotions: The records of promotion requests.
+      promotions: The records of promotion requests and of primaries.
     """
 
     __slots__ = (
@@ -408,8 +408,17 @@
         body = _encode_object(record.name, objects.encode_promotion(record))
         await self._store.change("POST", f"/objects/{objects.PROMOTION_KIND}", body)
 
+    async def record_primary(self, record: interfaces.PrimaryRecord) -> None:
+        """Store the primary of a term that is about to be granted.
+
+        Raises:
+          interfaces.StoreFailure: The record may not have been written.
+        """
+        body = _encode_object(record.name, objects.encode_primary(record))
+        await self._store.change("POST", f"/objects/{objects.PROMOTION_KIND}", body)
+
     async def remove_promotion_record(self, name: str) -> None:
-        """Delete the record of a promotion request, if there is one.
+        """Delete the record of a promotion request or of a primary, if there is one.
 
         Raises:
           interfaces.StoreFailure: The record may not have been deleted.
--- a/bilberrystack/platform/objects.py
+++ b/bilberrystack/platform/objects.py
@@ -96,6 +96,7 @@
 
 # Numbers of other writers' entries, within what arithmetic and the messages between instances hold.
 _Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+_Term = typing.Annotated[int, msgspec.Meta(ge=1, le=2**31)]
 _Slots = typing.Annotated[int, msgspec.Meta(ge=0, le=2**16)]
 _Cores = typing.Annotated[float, msgspec.Meta(gt=0, le=2**16)]
 
@@ -168,6 +169,19 @@
     replaced_term: _Count
 
 
+class _PrimarySpec(msgspec.Struct):
+    """The primary of a term, in the same kind as promotion requests.
+
+    It has none of the fields of a promotion request, so that versions of the program that do not
+    know it leave it out.
+    """
+
+    # Name of the database group.
+    group: str
+    primary: str
+    term: _Term
+
+
 class _CoordinatorSpec(msgspec.Struct):
     name: str
     # Incarnation: identifier of the process, not a duration.
@@ -304,8 +318,10 @@
     )
 
 
-def decode_promotion(name: str, encoded: bytes) -> interfaces.PromotionRecord:
-    """Decode the record of a promotion request.
+def decode_promotion(
+    name: str, encoded: bytes
+) -> interfaces.PromotionRecord | interfaces.PrimaryRecord:
+    """Decode the record of a promotion request, or of a primary.
 
     Args:
       name: Name of the object.
@@ -313,7 +329,11 @@
     Raises:
       msgspec.MsgspecError: The content is malformed.
     """
-    spec = msgspec.json.decode(encoded, type=_PromotionSpec)
+    try:
+        spec = msgspec.json.decode(encoded, type=_PromotionSpec)
+    except msgspec.ValidationError:
+        primary = msgspec.json.decode(encoded, type=_PrimarySpec)
+        return interfaces.PrimaryRecord(name, primary.group, primary.primary, primary.term)
     return interfaces.PromotionRecord(name, spec.service, spec.member, spec.replaced_term)
 
 
@@ -322,6 +342,11 @@
     return _PromotionSpec(record.service, record.member, record.replaced_term)
 
 
+def encode_primary(record: interfaces.PrimaryRecord) -> msgspec.Struct:
+    """Return the content of a primary's record."""
+    return _PrimarySpec(record.service, record.member, record.term)
+
+
 def decode_lease(stored: StoredObject, era: int) -> interfaces.LeaseRecord:
     """Decode the coordinator lease.
 
--- a/bilberrystack/platform/odd_entries_test.py
+++ b/bilberrystack/platform/odd_entries_test.py
@@ -224,3 +224,23 @@
     return set(executor.group.pools) == {"a", "b", "c"} and (
         executor.group.pools["b"].member.leaving
     )
+
+
+def test_versions_that_do_not_know_the_record_of_a_primary_leave_it_out():
+    """Guards against a primary that an older version takes for a promotion request."""
+    record = interfaces.PrimaryRecord("store-1.primary-of-term.9", "store-1", "a", 9)
+    encoded = msgspec.json.encode(objects.encode_primary(record))
+    with pytest.raises(msgspec.ValidationError):
+        msgspec.json.decode(encoded, type=objects._PromotionSpec)
+    assert objects.decode_promotion(record.name, encoded) == record
+    request = interfaces.PromotionRecord("store-1.a.7.1", "store-1", "a", 9)
+    encoded = msgspec.json.encode(objects.encode_promotion(request))
+    assert objects.decode_promotion(request.name, encoded) == request
+
+
+@pytest.mark.parametrize("term", [0, -1, 2**31 + 1, "9", None])
+def test_a_record_with_an_impossible_term_is_left_out(term):
+    """Guards against a group that is fenced at a term which no member can hold."""
+    spec = json.dumps({"group": "store-1", "primary": "a", "term": term}).encode()
+    with pytest.raises(msgspec.ValidationError):
+        objects.decode_promotion("store-1.primary-of-term.9", spec)
--- a/bilberrystack/pooling/interfaces.py
+++ b/bilberrystack/pooling/interfaces.py
@@ -130,6 +130,23 @@
     replaced_term: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrimaryRecord:
+    """The primary of a term as stored before its first grant, for later coordinators.
+
+    Attributes:
+      name: Name of the record.
+      service: The group.
+      member: Id of the primary.
+      term: Its term.
+    """
+
+    name: str
+    service: str
+    member: str
+    term: int
+
+
 class StoreFailure(Exception):
     """A call to the store or to the platform did not succeed."""
 
@@ -225,6 +242,7 @@
         standbys: tuple[str, ...] = (),
     ) -> LeaseRecord: ...
     async def record_promotion(self, record: PromotionRecord) -> None: ...
+    async def record_primary(self, record: PrimaryRecord) -> None: ...
     async def remove_promotion_record(self, name: str) -> None: ...
     async def promote(
         self,
