Let only members in the primary's own term confirm it

Cause: in a confirmation round a member of a lower term counted as agreement. A member that had led a newer term and restarted without its log shows a low term, so that a replaced primary could be confirmed. Ruled out: a comparison of the members asked with those that the group is known to have. A member that crashed for good and one that is unreachable while its record is missing look alike, and rounds of a group that has lost a member for good would fail for ever; so the round still asks those that the directory lists. Change: _run_round counts a member as agreeing if its term equals the primary's and it is a replica. Conclusion: between a promotion and the moment at which all replicas follow it, and while a replica is cut off from the primary, an instance without a grant can't confirm. It was so already for replicas that do not answer.

--- a/bilberrystack/pooling/confirmation.py
+++ b/bilberrystack/pooling/confirmation.py
@@ -1,7 +1,7 @@
 """Confirms that a group's primary still leads: by a grant, or by a round of status queries.
 
-Without a grant the other members are asked for their terms. If none of them has a newer term, no
-promotion had taken effect. All statements that wait for a round share it.
+Without a grant the other members are asked for their terms. If all of them follow the primary in
+its term, no promotion had taken effect. All statements that wait for a round share it.
 """
 
 import asyncio
@@ -170,8 +170,10 @@
                 for member_id in other_ids
             )
         )
+        # A member of a lower term has not followed the primary into its term. It may have led a
+        # newer one and restarted without its log since.
         confirmed = bool(other_ids) and all(
-            status is not None and status.term <= leader.term and not status.primary
+            status is not None and status.term == leader.term and not status.primary
             for status in answers
         )
         self._round_results = {leader: (self._clock(), confirmed)}
--- /dev/null
+++ b/bilberrystack/pooling/confirmation_test.py
@@ -0,0 +1,64 @@
+"""Tests whose answers confirm in a round that a primary still leads."""
+
+import asyncio
+
+import pytest
+
+from bilberrystack.platform import wire
+from bilberrystack.pooling import confirmation
+from bilberrystack.pooling import tasks
+from bilberrystack.routing import freshness
+from bilberrystack.routing import model
+from bilberrystack.routing import permission
+from bilberrystack.routing import statements
+
+pytestmark = [pytest.mark.asyncio, pytest.mark.looptime]
+
+LEADER = permission.Leader("a", 7)
+
+
+class FakeGroup:
+    """A group whose members answer status queries as a test has set."""
+
+    def __init__(self, **answers):
+        self.service = model.Service("store", 24, 0)
+        self.permission = permission.Permission()
+        self.permission.observe(LEADER)
+        self.history = freshness.PositionHistory()
+        self.owned = True
+        self.members_without_record = frozenset()
+        self.pools = {"a": None, **dict.fromkeys(answers)}
+        self.answers = answers
+
+    async def query_member(self, member_id, query):
+        return self.answers[member_id]
+
+
+def _status(term, primary=False):
+    return statements.MemberStatus(primary, term, None, 0.0, 0, 1)
+
+
+async def _confirms(**answers):
+    served = confirmation.Confirmation(
+        FakeGroup(**answers), wire, asyncio.get_running_loop().time, tasks.Tasks()
+    )
+    return await served.confirm(LEADER)
+
+
+async def test_members_that_follow_the_primary_confirm_it():
+    """Guards against instances without grants that refuse what they could serve."""
+    assert await _confirms(b=_status(7), c=_status(7))
+
+
+async def test_a_member_of_a_lower_term_does_not_confirm():
+    """Guards against the word of a member that led a newer term and has restarted empty."""
+    assert not await _confirms(b=_status(7), c=_status(1))
+    assert not await _confirms(b=_status(6), c=_status(6))
+
+
+async def test_a_newer_term_another_primary_or_silence_does_not_confirm():
+    """Guards against answers of a replaced primary."""
+    assert not await _confirms(b=_status(7), c=_status(8))
+    assert not await _confirms(b=_status(7), c=_status(7, primary=True))
+    assert not await _confirms(b=_status(7), c=None)
+    assert not await _confirms()
