Disregard other instances' reports of a member's former process

Cause: when a member's record showed a restart, this instance forgot its own reports, but the last status in the heartbeats of others passed for the new process's: a restarted primary went on as the primary of its term, with its former position, and was granted. Change: the coordinator notes when it learned of a member's new process, and takes only later status reports. Figures: the new test fails before (a grant of the restarted primary); coordinator_test and primary_change_test pass. Conclusion: an instance that becomes the coordinator after the restart does not know when it was; the reports that it may take then end with the heartbeats of the instances that have not read the record yet.

--- a/bilberrystack/pooling/coordinator.py
+++ b/bilberrystack/pooling/coordinator.py
@@ -148,6 +148,7 @@
         "_groups",
         "_lease",
         "_majority_heard_at_s",
+        "_member_processes",
         "_metrics",
         "_newest_terms",
         "_own_instance",
@@ -203,6 +204,9 @@
         self._promotion_records: dict[tuple[str, str], set[str]] = {}
         # The newest term and primary of each group, also after an interruption of the lease.
         self._newest_terms: dict[str, newest_term.NewestTerm] = {}
+        # The start of each member's process, as its record says, and when this instance learned of
+        # it; a time before every other one for the first process that it knows.
+        self._member_processes: dict[str, tuple[int, float]] = {}
         self._primary_records = primary_records.PrimaryRecords(
             platform, clock, background_tasks, running
         )
@@ -558,7 +562,11 @@
     def _member_view(
         self, served_group: group.Group, member_pool: pool.MemberPool, now_s: float
     ) -> member_view.MemberView:
-        """Combine what this instance and the others know about a member."""
+        """Combine what this instance and the others know about a member.
+
+        Status reports of others from before a restart are those of a process that has ended.
+        """
+        process_known_at_s = self._process_known_at_s(member_pool.member, now_s)
         observations = member_pool.observations
         status = observations.status
         contact_at_s, status_at_s = observations.contact_at_s, observations.status_at_s
@@ -573,7 +581,7 @@
                 continue
             contact_at_s = max(contact_at_s, peer.heard_at_s - report.contact_age_s)
             reported_status_at_s = peer.heard_at_s - report.status_age_s
-            if report.term and reported_status_at_s > status_at_s:
+            if report.term and reported_status_at_s > max(status_at_s, process_known_at_s):
                 status_at_s = reported_status_at_s
                 primary, term = report.primary, report.term
                 received = _to_position(report.received)
@@ -591,6 +599,14 @@
             held=status is not None and status.held,
         )
 
+    def _process_known_at_s(self, member: model.Member, now_s: float) -> float:
+        """Return when this instance learned that a member's process replaced an earlier one."""
+        known = self._member_processes.get(member.id)
+        if known is None or known[0] != member.started_ms:
+            known = (member.started_ms, permission.NEVER_S if known is None else now_s)
+            self._member_processes[member.id] = known
+        return known[1]
+
     def _unacknowledged_grants_end_s(self, state: _GroupState) -> float:
         """Return when the last grant ends whose withdrawal has not been acknowledged."""
         return max(state.unacknowledged_until_s.values(), default=float("-inf"))
--- a/bilberrystack/pooling/coordinator_test.py
+++ b/bilberrystack/pooling/coordinator_test.py
@@ -1,6 +1,7 @@
 """Tests which registrations the coordinator finds expired, and what its lease rests on."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -308,3 +309,26 @@
     observed.report("a", primary=False)
     await observed.step()
     assert observed.granted() == []
+
+
+@pytest.mark.asyncio
+async def test_reports_from_before_a_restart_do_not_count():
+    """Another instance's report of the former process passed for the new one's state."""
+    observed = Observed()
+    for member in "abc":
+        observed.report(member, primary=member == "a")
+    await observed.step()
+    of_former = messages.Report("a", 0.1, False, 0.1, True, 2, messages.Position(2, 99))
+    observed.now_s += 0.1
+    assert observed.granted(reports=[of_former]) == [("a", 2)]
+    restarted = [dataclasses.replace(MEMBERS[0], started_ms=2), *MEMBERS[1:]]
+    observed.group.update(SERVICE, restarted, frozenset())
+    await observed.step()
+    assert observed.granted(reports=[of_former]) == []
+    view = observed.coordinator._member_views(observed.group, observed.now_s)[0]
+    assert (view.primary, view.term, view.received_position) == (False, 0, None)
+    observed.now_s += 1.0
+    of_new = messages.Report("a", 0.0, False, 0.0, False, 1, messages.Position(1, 0))
+    observed.granted(reports=[of_new])
+    view = observed.coordinator._member_views(observed.group, observed.now_s)[0]
+    assert (view.primary, view.term) == (False, 1)
