Count a primary whose log has gone back as none

Cause: a process that takes a primary's place without its log may call itself the primary of the same term, as in the first one. It was granted like the process before. Nothing compared its position with those shown earlier. Change: routing/member_logs.py keeps what each member has shown of its log. An answer to a query that was sent after a higher position, or a higher term, was known shows a lost log, unless the term has risen: that is a promotion's roll-back. Such a primary counts as none from the first answer, and is replaced if the next one confirms the loss. Positions in a primary's answers to statements count, since a busy primary is not asked for its status. Figures: test_a_primary_whose_position_has_gone_back_counts_as_none fails before; routing and coordinator_test pass. Conclusion: a restarted primary that passes the position shown last before it is asked again is not recognised by it. A group without any other member stays without a primary.

--- a/bilberrystack/pooling/coordinator.py
+++ b/bilberrystack/pooling/coordinator.py
@@ -17,6 +17,7 @@
 from bilberrystack.pooling import primary_records
 from bilberrystack.pooling import tasks
 from bilberrystack.routing import lease_terms
+from bilberrystack.routing import member_logs
 from bilberrystack.routing import member_view
 from bilberrystack.routing import model
 from bilberrystack.routing import newest_term
@@ -148,6 +149,7 @@
         "_groups",
         "_lease",
         "_majority_heard_at_s",
+        "_member_logs",
         "_member_processes",
         "_metrics",
         "_newest_terms",
@@ -204,6 +206,8 @@
         self._promotion_records: dict[tuple[str, str], set[str]] = {}
         # The newest term and primary of each group, also after an interruption of the lease.
         self._newest_terms: dict[str, newest_term.NewestTerm] = {}
+        # What the members of each group have shown of their logs, also after an interruption.
+        self._member_logs: dict[str, member_logs.MemberLogs] = {}
         # The start of each member's process, as its record says, and when this instance learned of
         # it; a time before every other one for the first process that it knows.
         self._member_processes: dict[str, tuple[int, float]] = {}
@@ -360,7 +364,8 @@
                     self._lease.leaving_replaceable_at_s,
                     self._pending_of(service),
                     self._running_time,
-                    self._newest_term_of(service),
+                    newest=self._newest_term_of(service),
+                    logs=self._member_logs.setdefault(service, member_logs.MemberLogs()),
                 )
                 number = self._change_numbers.get(service, 0)
                 state = self._group_states[service] = _GroupState(change, number)
@@ -369,6 +374,7 @@
             del self._group_states[removed]
         for gone in self._primary_records.remove_gone(self._groups.keys()):
             self._newest_terms.pop(gone, None)
+            self._member_logs.pop(gone, None)
 
     def _lacks_majority(self) -> bool:
         """Return whether less than half of the recently active owners are heard now.
@@ -413,6 +419,7 @@
         self._poll_members(service, served_group, state, now_s)
         self._resend_withdrawal(service, state, token, now_s)
         views = self._member_views(served_group, now_s)
+        self._record_primary_position(service, served_group, state, now_s)
         if state.action_running:
             self._observe(state, served_group, views, now_s)
             return
@@ -452,6 +459,14 @@
         self._store_primary(service, state, now_s)
         self._grant_to_self(served_group, state, token, now_s)
 
+    def _record_primary_position(
+        self, service: str, served_group: group.Group, state: _GroupState, now_s: float
+    ) -> None:
+        """Take account of the position that the primary has shown in answers to statements."""
+        leader, newest = state.change_machine.leader, served_group.history.newest_sample()
+        if newest is not None and leader is not None and leader.term == served_group.history.term:
+            self._member_logs[service].record_primary_position(leader, newest, now_s)
+
     def _observe(
         self,
         state: _GroupState,
@@ -466,7 +481,22 @@
     def _log_contradiction(
         self, state: _GroupState, served_group: group.Group, views: list[member_view.MemberView]
     ) -> None:
-        """Log that the reports begin, or cease, to contradict the primary that was granted last."""
+        """Log that the reports begin, or cease, to contradict the primary that was granted last.
+
+        Also log which members have lost the entries of their logs, or have received them again.
+        """
+        service = served_group.service.name
+        for member, lost in self._member_logs[service].take_changed().items():
+            _LOG.info(
+                (
+                    "member has lost entries of its log"
+                    if lost
+                    else "member has received the lost entries of its log again"
+                ),
+                service=service,
+                member=member,
+                members=_describe(views, self._clock()),
+            )
         change = state.change_machine
         contradicted = change.leader is not None and not change.leader_reported
         if contradicted is state.contradicted or change.phase is not primary_change.Phase.STEADY:
@@ -478,7 +508,7 @@
                 if contradicted
                 else "grants no longer withheld: the primary reports itself again"
             ),
-            service=served_group.service.name,
+            service=service,
             leader=None if change.leader is None else change.leader.member,
             term=None if change.leader is None else change.leader.term,
             members=_describe(views, self._clock()),
@@ -597,6 +627,8 @@
             polled_at_s=observations.status_at_s,
             polled_position=None if status is None else status.received_position,
             held=status is not None and status.held,
+            polled_primary=status is not None and status.primary,
+            polled_term=0 if status is None else status.term,
         )
 
     def _process_known_at_s(self, member: model.Member, now_s: float) -> float:
--- a/bilberrystack/routing/member_view.py
+++ b/bilberrystack/routing/member_view.py
@@ -21,6 +21,8 @@
       refusing_since_s: Time since which its address refuses connections; None if it accepts them.
       polled_at_s: Time at which this instance sent the last status query that the member answered.
       polled_position: Position of the last received log entry in that answer.
+      polled_primary: Whether the member reported itself as the primary in that answer.
+      polled_term: Newest term that it knew in that answer.
       held: Whether a HOLD keeps it from receiving log entries.
     """
 
@@ -35,3 +37,5 @@
     polled_at_s: float = permission.NEVER_S
     polled_position: positions.Position | None = None
     held: bool = False
+    polled_primary: bool = False
+    polled_term: int = 0
--- a/bilberrystack/routing/primary_change.py
+++ b/bilberrystack/routing/primary_change.py
@@ -14,6 +14,7 @@
 import math
 
 from bilberrystack.routing import candidates
+from bilberrystack.routing import member_logs
 from bilberrystack.routing import member_view
 from bilberrystack.routing import newest_term
 from bilberrystack.routing import pending_promotions
@@ -122,6 +123,7 @@
         "_leader",
         "_leader_reported",
         "_leaving_replaceable_at_s",
+        "_logs",
         "_missing_since_s",
         "_newest",
         "_no_primary_since_s",
@@ -144,7 +146,9 @@
         leaving_replaceable_at_s: float | None = None,
         pending: pending_promotions.PendingPromotions | None = None,
         running: running_time.RunningTime = running_time.ALWAYS_RUNNING,
+        *,
         newest: newest_term.NewestTerm | None = None,
+        logs: member_logs.MemberLogs | None = None,
     ) -> None:
         """Starts to observe a group.
 
@@ -157,7 +161,9 @@
           pending: Promotion requests of earlier coordinators; None for none.
           running: Time in which this process ran.
           newest: Newest term and primary of the group that are known already; None for none.
+          logs: What the members have shown of their logs already; None for nothing.
         """
+        self._logs = member_logs.MemberLogs() if logs is None else logs
         self._running_time = running
         self._newest = newest_term.NewestTerm() if newest is None else newest
         self._pending = pending_promotions.PendingPromotions() if pending is None else pending
@@ -314,6 +320,7 @@
         """
         self._pending.update(views, now_s)
         self._newest.observe(views)
+        self._logs.update(views, now_s)
         known = self._newest.leader
         if known is not None and (self._leader is None or known.term > self._leader.term):
             self._leader = known
@@ -335,7 +342,13 @@
     def _newest_primary(
         self, views: collections.abc.Sequence[member_view.MemberView]
     ) -> member_view.MemberView | None:
-        primaries = [view for view in views if view.primary and view.term == self._newest.term]
+        # A process that has taken a primary's place may call itself the primary of the same term.
+        lost = self._logs.lost
+        primaries = [
+            view
+            for view in views
+            if view.primary and view.term == self._newest.term and view.id not in lost
+        ]
         return max(primaries, key=lambda view: view.last_contact_at_s, default=None)
 
     def _take(self, leader: member_view.MemberView) -> None:
--- a/bilberrystack/routing/primary_change_test.py
+++ b/bilberrystack/routing/primary_change_test.py
@@ -43,8 +43,15 @@
 
     def step(self, now_s, grants_end_at_s=NO_GRANTS, unresponsive=()):
         for member in self.views.keys() - set(unresponsive):
-            position = self.views[member].received_position
-            self.set(member, last_contact_at_s=now_s, polled_at_s=now_s, polled_position=position)
+            view = self.views[member]
+            self.set(
+                member,
+                last_contact_at_s=now_s,
+                polled_at_s=now_s,
+                polled_position=view.received_position,
+                polled_primary=view.primary,
+                polled_term=view.term,
+            )
         return self.change.step(
             list(self.views.values()), grants_end_at_s, now_s, sync_replicas=self.sync_replicas
         )
@@ -616,3 +623,31 @@
     group.change.record_fenced("b")
     group.set("b", primary=False, term=4)
     assert isinstance(group.step(2.0, unresponsive="a"), primary_change.Hold)
+
+
+def test_a_primary_whose_position_has_gone_back_counts_as_none():
+    """Guards against a process in its place that calls itself the primary of the same term."""
+    group = _Group()
+    group.set("a", received_position=positions.Position(1, 20))
+    group.step(0.0)
+    group.set("a", received_position=positions.Position(1, 0))
+    group.step(0.1)
+    assert group.change.grantable_primary(0.1) is None
+    group.step(0.2)
+    group.set("a", received_position=positions.Position(1, 30))
+    assert isinstance(group.step(0.5), primary_change.Withdraw)
+    assert group.change.grantable_primary(0.5) is None
+    assert group.step(0.6) == primary_change.Fence("a", 2)
+
+
+def test_a_single_lower_answer_ends_no_leadership():
+    """Guards against a change of the primary for a late copy of an earlier answer."""
+    group = _Group()
+    group.set("a", received_position=positions.Position(1, 20))
+    group.step(0.0)
+    group.set("a", received_position=positions.Position(1, 19))
+    assert group.step(0.1) is None
+    group.set("a", received_position=positions.Position(1, 21))
+    assert group.step(0.2) is None
+    assert group.change.grantable_primary(0.2) == permission.Leader("a", 1)
+    assert group.step(0.6) is None
