Count no replica that has lost its log as one that shows what is acknowledged

Cause: in a synchronous group a replica that restarted empty counted as known when a member was chosen, although the commit that it had acknowledged may exist nowhere else but at the silent primary; and the empty log of a fenced primary that had restarted passed for its final position, so that any replica was enough. Ruled out: to wait for good. Waiting ends when the replica has what the primary had after the loss, when the log of each member is known, or when the old primary's record has been missing for 10 s (as for pending promotions). Change: candidates.Situation has the lost logs and whether the old primary is gone. A replica without entries counts as lost while others have some. The old primary itself is chosen if it is back with the only whole log. Figures: 5 of 8 new tests of candidates_test.py fail with the former choice, the others guard against waiting for good; both new tests of synchronous groups in primary_change_test.py fail before. Routing, coordinator_test and synchronous_group_test pass. No play with two faults at once was run. Conclusion: a group that has lost a replica's log and whose primary is silent is without writes for up to 10 s after the primary's record has left the store. Asynchronous groups choose as before.

--- a/bilberrystack/routing/candidates_test.py
+++ b/bilberrystack/routing/candidates_test.py
@@ -22,9 +22,18 @@
     return member_view.MemberView(id=member, **(values | changes))
 
 
-def _choose(*views, sync_replicas=1, fenced=False, old_primary="a", accept_unknown=True):
+def _choose(
+    *views, sync_replicas=1, fenced=False, old_primary="a", accept_unknown=True, lost="", gone=False
+):
     situation = candidates.Situation(
-        views, old_primary, fenced, FIXED_AT_S, sync_replicas, frozenset({"excluded"})
+        views,
+        old_primary,
+        fenced,
+        FIXED_AT_S,
+        sync_replicas,
+        frozenset({"excluded"}),
+        frozenset(lost),
+        gone,
     )
     chosen = candidates.choose(situation, accept_unknown)
     return None if chosen is None else chosen.id
@@ -86,3 +95,59 @@
     """Guards against an asynchronous group without a primary because of one broken link."""
     views = [_view(name, index, polled_at_s=0.0) for name, index in (("b", 11), ("c", 12))]
     assert _choose(_old_primary(), *views, sync_replicas=0) == "c"
+
+
+def test_a_replica_that_has_lost_its_log_shows_nothing_of_what_it_acknowledged():
+    """Guards against the loss of a commit that only it and the silent primary had (LOST)."""
+    assert _choose(_old_primary(), _view("b", 5), _view("c", 11), lost="b") is None
+    assert _choose(_old_primary(), _view("b", 5), _view("c", 11)) == "c"
+    assert _choose(_old_primary(), _view("b", 12), _view("c", 11), lost="b") is None
+
+
+def test_a_replica_without_entries_shows_nothing_of_what_it_acknowledged():
+    """Guards against the same loss when the coordinator has not seen the replica before."""
+    assert _choose(_old_primary(), _view("b", 0), _view("c", 11)) is None
+    nothing = _view("b", 0, polled_position=None, received_position=None)
+    assert _choose(_old_primary(), nothing, _view("c", 11)) is None
+
+
+def test_a_group_whose_members_have_no_entries_gets_a_primary():
+    """Guards against a new group without a primary for good."""
+    old = _view("a", 0, primary=True, polled_at_s=0.0)
+    assert _choose(old, _view("b", 0), _view("c", 0)) == "c"
+
+
+def test_a_group_does_not_wait_for_a_primary_that_is_gone():
+    """Guards against a group without writes for good after the loss of a log and of a machine."""
+    views = [_view("b", 5), _view("c", 11)]
+    assert _choose(_old_primary(), *views, lost="b") is None
+    assert _choose(_old_primary(in_store=False), *views, lost="b", gone=True) == "c"
+    assert _choose(*views, lost="b", gone=True) == "c"
+
+
+def test_a_group_does_not_wait_for_a_log_that_is_certainly_lost():
+    """Guards against a group without a primary although each of its logs is known."""
+    old = _view("a", 0)
+    assert _choose(old, _view("b", 5), _view("c", 11), lost="ab") == "c"
+
+
+def test_the_old_primary_is_chosen_if_it_is_back_with_the_only_whole_log():
+    """Guards against the loss of its last commit, which the other replica has lost (LOST)."""
+    old = _view("a", 20)
+    assert _choose(old, _view("b", 5), _view("c", 11), lost="b") == "a"
+    assert _choose(old, _view("b", 20), _view("c", 11), lost="b") in ("a", "b")
+
+
+def test_the_position_of_a_fenced_primary_that_has_lost_its_log_is_not_final():
+    """Guards against the promotion of a member that has more than an empty log only (LOST)."""
+    fenced = _view("a", 0)
+    silent = _view("c", 12, polled_at_s=0.0)
+    assert _choose(fenced, _view("b", 11), silent, fenced=True, lost="a") is None
+    assert _choose(fenced, _view("b", 11), _view("c", 12), fenced=True, lost="a") == "c"
+
+
+def test_a_replica_that_has_lost_its_log_can_be_chosen_with_the_final_position():
+    """Guards against a planned change that waits for what a replica has received again."""
+    fenced = _view("a", 12)
+    silent = _view("c", 1, polled_at_s=0.0)
+    assert _choose(fenced, _view("b", 12), silent, fenced=True, lost="b") == "b"
--- a/bilberrystack/routing/primary_change.py
+++ b/bilberrystack/routing/primary_change.py
@@ -121,6 +121,7 @@
         "_first_settled_at_s",
         "_fixed_at_s",
         "_leader",
+        "_leader_gone_since_s",
         "_leader_reported",
         "_leaving_replaceable_at_s",
         "_logs",
@@ -164,6 +165,7 @@
           logs: What the members have shown of their logs already; None for nothing.
         """
         self._logs = member_logs.MemberLogs() if logs is None else logs
+        self._leader_gone_since_s: float | None = None
         self._running_time = running
         self._newest = newest_term.NewestTerm() if newest is None else newest
         self._pending = pending_promotions.PendingPromotions() if pending is None else pending
@@ -324,6 +326,12 @@
         known = self._newest.leader
         if known is not None and (self._leader is None or known.term > self._leader.term):
             self._leader = known
+        if self._leader is None or any(
+            view.id == self._leader.member and view.in_store for view in views
+        ):
+            self._leader_gone_since_s = None
+        elif self._leader_gone_since_s is None:
+            self._leader_gone_since_s = now_s
         leader = self._newest_primary(views)
         self._leader_reported = (
             leader is not None and permission.Leader(leader.id, leader.term) == self._leader
@@ -450,6 +458,15 @@
         limit_s = UNRESPONSIVE_TIMEOUT_S if contacted else FIRST_CONTACT_TIMEOUT_S
         return "primary is silent" if unresponsive_s >= limit_s else ""
 
+    def _leader_gone(self, now_s: float) -> bool:
+        """Returns whether the last observed primary is gone and does not return with its log."""
+        return (
+            self._leader is not None
+            and self._leader_gone_since_s is not None
+            and self._running_time.elapsed_s(self._leader_gone_since_s, now_s)
+            >= pending_promotions.MEMBER_GONE_S
+        )
+
     def _choose_candidate(
         self,
         views: collections.abc.Sequence[member_view.MemberView],
@@ -474,6 +491,8 @@
             fixed_at_s=fixed_at_s,
             sync_replicas=sync_replicas,
             excluded=frozenset(excluded),
+            lost=self._logs.lost,
+            old_primary_gone=self._leader_gone(now_s),
         )
         waited_s = self._running_time.elapsed_s(self._started_at_s, now_s)
         return candidates.choose(situation, waited_s >= CATCH_UP_TIMEOUT_S)
--- a/bilberrystack/routing/primary_change_test.py
+++ b/bilberrystack/routing/primary_change_test.py
@@ -651,3 +651,41 @@
     assert group.step(0.2) is None
     assert group.change.grantable_primary(0.2) == permission.Leader("a", 1)
     assert group.step(0.6) is None
+
+
+def _synchronous_group_with_a_lost_log():
+    """Return a group of which "b" has restarted without its log and "a" is silent."""
+    group = _Group()
+    group.sync_replicas = 1
+    group.step(0.0)
+    group.set("b", received_position=positions.Position(1, 0))
+    group.step(0.1)
+    group.step(0.2, unresponsive="a")
+    assert isinstance(group.step(1.2, unresponsive="a"), primary_change.Withdraw)
+    assert isinstance(group.step(1.3, unresponsive="a"), primary_change.Hold)
+    group.change.record_held(1.3)
+    return group
+
+
+def test_a_synchronous_group_waits_for_its_primary_if_a_replica_has_lost_its_log():
+    """Guards against the loss of a commit that the lost log and the silent primary had (LOST)."""
+    group = _synchronous_group_with_a_lost_log()
+    for step in range(30):
+        assert group.step(1.4 + step * 0.05, unresponsive="a") is None
+    assert group.change.phase is not primary_change.Phase.CALLING
+
+
+def test_a_synchronous_group_promotes_once_the_silent_primary_is_gone():
+    """Guards against a group without a primary for good after two losses."""
+    group = _synchronous_group_with_a_lost_log()
+    group.set("a", in_store=False)
+    now_s, promoted = 1.4, None
+    while promoted is None and now_s < 60.0:
+        now_s += 0.05
+        action = group.step(now_s, unresponsive="a")
+        if isinstance(action, primary_change.Hold):
+            group.change.record_held(now_s)
+        if isinstance(action, primary_change.Promote):
+            promoted = action.member
+    assert promoted == "c"
+    assert pending_promotions.MEMBER_GONE_S < now_s < pending_promotions.MEMBER_GONE_S + 6.0
