--- a/bilberrystack/pooling/coordinator.py
+++ b/bilberrystack/pooling/coordinator.py
@@ -14,10 +14,13 @@
 from bilberrystack.pooling import interfaces
 from bilberrystack.pooling import messages
 from bilberrystack.pooling import pool
+from bilberrystack.pooling import primary_records
 from bilberrystack.pooling import tasks
 from bilberrystack.routing import lease_terms
+from bilberrystack.routing import member_logs
 from bilberrystack.routing import member_view
 from bilberrystack.routing import model
+from bilberrystack.routing import newest_term
 from bilberrystack.routing import pending_promotions
 from bilberrystack.routing import permission
 from bilberrystack.routing import primary_change
@@ -119,6 +122,7 @@
       granted_until_s: When the grants in use end, by the incarnation that holds them.
       withdrawal_sent_at_s: When the last withdrawal was sent.
       action_running: Whether an order to a member or a promotion request is in progress.
+      contradicted: Whether the newest reports name no member as the primary that was granted last.
     """
 
     change_machine: primary_change.PrimaryChange
@@ -127,6 +131,7 @@
     granted_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
     withdrawal_sent_at_s: float = 0.0
     action_running: bool = False
+    contradicted: bool = False
 
 
 class Coordinator:
@@ -144,12 +149,16 @@
         "_groups",
         "_lease",
         "_majority_heard_at_s",
+        "_member_logs",
+        "_member_processes",
         "_metrics",
+        "_newest_terms",
         "_own_instance",
         "_peers",
         "_peers_heard_for",
         "_pending_promotions",
         "_platform",
+        "_primary_records",
         "_promotion_records",
         "_promotions_loaded_for",
         "_promotions_task",
@@ -199,6 +208,16 @@
         # lease, and the names of their records by group and member.
         self._pending_promotions: dict[str, pending_promotions.PendingPromotions] = {}
         self._promotion_records: dict[tuple[str, str], set[str]] = {}
+        # The newest term and primary of each group, also after an interruption of the lease.
+        self._newest_terms: dict[str, newest_term.NewestTerm] = {}
+        # What the members of each group have shown of their logs, also after an interruption.
+        self._member_logs: dict[str, member_logs.MemberLogs] = {}
+        # The start of each member's process, as its record says, and when this instance learned of
+        # it; a time before every other one for the first process that it knows.
+        self._member_processes: dict[str, tuple[int, float]] = {}
+        self._primary_records = primary_records.PrimaryRecords(
+            platform, clock, background_tasks, running
+        )
         # The token under which the requests of earlier coordinators were read.
         self._promotions_loaded_for: int | None = None
         self._promotions_task: asyncio.Task[None] | None = None
@@ -237,8 +256,12 @@
         if token != self._token:
             return
         now_s = self._clock()
+        self._load_primaries(
+            [item for item in snapshot.items.values() if isinstance(item, interfaces.PrimaryRecord)]
+        )
         for record in snapshot.items.values():
-            assert isinstance(record, interfaces.PromotionRecord)
+            if not isinstance(record, interfaces.PromotionRecord):
+                continue
             key = (record.service, record.member)
             if record.name in self._promotion_records.get(key, ()):
                 continue
@@ -252,16 +275,47 @@
             )
         self._promotions_loaded_for = token
 
+    def _load_primaries(self, records: list[interfaces.PrimaryRecord]) -> None:
+        """Take account of the primaries that coordinators have granted."""
+        self._primary_records.replace(records)
+        for record in records:
+            newest = self._newest_term_of(record.service)
+            if record.term > newest.term:
+                _LOG.info(
+                    "newest term of a group known from the store",
+                    service=record.service,
+                    member=record.member,
+                    term=record.term,
+                )
+            newest.record_primary(permission.Leader(record.member, record.term))
+
+    def _newest_term_of(self, service: str) -> newest_term.NewestTerm:
+        return self._newest_terms.setdefault(service, newest_term.NewestTerm())
+
     def _pending_of(self, service: str) -> pending_promotions.PendingPromotions:
         return self._pending_promotions.setdefault(
             service, pending_promotions.PendingPromotions(self._running_time)
         )
 
-    def _grantable_primary(self, state: _GroupState, now_s: float) -> permission.Leader | None:
-        """Return the primary that grants may name; None while requests may be unknown."""
+    def _grantable_primary(
+        self, service: str, state: _GroupState, now_s: float
+    ) -> permission.Leader | None:
+        """Return the primary that grants may name.
+
+        There is none while requests may be unknown, and until the primary of a new term is stored.
+        """
         if self._promotions_loaded_for != self._token:
             return None
-        return state.change_machine.grantable_primary(now_s)
+        leader = state.change_machine.grantable_primary(now_s)
+        if leader is None or not self._primary_records.permits_grants(service, leader.term):
+            return None
+        return leader
+
+    def _store_primary(self, service: str, state: _GroupState, now_s: float) -> None:
+        """Store the primary that is to be granted, if it is not stored."""
+        leader = state.change_machine.grantable_primary(now_s)
+        if leader is not None and self._promotions_loaded_for == self._token:
+            self._primary_records.store(service, leader)
 
     def _remove_resolved_promotions(self, service: str) -> None:
         """Remove the records of promotion requests that can't take effect any more."""
@@ -316,12 +370,17 @@
                     self._lease.leaving_replaceable_at_s,
                     self._pending_of(service),
                     self._running_time,
+                    newest=self._newest_term_of(service),
+                    logs=self._member_logs.setdefault(service, member_logs.MemberLogs()),
                 )
                 number = self._change_numbers.get(service, 0)
                 state = self._group_states[service] = _GroupState(change, number)
             self._step_group(service, served_group, state, token)
         for removed in self._group_states.keys() - self._groups.keys():
             del self._group_states[removed]
+        for gone in self._primary_records.remove_gone(self._groups.keys()):
+            self._newest_terms.pop(gone, None)
+            self._member_logs.pop(gone, None)
 
     def _lacks_majority(self) -> bool:
         """Return whether less than half of the recently active owners are heard now.
@@ -365,11 +424,10 @@
         now_s = self._clock()
         self._poll_members(service, served_group, state, now_s)
         self._resend_withdrawal(service, state, token, now_s)
-        views = [
-            self._member_view(served_group, member_pool, now_s)
-            for member_pool in served_group.pools.values()
-        ]
+        views = self._member_views(served_group, now_s)
+        self._record_primary_position(service, served_group, state, now_s)
         if state.action_running:
+            self._observe(state, served_group, views, now_s)
             return
         phase_before = state.change_machine.phase
         grants_end_s = self._unacknowledged_grants_end_s(state)
@@ -381,6 +439,7 @@
             served_group.service.sync_replicas,
         )
         self._remove_resolved_promotions(service)
+        self._log_contradiction(state, served_group, views)
         if state.change_machine.phase is not phase_before:
             # The candidates' positions are needed at once.
             self._poll_members(service, served_group, state, now_s)
@@ -390,11 +449,7 @@
                 phase=state.change_machine.phase.value,
                 reason=state.change_machine.reason,
                 token=token,
-                members=[
-                    f"{view.id} {'p' if view.primary else 'r'} {view.term} {view.received_position}"
-                    f" {round(min(now_s - view.last_contact_at_s, 99) * 1000)}ms"
-                    for view in views
-                ],
+                members=_describe(views, now_s),
             )
         match action:
             case primary_change.Withdraw():
@@ -407,8 +462,64 @@
                 self._start_action(state, self._resume(served_group, member))
             case primary_change.Promote(member):
                 self._start_action(state, self._promote(service, state, member))
+        self._store_primary(service, state, now_s)
         self._grant_to_self(served_group, state, token, now_s)
 
+    def _record_primary_position(
+        self, service: str, served_group: group.Group, state: _GroupState, now_s: float
+    ) -> None:
+        """Take account of the position that the primary has shown in answers to statements."""
+        leader, newest = state.change_machine.leader, served_group.history.newest_sample()
+        if newest is not None and leader is not None and leader.term == served_group.history.term:
+            self._member_logs[service].record_primary_position(leader, newest, now_s)
+
+    def _observe(
+        self,
+        state: _GroupState,
+        served_group: group.Group,
+        views: list[member_view.MemberView],
+        now_s: float,
+    ) -> None:
+        """Take the newest reports into account for grants, without a decision."""
+        state.change_machine.observe(views, now_s)
+        self._log_contradiction(state, served_group, views)
+
+    def _log_contradiction(
+        self, state: _GroupState, served_group: group.Group, views: list[member_view.MemberView]
+    ) -> None:
+        """Log that the reports begin, or cease, to contradict the primary that was granted last.
+
+        Also log which members have lost the entries of their logs, or have received them again.
+        """
+        service = served_group.service.name
+        for member, lost in self._member_logs[service].take_changed().items():
+            _LOG.info(
+                (
+                    "member has lost entries of its log"
+                    if lost
+                    else "member has received the lost entries of its log again"
+                ),
+                service=service,
+                member=member,
+                members=_describe(views, self._clock()),
+            )
+        change = state.change_machine
+        contradicted = change.leader is not None and not change.leader_reported
+        if contradicted is state.contradicted or change.phase is not primary_change.Phase.STEADY:
+            return
+        state.contradicted = contradicted
+        _LOG.info(
+            (
+                "grants withheld: no member reports itself as the primary of the newest term"
+                if contradicted
+                else "grants no longer withheld: the primary reports itself again"
+            ),
+            service=service,
+            leader=None if change.leader is None else change.leader.member,
+            term=None if change.leader is None else change.leader.term,
+            members=_describe(views, self._clock()),
+        )
+
     def _start_action(
         self, state: _GroupState, action: collections.abc.Coroutine[None, None, None]
     ) -> None:
@@ -476,10 +587,22 @@
         for owner in random.sample(owners, min(MAX_PROBING_INSTANCES, len(owners))):
             self.send(messages.ProbeRequest(service, member), owner.endpoint)
 
+    def _member_views(
+        self, served_group: group.Group, now_s: float
+    ) -> list[member_view.MemberView]:
+        return [
+            self._member_view(served_group, member_pool, now_s)
+            for member_pool in served_group.pools.values()
+        ]
+
     def _member_view(
         self, served_group: group.Group, member_pool: pool.MemberPool, now_s: float
     ) -> member_view.MemberView:
-        """Combine what this instance and the others know about a member."""
+        """Combine what this instance and the others know about a member.
+
+        Status reports of others from before a restart are those of a process that has ended.
+        """
+        process_known_at_s = self._process_known_at_s(member_pool.member, now_s)
         observations = member_pool.observations
         status = observations.status
         contact_at_s, status_at_s = observations.contact_at_s, observations.status_at_s
@@ -494,7 +617,7 @@
                 continue
             contact_at_s = max(contact_at_s, peer.heard_at_s - report.contact_age_s)
             reported_status_at_s = peer.heard_at_s - report.status_age_s
-            if report.term and reported_status_at_s > status_at_s:
+            if report.term and reported_status_at_s > max(status_at_s, process_known_at_s):
                 status_at_s = reported_status_at_s
                 primary, term = report.primary, report.term
                 received = _to_position(report.received)
@@ -510,8 +633,18 @@
             polled_at_s=observations.status_at_s,
             polled_position=None if status is None else status.received_position,
             held=status is not None and status.held,
+            polled_primary=status is not None and status.primary,
+            polled_term=0 if status is None else status.term,
         )
 
+    def _process_known_at_s(self, member: model.Member, now_s: float) -> float:
+        """Return when this instance learned that a member's process replaced an earlier one."""
+        known = self._member_processes.get(member.id)
+        if known is None or known[0] != member.started_ms:
+            known = (member.started_ms, permission.NEVER_S if known is None else now_s)
+            self._member_processes[member.id] = known
+        return known[1]
+
     def _unacknowledged_grants_end_s(self, state: _GroupState) -> float:
         """Return when the last grant ends whose withdrawal has not been acknowledged."""
         return max(state.unacknowledged_until_s.values(), default=float("-inf"))
@@ -572,7 +705,7 @@
             stepped_back=status is not None and not status.primary,
         )
         if status is not None and not status.primary:
-            state.change_machine.record_fenced()
+            state.change_machine.record_fenced(member)
 
     async def _hold(
         self, served_group: group.Group, state: _GroupState, members: tuple[str, ...], term: int
@@ -685,7 +818,7 @@
     def _grant_to_self(
         self, served_group: group.Group, state: _GroupState, token: int, now_s: float
     ) -> None:
-        leader = self._grantable_primary(state, now_s)
+        leader = self._grantable_primary(served_group.service.name, state, now_s)
         if leader is None:
             return
         until_s = min(now_s + permission.GRANT_DURATION_S, self._lease.ends_at_s)
@@ -747,8 +880,13 @@
         grants = []
         for service in heartbeat.owned_services:
             state, served_group = self._group_states.get(service), self._groups.get(service)
-            leader = None if state is None else self._grantable_primary(state, now_s)
-            if state is None or served_group is None or leader is None:
+            if state is None or served_group is None:
+                continue
+            if self._contradicts_primary(heartbeat, state, served_group):
+                views = self._member_views(served_group, now_s)
+                self._observe(state, served_group, views, now_s)
+            leader = self._grantable_primary(service, state, now_s)
+            if leader is None:
                 continue
             state.granted_until_s[heartbeat.incarnation] = now_s + valid_s
             grants.append(
@@ -767,6 +905,21 @@
         )
         self.send(answer, sender)
 
+    def _contradicts_primary(
+        self, heartbeat: messages.Heartbeat, state: _GroupState, served_group: group.Group
+    ) -> bool:
+        """Return whether a heartbeat reports another role of the primary, or a newer term."""
+        leader = state.change_machine.leader
+        return leader is not None and any(
+            report.member in served_group.pools
+            and report.status_age_s < HEARTBEAT_MAX_AGE_S
+            and (
+                report.term > leader.term
+                or (report.member == leader.member and report.term > 0 and not report.primary)
+            )
+            for report in heartbeat.reports
+        )
+
     def _told_renewal(self, receiver: str) -> messages.Renewal | None:
         """Return the last renewal of the lease, as an answer tells it to an incarnation."""
         renewal = self._lease.renewal
@@ -838,5 +991,14 @@
             self.send(message, peer.endpoint)
 
 
+def _describe(views: list[member_view.MemberView], now_s: float) -> list[str]:
+    """Return role, term, position and time since the last contact of members, for log lines."""
+    return [
+        f"{view.id} {'p' if view.primary else 'r'} {view.term} {view.received_position}"
+        f" {round(min(now_s - view.last_contact_at_s, 99) * 1000)}ms"
+        for view in views
+    ]
+
+
 def _to_position(received: messages.Position | None) -> positions.Position | None:
     return None if received is None else positions.Position(received.term, received.index)
--- a/bilberrystack/routing/primary_change.py
+++ b/bilberrystack/routing/primary_change.py
@@ -14,7 +14,9 @@
 import math
 
 from bilberrystack.routing import candidates
+from bilberrystack.routing import member_logs
 from bilberrystack.routing import member_view
+from bilberrystack.routing import newest_term
 from bilberrystack.routing import pending_promotions
 from bilberrystack.routing import permission
 from bilberrystack.routing import running_time
@@ -116,13 +118,15 @@
 
     __slots__ = (
         "_candidate",
-        "_fenced",
         "_first_settled_at_s",
         "_fixed_at_s",
         "_leader",
+        "_leader_gone_since_s",
+        "_leader_reported",
         "_leaving_replaceable_at_s",
+        "_logs",
         "_missing_since_s",
-        "_newer_term_seen",
+        "_newest",
         "_no_primary_since_s",
         "_observed_since_s",
         "_pending",
@@ -134,6 +138,7 @@
         "_running_time",
         "_settled_at_s",
         "_started_at_s",
+        "_stepped_down",
     )
 
     def __init__(
@@ -142,6 +147,9 @@
         leaving_replaceable_at_s: float | None = None,
         pending: pending_promotions.PendingPromotions | None = None,
         running: running_time.RunningTime = running_time.ALWAYS_RUNNING,
+        *,
+        newest: newest_term.NewestTerm | None = None,
+        logs: member_logs.MemberLogs | None = None,
     ) -> None:
         """Starts to observe a group.
 
@@ -153,12 +161,18 @@
             promotion request of the previous coordinator still takes effect, no grant suffers.
           pending: Promotion requests of earlier coordinators; None for none.
           running: Time in which this process ran.
+          newest: Newest term and primary of the group that are known already; None for none.
+          logs: What the members have shown of their logs already; None for nothing.
         """
+        self._logs = member_logs.MemberLogs() if logs is None else logs
+        self._leader_gone_since_s: float | None = None
         self._running_time = running
+        self._newest = newest_term.NewestTerm() if newest is None else newest
         self._pending = pending_promotions.PendingPromotions() if pending is None else pending
-        self._newer_term_seen = False
         self._phase = Phase.STEADY
         self._leader: permission.Leader | None = None
+        # Whether the leader is the primary by the newest reports.
+        self._leader_reported = False
         self._first_settled_at_s = settled_at_s
         self._settled_at_s = settled_at_s
         self._leaving_replaceable_at_s = (
@@ -168,7 +182,7 @@
         self._observed_since_s: float | None = None
         self._requested_at_s: float | None = None
         self._candidate: str | None = None
-        self._fenced = False
+        self._stepped_down: set[str] = set()
         self._fixed_at_s = math.inf
         self._no_primary_since_s: float | None = None
         self._missing_since_s: float | None = None
@@ -186,10 +200,15 @@
         """The last observed primary; None if none has been observed."""
         return self._leader
 
+    @property
+    def leader_reported(self) -> bool:
+        """Whether the newest reports name the last observed primary as the primary."""
+        return self._leader_reported
+
     @property
     def without_primary(self) -> bool:
         """Whether no member is known to be the primary of the newest term."""
-        return self._leader is None or self._no_primary_since_s is not None
+        return not self._leader_reported or self._no_primary_since_s is not None
 
     @property
     def promotion_pending(self) -> bool:
@@ -204,18 +223,27 @@
     def grantable_primary(self, now_s: float) -> permission.Leader | None:
         """Returns the primary for which grants may be given.
 
-        There is none during a primary change, while a promotion request may still take effect, and
-        if a member knows a newer term than the primary's.
+        There is none during a primary change, while a promotion request may still take effect, if a
+        member knows a newer term than the primary's, and if the last report of the primary names it
+        as a replica. A member that is only silent remains the primary by its last report.
         """
         if self._phase is not Phase.STEADY or now_s < self._settled_at_s:
             return None
-        if self.promotion_pending or self._newer_term_seen:
+        if self.promotion_pending or not self._leader_reported:
             return None
-        return self._leader
+        # Without a report, a primary is one by its record in the store alone, in no known term.
+        return self._leader if self._leader is not None and self._leader.term > 0 else None
+
+    def record_fenced(self, member: str) -> None:
+        """Records that a member has stepped down as the primary.
 
-    def record_fenced(self) -> None:
-        """Records that the old primary has stepped down."""
-        self._fenced = True
+        Only the last observed primary can have acknowledged the newest commits. Another one, of an
+        older term, shows nothing about them.
+
+        Args:
+          member: Id of the member.
+        """
+        self._stepped_down.add(member)
 
     def record_held(self, now_s: float) -> None:
         """Records that replicas were ordered to receive nothing more.
@@ -268,11 +296,7 @@
         Returns:
           The action; None to wait.
         """
-        self._pending.update(views, now_s)
-        leader = self._newest_primary(views)
-        self._newer_term_seen = leader is None and any(
-            self._leader is not None and view.term > self._leader.term for view in views
-        )
+        leader = self.observe(views, now_s)
         match self._phase:
             case Phase.STEADY:
                 return self._step_steady(leader, views, now_s, isolated)
@@ -285,6 +309,40 @@
                     self._phase = Phase.STEADY
         return None
 
+    def observe(
+        self, views: collections.abc.Sequence[member_view.MemberView], now_s: float
+    ) -> member_view.MemberView | None:
+        """Takes the newest reports into account for grants, without a decision.
+
+        Args:
+          views: Observed state of the group's members.
+          now_s: Current time.
+        Returns:
+          The primary of the newest term; None if there is none.
+        """
+        self._pending.update(views, now_s)
+        self._newest.observe(views)
+        self._logs.update(views, now_s)
+        known = self._newest.leader
+        if known is not None and (self._leader is None or known.term > self._leader.term):
+            self._leader = known
+        if self._leader is None or any(
+            view.id == self._leader.member and view.in_store for view in views
+        ):
+            self._leader_gone_since_s = None
+        elif self._leader_gone_since_s is None:
+            self._leader_gone_since_s = now_s
+        leader = self._newest_primary(views)
+        self._leader_reported = (
+            leader is not None and permission.Leader(leader.id, leader.term) == self._leader
+        )
+        return leader
+
+    @property
+    def _fenced(self) -> bool:
+        """Whether the last observed primary has stepped down in this change."""
+        return self._leader is not None and self._leader.member in self._stepped_down
+
     def _silent_s(self, view: member_view.MemberView, now_s: float) -> float:
         """Returns for how long a member could have been heard and was not."""
         return self._running_time.elapsed_s(view.last_contact_at_s, now_s)
@@ -292,10 +350,22 @@
     def _newest_primary(
         self, views: collections.abc.Sequence[member_view.MemberView]
     ) -> member_view.MemberView | None:
-        newest = max((view.term for view in views), default=0)
-        primaries = [view for view in views if view.primary and view.term == newest]
+        # A process that has taken a primary's place may call itself the primary of the same term.
+        lost = self._logs.lost
+        primaries = [
+            view
+            for view in views
+            if view.primary and view.term == self._newest.term and view.id not in lost
+        ]
         return max(primaries, key=lambda view: view.last_contact_at_s, default=None)
 
+    def _take(self, leader: member_view.MemberView) -> None:
+        self._leader = permission.Leader(leader.id, leader.term)
+        self._leader_reported = True
+        if leader.term > 0:
+            # A member that has not reported yet is the primary by its record in the store alone.
+            self._newest.record_primary(self._leader)
+
     def _step_steady(
         self,
         leader: member_view.MemberView | None,
@@ -307,7 +377,7 @@
             # A member that has not been queried yet is not unresponsive.
             self._observed_since_s = now_s
         if leader is not None:
-            self._leader = permission.Leader(leader.id, leader.term)
+            self._take(leader)
         if leader is None and self._awaits_first_reports(views, now_s):
             return None
         reason = self._change_reason(leader, now_s, isolated)
@@ -319,7 +389,7 @@
         self._reason = reason
         self._started_at_s = now_s
         self._requested_at_s = None
-        self._fenced = False
+        self._stepped_down.clear()
         self._fixed_at_s = math.inf
         return Withdraw(reason)
 
@@ -388,6 +458,15 @@
         limit_s = UNRESPONSIVE_TIMEOUT_S if contacted else FIRST_CONTACT_TIMEOUT_S
         return "primary is silent" if unresponsive_s >= limit_s else ""
 
+    def _leader_gone(self, now_s: float) -> bool:
+        """Returns whether the last observed primary is gone and does not return with its log."""
+        return (
+            self._leader is not None
+            and self._leader_gone_since_s is not None
+            and self._running_time.elapsed_s(self._leader_gone_since_s, now_s)
+            >= pending_promotions.MEMBER_GONE_S
+        )
+
     def _choose_candidate(
         self,
         views: collections.abc.Sequence[member_view.MemberView],
@@ -412,6 +491,8 @@
             fixed_at_s=fixed_at_s,
             sync_replicas=sync_replicas,
             excluded=frozenset(excluded),
+            lost=self._logs.lost,
+            old_primary_gone=self._leader_gone(now_s),
         )
         waited_s = self._running_time.elapsed_s(self._started_at_s, now_s)
         return candidates.choose(situation, waited_s >= CATCH_UP_TIMEOUT_S)
@@ -428,9 +509,9 @@
             for view in views
             if view.primary
             and self._silent_s(view, now_s) < UNRESPONSIVE_TIMEOUT_S
-            and not self._fenced
+            and view.id not in self._stepped_down
         ]
-        newest = max((view.term for view in views), default=0)
+        newest = self._newest.term
         waited_s = self._running_time.elapsed_s(self._started_at_s, now_s)
         if reachable and waited_s < UNRESPONSIVE_TIMEOUT_S:
             return Fence(reachable[0].id, newest + 1)
@@ -469,7 +550,7 @@
     def _step_calling(self, leader: member_view.MemberView | None, now_s: float) -> Action | None:
         old_term = self._leader.term if self._leader is not None else 0
         if leader is not None and leader.term > old_term and leader.id == self._candidate:
-            self._leader = permission.Leader(leader.id, leader.term)
+            self._take(leader)
             self._settled_at_s = max(now_s, self._first_settled_at_s)
             self._phase = Phase.STEADY
             self._no_primary_since_s = None
--- a/bilberrystack/routing/primary_change_test.py
+++ b/bilberrystack/routing/primary_change_test.py
@@ -4,6 +4,7 @@
 
 from bilberrystack.core import positions
 from bilberrystack.routing import member_view
+from bilberrystack.routing import newest_term
 from bilberrystack.routing import pending_promotions
 from bilberrystack.routing import permission
 from bilberrystack.routing import primary_change
@@ -42,8 +43,15 @@
 
     def step(self, now_s, grants_end_at_s=NO_GRANTS, unresponsive=()):
         for member in self.views.keys() - set(unresponsive):
-            position = self.views[member].received_position
-            self.set(member, last_contact_at_s=now_s, polled_at_s=now_s, polled_position=position)
+            view = self.views[member]
+            self.set(
+                member,
+                last_contact_at_s=now_s,
+                polled_at_s=now_s,
+                polled_position=view.received_position,
+                polled_primary=view.primary,
+                polled_term=view.term,
+            )
         return self.change.step(
             list(self.views.values()), grants_end_at_s, now_s, sync_replicas=self.sync_replicas
         )
@@ -85,7 +93,7 @@
     group.set("a", leaving=True, received_position=positions.Position(1, 13))
     assert isinstance(group.step(0.1), primary_change.Withdraw)
     assert group.step(0.14) == primary_change.Fence("a", 2)
-    group.change.record_fenced()
+    group.change.record_fenced("a")
     group.set("a", primary=False, term=2)
     assert group.step(0.2) is None
     group.set("c", received_position=positions.Position(1, 13))
@@ -99,7 +107,7 @@
     group.set("a", leaving=True, received_position=positions.Position(1, 99))
     group.step(0.1)
     group.step(0.14)
-    group.change.record_fenced()
+    group.change.record_fenced("a")
     group.set("a", primary=False, term=2)
     assert group.step(0.2) is None
     assert group.step(0.1 + primary_change.CATCH_UP_TIMEOUT_S) == primary_change.Promote("c")
@@ -273,7 +281,7 @@
     assert group.step(0.4) is None
     assert isinstance(group.step(0.5), primary_change.Withdraw)
     assert group.step(0.54) == primary_change.Fence("a", 2)
-    group.change.record_fenced()
+    group.change.record_fenced("a")
     group.set("a", primary=False, term=2)
     assert group.step(0.6) == primary_change.Promote("c")
     group.change.record_reply("c", primary_change.PromotionReply.ACCEPTED, 0.6)
@@ -288,7 +296,7 @@
     """A promotion that takes effect after the new one leaves no grant for the replaced primary."""
     group = _takeover_group()
     group.step(0.5)
-    group.change.record_fenced()
+    group.change.record_fenced("a")
     group.set("a", primary=False, term=2)
     assert group.step(0.6) == primary_change.Promote("c")
     group.change.record_reply("c", primary_change.PromotionReply.ACCEPTED, 0.6)
@@ -362,6 +370,45 @@
     assert group.change.grantable_primary(0.1) is None
 
 
+def test_a_member_that_reports_itself_as_a_replica_is_not_granted():
+    """Guards against grants, up to the begin of the change, of a primary that has restarted."""
+    group = _Group()
+    group.step(0.0)
+    group.set("a", primary=False)
+    assert group.step(0.1) is None
+    assert group.change.grantable_primary(0.1) is None
+    group.set("a", primary=True)
+    group.step(0.2)
+    assert group.change.grantable_primary(0.2) == permission.Leader("a", 1)
+
+
+def test_reports_count_without_a_decision():
+    """Guards against grants of a former primary while an order to a replica is in progress."""
+    group = _Group()
+    group.step(0.0)
+    group.set("a", primary=False)
+    group.change.observe(list(group.views.values()), 0.1)
+    assert group.change.grantable_primary(0.1) is None
+
+
+def test_a_primary_that_has_reported_no_term_is_not_granted():
+    """Guards against grants that rest on a record in the store, which a restart outlives."""
+    group = _Group()
+    for member in "abc":
+        group.set(member, term=0, received_position=None)
+    group.step(0.0)
+    assert group.change.grantable_primary(0.0) is None
+
+
+def test_a_primary_that_is_only_silent_is_granted_until_the_change_begins():
+    """Guards against grants that end with each short silence, which costs confirmation rounds."""
+    group = _Group()
+    group.step(0.0)
+    before_s = primary_change.UNRESPONSIVE_TIMEOUT_S - 0.1
+    assert group.step(before_s, unresponsive="a") is None
+    assert group.change.grantable_primary(before_s) == permission.Leader("a", 1)
+
+
 def test_a_promotion_of_an_earlier_coordinator_withholds_grants():
     """Guards against a coordinator that grants the old primary because it knows of no promotion."""
     group = _Group()
@@ -474,3 +521,171 @@
     running.record_stall(1.25, 1.7)
     assert group.change.step(views, NO_GRANTS, 1.7) is None
     assert group.step(1.75, unresponsive="a") == primary_change.Promote("c")
+
+
+def test_a_primary_of_an_older_term_counts_as_none():
+    """Guards against grants below a term whose members are unreachable or have restarted empty."""
+    group = _Group()
+    group.set("a", term=3)
+    group.step(0.0)
+    group.set("a", primary=False, term=1, received_position=positions.Position(1, 0))
+    group.set("b", primary=True, term=2)
+    group.set("c", term=2)
+    assert group.step(0.1) is None
+    assert group.change.grantable_primary(0.1) is None
+    assert isinstance(group.step(0.5), primary_change.Withdraw)
+    assert group.step(0.6) == primary_change.Fence("b", 4)
+    group.change.record_fenced("b")
+    group.set("b", primary=False, term=4)
+    assert group.step(0.7) == primary_change.Promote("c")
+    group.set("c", primary=True, term=5)
+    group.step(0.8)
+    assert group.change.grantable_primary(0.8) == permission.Leader("c", 5)
+
+
+def test_the_term_does_not_go_back_after_an_interruption_of_the_lease():
+    """Guards against a coordinator that forgets the newest term together with its lease."""
+    newest = newest_term.NewestTerm()
+    group = _Group()
+    group.change = primary_change.PrimaryChange(0.0, newest=newest)
+    group.set("b", term=2)
+    group.step(0.0)
+    group.change = primary_change.PrimaryChange(0.0, newest=newest)
+    group.set("b", term=1)
+    group.step(0.1)
+    assert group.change.grantable_primary(0.1) is None
+
+
+def _group_with_recorded_primary(term):
+    """Return a group of which a new coordinator knows by a record that "x" has led a term."""
+    newest = newest_term.NewestTerm()
+    newest.record_primary(permission.Leader("x", term))
+    group = _Group()
+    group.change = primary_change.PrimaryChange(0.0, newest=newest)
+    return group
+
+
+def test_a_new_coordinator_grants_nothing_below_the_recorded_term():
+    """Guards against grants of an older primary while the recorded one is unreachable."""
+    group = _group_with_recorded_primary(9)
+    assert group.step(0.0) is None
+    assert group.change.without_primary
+    assert group.change.grantable_primary(0.0) is None
+    assert isinstance(group.step(0.4), primary_change.Withdraw)
+    assert group.step(0.5) == primary_change.Fence("a", 10)
+
+
+def test_the_recorded_primary_is_granted_when_it_reports_itself():
+    """Guards against a needless change after each change of the coordinator."""
+    group = _group_with_recorded_primary(9)
+    group.set("b", primary=True, term=9)
+    group.step(0.0)
+    assert group.change.grantable_primary(0.0) == permission.Leader("b", 9)
+
+
+def _next_term(group):
+    return 1 + max(view.term for view in group.views.values())
+
+
+def test_a_group_that_has_forgotten_the_recorded_term_gets_a_primary_again():
+    """Guards against a group without a primary for good: all that knew the term are lost.
+
+    A promotion of members that know term 1 alone leads to term 2. Its primary is fenced above the
+    recorded term, so that the next promotion leads to a newer one.
+    """
+    group = _group_with_recorded_primary(9)
+    group.set("a", primary=False)
+    now_s = 0.0
+    while group.change.grantable_primary(now_s) is None and now_s < 20.0:
+        now_s += 0.05
+        match group.step(now_s):
+            case primary_change.Fence(member, term):
+                group.change.record_fenced(member)
+                group.set(member, primary=False, term=term)
+            case primary_change.Promote(member):
+                group.set(member, primary=True, term=_next_term(group))
+    assert group.change.grantable_primary(now_s).term > 9
+    assert now_s < 8.0
+
+
+def test_an_older_primary_that_steps_down_does_not_fence_the_newest_one():
+    """Guards against commits of a silent primary that are acknowledged while a member is chosen.
+
+    An older primary had stepped down, so that the replicas of a synchronous group were not held.
+    """
+    group = _Group()
+    group.sync_replicas = 1
+    group.set("a", term=3)
+    group.step(0.0)
+    group.set("b", primary=True, term=2)
+    group.step(1.0, unresponsive="a")
+    assert group.step(1.1, unresponsive="a") == primary_change.Fence("b", 4)
+    group.change.record_fenced("b")
+    group.set("b", primary=False, term=4)
+    assert isinstance(group.step(2.0, unresponsive="a"), primary_change.Hold)
+
+
+def test_a_primary_whose_position_has_gone_back_counts_as_none():
+    """Guards against a process in its place that calls itself the primary of the same term."""
+    group = _Group()
+    group.set("a", received_position=positions.Position(1, 20))
+    group.step(0.0)
+    group.set("a", received_position=positions.Position(1, 0))
+    group.step(0.1)
+    assert group.change.grantable_primary(0.1) is None
+    group.step(0.2)
+    group.set("a", received_position=positions.Position(1, 30))
+    assert isinstance(group.step(0.5), primary_change.Withdraw)
+    assert group.change.grantable_primary(0.5) is None
+    assert group.step(0.6) == primary_change.Fence("a", 2)
+
+
+def test_a_single_lower_answer_ends_no_leadership():
+    """Guards against a change of the primary for a late copy of an earlier answer."""
+    group = _Group()
+    group.set("a", received_position=positions.Position(1, 20))
+    group.step(0.0)
+    group.set("a", received_position=positions.Position(1, 19))
+    assert group.step(0.1) is None
+    group.set("a", received_position=positions.Position(1, 21))
+    assert group.step(0.2) is None
+    assert group.change.grantable_primary(0.2) == permission.Leader("a", 1)
+    assert group.step(0.6) is None
+
+
+def _synchronous_group_with_a_lost_log():
+    """Return a group of which "b" has restarted without its log and "a" is silent."""
+    group = _Group()
+    group.sync_replicas = 1
+    group.step(0.0)
+    group.set("b", received_position=positions.Position(1, 0))
+    group.step(0.1)
+    group.step(0.2, unresponsive="a")
+    assert isinstance(group.step(1.2, unresponsive="a"), primary_change.Withdraw)
+    assert isinstance(group.step(1.3, unresponsive="a"), primary_change.Hold)
+    group.change.record_held(1.3)
+    return group
+
+
+def test_a_synchronous_group_waits_for_its_primary_if_a_replica_has_lost_its_log():
+    """Guards against the loss of a commit that the lost log and the silent primary had (LOST)."""
+    group = _synchronous_group_with_a_lost_log()
+    for step in range(30):
+        assert group.step(1.4 + step * 0.05, unresponsive="a") is None
+    assert group.change.phase is not primary_change.Phase.CALLING
+
+
+def test_a_synchronous_group_promotes_once_the_silent_primary_is_gone():
+    """Guards against a group without a primary for good after two losses."""
+    group = _synchronous_group_with_a_lost_log()
+    group.set("a", in_store=False)
+    now_s, promoted = 1.4, None
+    while promoted is None and now_s < 60.0:
+        now_s += 0.05
+        action = group.step(now_s, unresponsive="a")
+        if isinstance(action, primary_change.Hold):
+            group.change.record_held(now_s)
+        if isinstance(action, primary_change.Promote):
+            promoted = action.member
+    assert promoted == "c"
+    assert pending_promotions.MEMBER_GONE_S < now_s < pending_promotions.MEMBER_GONE_S + 6.0
