Record a status report only for the process that it was asked of

Cause: the answer to a query on a former process's connection was recorded for the member that had taken its place while the query was out. Found by reading; no caller has seen it. Change: Group._run_status_query records it if the member's pool is still the one from before the query.

--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -812,13 +812,14 @@
           member_link.Lost: The connection ended.
         """
         leader = self.permission.leader
+        member_pool = self._pools.get(link.member.id)
         reply = await self.run(link, query, answers.STATUS, timeout_s)
         status = None if reply is None else self._parse_status(reply)
         if reply is None or status is None:
             return reply
         link.record_status(status)
-        member_pool = self._pools.get(link.member.id)
-        if member_pool is None:
+        if member_pool is None or self._pools.get(link.member.id) is not member_pool:
+            # The member has left, or another process has taken its place meanwhile.
             return reply
         member_pool.observations.status = status
         member_pool.observations.status_at_s = reply.request_sent_at_s
