Let a failure to store one term not delay the grants of the next

Cause: after a failed attempt to store a primary the next attempt waits 5 s, per group. Grants of a newer term wait for their own first attempt, so that a second change of the primary within these 5 s left the group without grants until then. Evidence: the new test fails before (no grant of term 4 within 0.28 s after term 3 could not be stored). Change: the pause applies only to a term whose first attempt has ended.

--- a/bilberrystack/pooling/primary_records.py
+++ b/bilberrystack/pooling/primary_records.py
@@ -104,8 +104,13 @@
         if self._era != self._platform.store_era:
             self._era = self._platform.store_era
             self._names.clear()
-        known = self._names.get(service, {})
-        if leader.term in known or self._clock() < self._retry_at_s.get(service, float("-inf")):
+        if leader.term in self._names.get(service, {}):
+            return
+        # Grants of a term wait for the first attempt to store it, which an earlier term's failure
+        # must not delay.
+        if self.permits_grants(service, leader.term) and self._clock() < self._retry_at_s.get(
+            service, float("-inf")
+        ):
             return
         self._writing.add(service)
         self._tasks.start(self._write(service, leader))
--- a/bilberrystack/pooling/primary_records_test.py
+++ b/bilberrystack/pooling/primary_records_test.py
@@ -127,3 +127,14 @@
     await _run(records, 0.2, permission.Leader("a", 1))
     assert records.permits_grants("store", 1)
     assert platform.writes == 0
+
+
+async def test_a_failure_to_store_one_term_does_not_hold_back_the_grants_of_the_next():
+    """Guards against a group without grants for the retry delay if two terms follow each other."""
+    platform, records = _open()
+    platform.failure = interfaces.NotDone("503")
+    await _run(records, 0.2)
+    assert records.permits_grants("store", 3)
+    await _run(records, primary_records.RECORD_TIMEOUT_S + 0.08, permission.Leader("c", 4))
+    assert records.permits_grants("store", 4)
+    assert platform.writes == 2
