Compare the position in a status report before its process counts as the primary

Cause: a process without the log that calls itself the primary of the old term showed its lead by its status report. Its lower position was noticed only in an answer outside a transaction, so that a whole transaction of a primary route read from the shorter log, by a grant. Evidence: the new test fails before for BEGIN and BEGIN READ (row '-' for x=1, with success). Change: Group._run_status_query takes a position below the newest one that was known of the leader when the query was sent for a lost lead, as an answer outside a transaction already is. An instance that knows no position of the term does not notice.

--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -725,10 +725,16 @@
         None if there is none, or if the connection has not shown the leader's lead.
         """
         leader = self.permission.leader
+        if leader is None or not link.shows_lead_of(leader):
+            return None
+        return self._newest_position_of(leader)
+
+    def _newest_position_of(self, leader: permission.Leader | None) -> positions.Position | None:
+        """Return the newest known position of a leader; None if there is none."""
         newest = self.history.newest_sample()
-        if leader is None or newest is None or not link.shows_lead_of(leader):
+        if leader is None or newest is None or self.history.term != leader.term:
             return None
-        return newest.position if self.history.term == leader.term else None
+        return newest.position
 
     def _record_primary_position(
         self, link: member_link.MemberLink, reply: statements.Reply
@@ -812,18 +818,35 @@
           member_link.Lost: The connection ended.
         """
         leader = self.permission.leader
+        known_position = self._newest_position_of(leader)
         member_pool = self._pools.get(link.member.id)
         reply = await self.run(link, query, answers.STATUS, timeout_s)
         status = None if reply is None else self._parse_status(reply)
         if reply is None or status is None:
             return reply
-        link.record_status(status)
+        lacks_position = (
+            leader is not None
+            and known_position is not None
+            and status.primary
+            and permission.Leader(link.member.id, status.term) == leader
+            and (status.received_position is None or status.received_position < known_position)
+        )
+        if lacks_position:
+            # Another process says that it leads the term, without the log. Answers inside a
+            # transaction would not show it.
+            link.reported = status
+            link.led_term = 0
+        else:
+            link.record_status(status)
         if member_pool is None or self._pools.get(link.member.id) is not member_pool:
             # The member has left, or another process has taken its place meanwhile.
             return reply
         member_pool.observations.status = status
         member_pool.observations.status_at_s = reply.request_sent_at_s
         reported = permission.Leader(link.member.id, status.term)
+        if leader is not None and lacks_position:
+            self.record_step_down(leader, f"{status} after {known_position}")
+            return reply
         if status.primary:
             self.observe_primary(reported)
             self.permission.record_lead(reported)
--- a/bilberrystack/pooling/restarted_primary_test.py
+++ b/bilberrystack/pooling/restarted_primary_test.py
@@ -187,3 +187,19 @@
         async with asyncio.timeout(10):
             while not (await clients[0].query("WRITE x 2"))[0].startswith("DONE"):
                 await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize("kind", ["BEGIN", "BEGIN READ"])
+async def test_no_transaction_relies_on_a_primary_whose_position_has_gone_back(fixture, kind):
+    """Guards against transactions on a shorter log of a process that says it leads the old term."""
+    instance = fixture.open_instance(granted=True)
+    await instance.run_read(_request("r1", "READ x"), execution.Trace())
+    first = fixture.line_group.members["a"]
+    await first.restart_without_log(0.01)
+    first.is_primary, first.term = True, LEADER.term
+    begin = transaction.BeginRequest("b1", kind, read_only=kind == "BEGIN READ")
+    current = transaction.Transaction(begin, STRICT, instance, wire)
+    outcome = await current.run(_request("r2", "READ x"), execution.Trace())
+    assert outcome.failure is not None
+    assert not any(run.request_id == "r2" for run in fixture.line_group.executed_statements)
+    instance.group.close()
