Take no position of the primary from answers inside a transaction

Cause: the position in such an answer may be that of the transaction's begin (Group._lacks leaves it out for that reason), but it was recorded as one that covers all commits before the statement. An aged read would then require too old a position. The protocol's page does not say which position it is. Evidence: the new test fails before, with a member that shows the begin's position; no caller has seen it. Change: Group._record_primary_position records only answers that leave the connection outside a transaction, such as single statements and commits. The price, more status queries to primaries of groups that serve long transactions only, was not measured.

--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -739,10 +739,16 @@
     def _record_primary_position(
         self, link: member_link.MemberLink, reply: statements.Reply
     ) -> None:
-        """Add the position in an answer to the history if the primary gave it within a grant."""
+        """Add the position in an answer to the history if the primary gave it within a grant.
+
+        The position in an answer inside a transaction may be that of the transaction's begin, which
+        does not cover the commits that followed it.
+        """
         leader = self.permission.leader
         if leader is None or reply.position is None or not link.shows_lead_of(leader):
             return
+        if reply.state is not statements.TransactionState.IDLE:
+            return
         if self.permission.valid_at(leader, reply.received_at_s):
             self.history.record(
                 leader.term, freshness.Sample(reply.request_sent_at_s, reply.position)
--- a/bilberrystack/pooling/restarted_primary_test.py
+++ b/bilberrystack/pooling/restarted_primary_test.py
@@ -203,3 +203,31 @@
     assert outcome.failure is not None
     assert not any(run.request_id == "r2" for run in fixture.line_group.executed_statements)
     instance.group.close()
+
+
+async def test_a_position_of_a_transactions_begin_is_no_position_of_its_later_reads(fixture):
+    """Guards against aged reads that require the position that an open transaction began with."""
+    instance, other = fixture.open_instance(granted=True), fixture.open_instance(granted=True)
+    first = fixture.line_group.members["a"]
+    begin = transaction.BeginRequest("b1", "BEGIN", read_only=False)
+    current = transaction.Transaction(begin, STRICT, instance, wire)
+    await instance.run_read(_request("r1", "READ x"), execution.Trace())
+    await current.run(_request("t1", "READ x"), execution.Trace())
+    begun = first.position
+    outcome = await other.run_write(_request("w2", "WRITE x 2"), execution.Trace())
+    assert outcome.failure is None
+    written_at_s = asyncio.get_running_loop().time()
+    await asyncio.sleep(0.1)
+    original = type(first).position
+    type(first).position = property(
+        lambda member: begun if member is first else original.fget(member)
+    )
+    try:
+        await current.run(_request("t2", "READ x"), execution.Trace())
+    finally:
+        type(first).position = original
+    newest = instance.group.history.newest_sample()
+    assert newest is not None
+    assert newest.position >= outcome.reply.position or newest.request_sent_at_s < written_at_s
+    instance.group.close()
+    other.group.close()
