Take another member's answer at a member's address for no sign of life

Cause: a WRONGNODE answer to the start of a connection, and a TCP connection that is accepted there, counted as contact with the member that had the address before. Addresses are used again, so that an ended primary would not be replaced as silent before its record has expired. Evidence: the new test fails before (a contact after WRONGNODE, and another one after the probe). No caller has seen it. Change: after WRONGNODE a probe of the address counts for nothing until a connection to the member has been opened.

--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -666,6 +666,8 @@
     async def probe(self, member_id: str) -> None:
         """Open and close a TCP connection to a member, and record whether it was accepted.
 
+        It is no sign of life if another member has answered at the address.
+
         Args:
           member_id: The member's id; an unknown one is ignored.
         """
@@ -684,7 +686,8 @@
             )
         else:
             writer.close()
-            member_pool.record_contact()
+            if not member_pool.observations.address_taken:
+                member_pool.record_contact()
             self.dispatch()
 
     async def _exchange(
--- a/bilberrystack/pooling/pool.py
+++ b/bilberrystack/pooling/pool.py
@@ -61,6 +61,8 @@
       position: The highest log position in any answer; None if no answer showed one.
       lag: Estimate of how far the member's log is behind the primary's.
       suspected: Whether a statement has waited long for its answer and nothing has arrived since.
+      address_taken: Whether another member has answered at the member's address, and the member has
+        accepted no connection since.
     """
 
     contact_at_s: float = float("-inf")
@@ -70,6 +72,7 @@
     position: positions.Position | None = None
     lag: replica_lag.LagEstimate = dataclasses.field(default_factory=replica_lag.LagEstimate)
     suspected: bool = False
+    address_taken: bool = False
 
 
 class MemberPool:
@@ -190,6 +193,7 @@
     def add(self, link: member_link.MemberLink) -> None:
         """Add a connection that has just been opened."""
         self._links.append(link)
+        self.observations.address_taken = False
         self.record_contact()
 
     def take_back(self, link: member_link.MemberLink) -> member_link.MemberLink:
@@ -246,6 +250,12 @@
                 self._retry_open_at_s = now_s + RETRY_OPEN_S
                 if self.observations.refusing_since_s is None:
                     self.observations.refusing_since_s = now_s
+            case member_link.Rejected(failure=reported) if (
+                reported.code is statements.ErrorCode.WRONG_MEMBER
+            ):
+                # Addresses are used again. This is no sign of life of the member.
+                self.observations.address_taken = True
+                self._retry_open_at_s = now_s + RETRY_OPEN_S
             case member_link.Rejected(failure=reported):
                 self.record_contact()
                 limit_reached = reported.code is statements.ErrorCode.TOO_MANY_CONNECTIONS
--- a/bilberrystack/pooling/restarted_primary_test.py
+++ b/bilberrystack/pooling/restarted_primary_test.py
@@ -231,3 +231,21 @@
     assert newest.position >= outcome.reply.position or newest.request_sent_at_s < written_at_s
     instance.group.close()
     other.group.close()
+
+
+async def test_another_member_at_the_address_is_no_sign_of_life(fixture):
+    """Guards against an ended primary that is kept because its address is used again."""
+    instance = fixture.open_instance(granted=True)
+    first = fixture.line_group.members["a"]
+    original = first._refusal
+    first._refusal = lambda words: "WRONGNODE"
+    assert await instance.group.query_member("a", wire.encode_status_query()) is None
+    await instance.group.probe("a")
+    observations = instance.group.pools["a"].observations
+    assert observations.contact_at_s == float("-inf")
+    first._refusal = original
+    await asyncio.sleep(0.3)
+    assert await instance.group.query_member("a", wire.encode_status_query()) is not None
+    await instance.group.probe("a")
+    assert observations.contact_at_s > 0 and not observations.address_taken
+    instance.group.close()
