Count a rejection as a step-down only of the term that its process led

Cause: READONLY on a connection of an earlier term, as in a transaction that had begun there, was recorded against the member's id. If the member leads again in a newer term, the instance did not use it until a grant that was requested 1 s later, or until it reported its lead. Evidence: the new test fails before; found by reading, no caller has seen it. Change: Executor.record_step_down needs a connection that has shown the lead of the present leader's term.

--- a/bilberrystack/pooling/execution.py
+++ b/bilberrystack/pooling/execution.py
@@ -878,9 +878,12 @@
                 requirements.primary_only = True
 
     def record_step_down(self, link: member_link.MemberLink) -> None:
-        """Record that a member has reported that it is not the primary."""
+        """Record that a member has reported that it is not the primary.
+
+        A process that has lost the lead of an earlier term may lead the present one.
+        """
         leader = self.group.permission.leader
-        if leader is not None and leader.member == link.member.id:
+        if leader is not None and link.shows_lead_of(leader):
             self.group.record_step_down(leader, statements.ErrorCode.READ_ONLY.value)
 
     def _record_retry(self, trace: Trace, cause: str) -> None:
--- a/bilberrystack/pooling/restarted_primary_test.py
+++ b/bilberrystack/pooling/restarted_primary_test.py
@@ -249,3 +249,17 @@
     await instance.group.probe("a")
     assert observations.contact_at_s > 0 and not observations.address_taken
     instance.group.close()
+
+
+async def test_a_rejection_on_a_connection_of_an_earlier_term_is_no_step_down(fixture):
+    """Guards against a primary that is not used since it had lost the lead in an earlier term."""
+    instance = fixture.open_instance(granted=True)
+    link = await instance.acquire(
+        execution.primary_requirements(_request("r1", "READ x")), execution.Trace()
+    )
+    now_s = instance.group._clock()
+    instance.group.permission.grant(permission.Leader("a", 4), now_s + 1e6, (1, 1))
+    instance.record_step_down(link)
+    assert not instance.group.permission.stepped_down
+    instance.group.release(link)
+    instance.group.close()
