--- a/bilberrystack/pooling/restarted_primary_test.py
+++ b/bilberrystack/pooling/restarted_primary_test.py
@@ -187,3 +187,79 @@
         async with asyncio.timeout(10):
             while not (await clients[0].query("WRITE x 2"))[0].startswith("DONE"):
                 await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize("kind", ["BEGIN", "BEGIN READ"])
+async def test_no_transaction_relies_on_a_primary_whose_position_has_gone_back(fixture, kind):
+    """Guards against transactions on a shorter log of a process that says it leads the old term."""
+    instance = fixture.open_instance(granted=True)
+    await instance.run_read(_request("r1", "READ x"), execution.Trace())
+    first = fixture.line_group.members["a"]
+    await first.restart_without_log(0.01)
+    first.is_primary, first.term = True, LEADER.term
+    begin = transaction.BeginRequest("b1", kind, read_only=kind == "BEGIN READ")
+    current = transaction.Transaction(begin, STRICT, instance, wire)
+    outcome = await current.run(_request("r2", "READ x"), execution.Trace())
+    assert outcome.failure is not None
+    assert not any(run.request_id == "r2" for run in fixture.line_group.executed_statements)
+    instance.group.close()
+
+
+async def test_a_position_of_a_transactions_begin_is_no_position_of_its_later_reads(fixture):
+    """Guards against aged reads that require the position that an open transaction began with."""
+    instance, other = fixture.open_instance(granted=True), fixture.open_instance(granted=True)
+    first = fixture.line_group.members["a"]
+    begin = transaction.BeginRequest("b1", "BEGIN", read_only=False)
+    current = transaction.Transaction(begin, STRICT, instance, wire)
+    await instance.run_read(_request("r1", "READ x"), execution.Trace())
+    await current.run(_request("t1", "READ x"), execution.Trace())
+    begun = first.position
+    outcome = await other.run_write(_request("w2", "WRITE x 2"), execution.Trace())
+    assert outcome.failure is None
+    written_at_s = asyncio.get_running_loop().time()
+    await asyncio.sleep(0.1)
+    original = type(first).position
+    type(first).position = property(
+        lambda member: begun if member is first else original.fget(member)
+    )
+    try:
+        await current.run(_request("t2", "READ x"), execution.Trace())
+    finally:
+        type(first).position = original
+    newest = instance.group.history.newest_sample()
+    assert newest is not None
+    assert newest.position >= outcome.reply.position or newest.request_sent_at_s < written_at_s
+    instance.group.close()
+    other.group.close()
+
+
+async def test_another_member_at_the_address_is_no_sign_of_life(fixture):
+    """Guards against an ended primary that is kept because its address is used again."""
+    instance = fixture.open_instance(granted=True)
+    first = fixture.line_group.members["a"]
+    original = first._refusal
+    first._refusal = lambda words: "WRONGNODE"
+    assert await instance.group.query_member("a", wire.encode_status_query()) is None
+    await instance.group.probe("a")
+    observations = instance.group.pools["a"].observations
+    assert observations.contact_at_s == float("-inf")
+    first._refusal = original
+    await asyncio.sleep(0.3)
+    assert await instance.group.query_member("a", wire.encode_status_query()) is not None
+    await instance.group.probe("a")
+    assert observations.contact_at_s > 0 and not observations.address_taken
+    instance.group.close()
+
+
+async def test_a_rejection_on_a_connection_of_an_earlier_term_is_no_step_down(fixture):
+    """Guards against a primary that is not used since it had lost the lead in an earlier term."""
+    instance = fixture.open_instance(granted=True)
+    link = await instance.acquire(
+        execution.primary_requirements(_request("r1", "READ x")), execution.Trace()
+    )
+    now_s = instance.group._clock()
+    instance.group.permission.grant(permission.Leader("a", 4), now_s + 1e6, (1, 1))
+    instance.record_step_down(link)
+    assert not instance.group.permission.stepped_down
+    instance.group.release(link)
+    instance.group.close()
