Count a primary that shows no position after one as one that has lost its log

Cause: MemberLogs passed over reports without a position, so that a restarted primary that shows none stayed grantable. Found by the review; the protocol names '-' for positions.

--- a/bilberrystack/routing/member_logs.py
+++ b/bilberrystack/routing/member_logs.py
@@ -13,6 +13,9 @@
 from bilberrystack.routing import member_view
 from bilberrystack.routing import permission
 
+# Position of a log that shows none, below all others.
+_NO_POSITION = positions.Position(0, 0)
+
 
 @dataclasses.dataclass(slots=True)
 class _Shown:
@@ -77,8 +80,8 @@
           now_s: Current time.
         """
         for view in views:
-            if view.polled_position is not None:
-                self._update_member(view, view.polled_position, now_s)
+            if view.polled_position is not None or view.id in self._shown:
+                self._update_member(view, view.polled_position or _NO_POSITION, now_s)
         for view in views:
             shown = self._shown.get(view.id)
             if shown is None or shown.lost_at_s is None:
--- a/bilberrystack/routing/primary_change_test.py
+++ b/bilberrystack/routing/primary_change_test.py
@@ -689,3 +689,14 @@
             promoted = action.member
     assert promoted == "c"
     assert pending_promotions.MEMBER_GONE_S < now_s < pending_promotions.MEMBER_GONE_S + 6.0
+
+
+def test_a_primary_without_a_position_has_lost_its_log():
+    """Guards against a primary that restarted empty and shows no position at all."""
+    group = _Group()
+    group.set("a", received_position=positions.Position(1, 20))
+    group.step(0.0)
+    group.set("a", received_position=None)
+    for number in range(1, 20):
+        group.step(0.1 * number)
+    assert group.change.grantable_primary(2.0) is None
