Compare positions of the primary with positions of the same kind only

Cause: samples of the primary's position took the position received from its report, while answers show the position of its log. A primary whose answers trail its reports was taken for one whose log has gone back, about once a second. Change: a sample takes the position in the answer that contains the report. Figures: the new test fails without the change (read refused, step-down recorded) and passes with it.

--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -852,6 +852,7 @@
             return reply
         member_pool.observations.status = status
         member_pool.observations.status_at_s = reply.request_sent_at_s
+        member_pool.observations.status_reply_position = reply.position
         reported = permission.Leader(link.member.id, status.term)
         if leader is not None and lacks_position:
             self.record_step_down(leader, f"{status} after {known_position}")
--- a/bilberrystack/pooling/restarted_primary_test.py
+++ b/bilberrystack/pooling/restarted_primary_test.py
@@ -263,3 +263,17 @@
     assert not instance.group.permission.stepped_down
     instance.group.release(link)
     instance.group.close()
+
+
+async def test_a_received_position_above_the_applied_one_is_no_step_down(fixture):
+    """Guards against a healthy primary that is not used since its answers trail its reports."""
+    instance = fixture.open_instance(granted=True)
+    first = fixture.line_group.members["a"]
+    original = first._status
+    first._status = lambda: original().replace(" 2.1 ", " 2.2 ")
+    assert await instance.group.confirmation.sample_primary()
+    first._status = original
+    outcome = await instance.run_read(_request("r1", "READ x"), execution.Trace())
+    assert outcome.rows == (b"ROW 1",)
+    assert not instance.group.permission.stepped_down
+    instance.group.close()
