Limit the check of a connection's lead to 0.3 s

Cause: the check waited up to 0.85 of the statement's time limit, so that a lost answer to STATUS used all of it up; the statement was refused though nothing had run and another connection would have served it.

--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -48,6 +48,10 @@
 # Time limit of the probe connection.
 PROBE_TIMEOUT_S = 0.3
 
+# Time limit of the check whether a connection's process leads. A member's full queue is served in less
+# time, and a lost answer leaves time for another connection.
+LEAD_CHECK_TIMEOUT_S = 0.3
+
 # Priority of queries to members that the instance sends itself: ahead of all client requests, whose
 # priorities start at 0.
 CONTROL_PRIORITY = -2
@@ -879,7 +883,7 @@
         Args:
           link: A connection to the leader that the caller has acquired. The caller keeps it, except
             after NO_ANSWER.
-          timeout_s: Maximum wait for the answer.
+          timeout_s: Maximum wait for the answer; LEAD_CHECK_TIMEOUT_S at most.
         """
         leader = self.permission.leader
         if leader is None or leader.member != link.member.id:
@@ -888,7 +892,7 @@
             return LeadCheck.LEADS
         query = self._dialect.encode_status_query()
         try:
-            reply = await self._run_status_query(link, query, timeout_s)
+            reply = await self._run_status_query(link, query, min(timeout_s, LEAD_CHECK_TIMEOUT_S))
         except member_link.Lost:
             self.release(link)
             return LeadCheck.NO_ANSWER
--- a/bilberrystack/pooling/restarted_primary_test.py
+++ b/bilberrystack/pooling/restarted_primary_test.py
@@ -277,3 +277,22 @@
     assert outcome.rows == (b"ROW 1",)
     assert not instance.group.permission.stepped_down
     instance.group.close()
+
+
+async def test_a_lost_answer_to_the_check_of_the_lead_leaves_time_for_another_connection(fixture):
+    """Guards against reads that wait for a lost status report until their time limit."""
+    instance = fixture.open_instance(granted=True)
+    first = fixture.line_group.members["a"]
+    original, lost = first._answer, []
+
+    async def answer(line, connection, sender):
+        if line.endswith("STATUS") and not lost:
+            lost.append(line)
+            return True
+        return await original(line, connection, sender)
+
+    first._answer = answer
+    outcome = await instance.run_read(_request("r1", "READ x"), execution.Trace())
+    assert lost
+    assert outcome.rows == (b"ROW 1",)
+    instance.group.close()
