--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -48,7 +48,7 @@
 # Time limit of the probe connection.
 PROBE_TIMEOUT_S = 0.3
 
-# Time limit of the check whether a connection's process leads. A member's full queue is served in less
+# Time limit of the check whether a connection's process leads. A member serves a full queue in less
 # time, and a lost answer leaves time for another connection.
 LEAD_CHECK_TIMEOUT_S = 0.3
 
