Rely on no read whose answer shows a lower position than it requires

Callers saw: nothing yet. An aged read, or one of own writes, could return rows of a log that a promotion has cut off. Cause: the check of the required position was left to the member. Change: the position in the answer has to be at least the required one, term first; otherwise the member counts as behind.

--- a/bilberrystack/pooling/execution.py
+++ b/bilberrystack/pooling/execution.py
@@ -11,6 +11,7 @@
 
 import loguru
 
+from bilberrystack.core import positions
 from bilberrystack.pooling import counters
 from bilberrystack.pooling import group
 from bilberrystack.pooling import interfaces
@@ -243,6 +244,11 @@
     )
 
 
+def _shows_position(reply: statements.Reply, required: positions.Position | None) -> bool:
+    """Return whether the log of the member that answered has a required position."""
+    return required is None or (reply.position is not None and reply.position >= required)
+
+
 def _rejected_as_busy(reply: statements.Reply | None) -> bool:
     """Return whether a busy member rejected a statement of a transaction that is still open."""
     return (
@@ -643,8 +649,20 @@
                 failure_outcome(statements.ErrorCode.TIMEOUT, "no answer in time"),
                 False,
             )
-        if reply.failure is None:
+        if reply.failure is None and _shows_position(reply, requirements.min_position):
             return AttemptResult(link, reply, None, retryable=True)
+        if reply.failure is None:
+            # A member that compares positions without their terms serves the read from a log that
+            # a promotion has cut off.
+            behind = statements.Failure(statements.ErrorCode.BEHIND, "shown by the answer")
+            attempts.executions += 1
+            self.apply_failure(behind, link, requirements, trace)
+            return AttemptResult(
+                None,
+                None,
+                failure_outcome(statements.ErrorCode.FAILED, "the member's log is behind", reply),
+                retryable=True,
+            )
         attempts.executions += reply.failure.code not in statements.NOT_RUN
         self.apply_failure(reply.failure, link, requirements, trace)
         if rejected_by_last_candidate(reply.failure, requirements):
