Keep the members' words out of the tests of pooling

Cause: a test named an error code of the platform's protocol. Change: the stand-in has the fault that another member listens at a member's address.

--- a/bilberrystack/pooling/restarted_primary_test.py
+++ b/bilberrystack/pooling/restarted_primary_test.py
@@ -237,13 +237,12 @@
     """Guards against an ended primary that is kept because its address is used again."""
     instance = fixture.open_instance(granted=True)
     first = fixture.line_group.members["a"]
-    original = first._refusal
-    first._refusal = lambda words: "WRONGNODE"
+    first.address_taken = True
     assert await instance.group.query_member("a", wire.encode_status_query()) is None
     await instance.group.probe("a")
     observations = instance.group.pools["a"].observations
     assert observations.contact_at_s == float("-inf")
-    first._refusal = original
+    first.address_taken = False
     await asyncio.sleep(0.3)
     assert await instance.group.query_member("a", wire.encode_status_query()) is not None
     await instance.group.probe("a")
--- a/bilberrystack_standins/line_group.py
+++ b/bilberrystack_standins/line_group.py
@@ -195,6 +195,7 @@
         a fault. Promotion requests still reach it.
       unresponsive: Whether the member neither runs nor answers statements, a fault. It still
         accepts connections and answers START.
+      address_taken: Whether another member listens at the member's address, a fault.
       answers_to_lose: Number of the next executed statements whose answers are lost, a fault.
       reads_to_fail: Number of the next reads that fail, a fault.
       statements_to_reject: Number of the next statements that are rejected as if the member were
@@ -228,6 +229,7 @@
         self.replication_stopped = False
         self.is_isolated = False
         self.unresponsive = False
+        self.address_taken = False
         self.answers_to_lose = 0
         self.reads_to_fail = 0
         self.statements_to_reject = 0
@@ -433,7 +435,8 @@
     def _refusal(self, words: list[str]) -> str:
         if len(words) < 3 or words[0] != "START":
             return "BAD"
-        if words[1] != self.group.name or (len(words) > 3 and words[3] != self.id):
+        is_other = len(words) > 3 and (self.address_taken or words[3] != self.id)
+        if words[1] != self.group.name or is_other:
             return "WRONGNODE"
         if self.connection_count > self.group.options.max_connections:
             return "TOOMANY"
