Log what confirmed each answer, and when promotions were requested and seen

Cause: acknowledged writes were committed at an old primary after a promotion had taken effect, and the logs could not tell a promotion request that was carried out late from overlapping grants of two coordinators and from a confirmation round that left out the promoted member.

Change: observability only, no decision changes. * execution, confirmation, permission: `request ended` says whose grant confirmed an answer, of which change, and for how long it was still valid, or when the round began and which members it asked. The fields travel from the owner to the forwarding instance; older versions ignore them. * coordinator: new lines "promotion request sent", "primary of a newer term seen" (with the request that led to it: pending, ended or none) and "first grant of a group under this lease". "promotion requested" and "promotion request no longer pending" keep their texts and get the replaced term and times.

Not run: the other tests, and the effect of the longer lines on throughput.

A request line does not name the owner that ran a forwarded statement.

--- a/bilberrystack/pooling/answer_outcomes_test.py
+++ b/bilberrystack/pooling/answer_outcomes_test.py
@@ -99,6 +99,17 @@
     _assert_balanced(fixture)
 
 
+async def test_the_trace_of_a_write_names_the_grant_that_confirmed_it(fixture):
+    """The log line of a write did not tell whose grant had confirmed it, and until when."""
+    held, clock = fixture.group.permission, asyncio.get_running_loop().time
+    held.grant(permission.Leader("a", 1), clock() + 2e6, (7, 3))
+    trace = execution.Trace(round_age_ms=5, round_asked="b")
+    await fixture.executor.run_write(_request("w1", "WRITE x 1"), trace)
+    assert (trace.confirmed, trace.grant_token, trace.grant_change) == ("grant", 7, 3)
+    assert 1e9 < trace.grant_left_ms <= 2e9
+    assert (trace.round_age_ms, trace.round_asked) == (-1, "")
+
+
 async def test_a_repeated_rejection_does_not_have_a_write_run_twice(fixture):
     """Guards against the second copy of BUSY that is taken for the answer to a later write."""
     fixture.member.errors["WRITE"] = ["BUSY full"]
--- a/bilberrystack/pooling/confirmation.py
+++ b/bilberrystack/pooling/confirmation.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 from typing import Protocol
 
 import loguru
@@ -25,10 +26,28 @@
 CONFIRMED_ROUND_VALIDITY_S = 1.0
 FAILED_ROUND_VALIDITY_S = 0.3
 
+# Maximum length of the list of asked members in a request's log line.
+MAX_LOGGED_ASKED_CHARACTERS = 128
+
 # Term of a primary that only the store names; terms of members begin at 1.
 UNKNOWN_TERM = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Round:
+    """A completed confirmation round.
+
+    Attributes:
+      confirmed: Whether no promotion had taken effect when the round began.
+      began_at_s: When it began.
+      asked: Ids of the members that were asked, separated by spaces, for log lines.
+    """
+
+    confirmed: bool
+    began_at_s: float
+    asked: str
+
+
 class ConfirmableGroup(Protocol):
     """The group whose members are queried.
 
@@ -89,7 +108,7 @@
         self._clock = clock
         self._tasks = background_tasks
         self._round_results: dict[permission.Leader, tuple[float, bool]] = {}
-        self._round_task: asyncio.Task[bool] | None = None
+        self._round_task: asyncio.Task[Round] | None = None
         self._search_task: asyncio.Task[None] | None = None
         self._sample_task: asyncio.Task[bool] | None = None
         self._sample_failed_at_s = float("-inf")
@@ -146,6 +165,16 @@
         Returns:
           Whether no promotion had taken effect when the round began.
         """
+        return await self.confirming_round(leader) is not None
+
+    async def confirming_round(self, leader: permission.Leader) -> Round | None:
+        """Do the same as `confirm`, and return the round that confirms the primary.
+
+        Args:
+          leader: The primary whose answer is to be confirmed.
+        Returns:
+          The round; None if it does not confirm the primary.
+        """
         running = self._round_task
         if running is not None:
             await asyncio.wait({running})
@@ -154,14 +183,17 @@
         current = self._round_task
         assert current is not None
         await asyncio.wait({current})
-        return self._group.permission.leader == leader and current.result()
+        if self._group.permission.leader != leader:
+            return None
+        completed = current.result()
+        return completed if completed.confirmed else None
 
     def _start_background_round(self, leader: permission.Leader) -> None:
         """Start a round that no request waits for, unless a round is running."""
         if self._round_task is None or self._round_task.done():
             self._round_task = self._tasks.start(self._run_round(leader))
 
-    async def _run_round(self, leader: permission.Leader) -> bool:
+    async def _run_round(self, leader: permission.Leader) -> Round:
         other_ids = [member_id for member_id in self._group.pools if member_id != leader.member]
         began_at_s = self._clock()
         answers = await asyncio.gather(
@@ -191,7 +223,7 @@
             confirmed=confirmed,
             took_ms=round((self._clock() - began_at_s) * 1000),
         )
-        return confirmed
+        return Round(confirmed, began_at_s, " ".join(other_ids)[:MAX_LOGGED_ASKED_CHARACTERS])
 
     def needs_primary_search(self, now_s: float) -> bool:
         """Return whether the members have to be asked for the primary, because no grant names it.
--- a/bilberrystack/pooling/coordinator.py
+++ b/bilberrystack/pooling/coordinator.py
@@ -90,6 +90,9 @@
 ANNOUNCEMENT_COUNT = 12
 ANNOUNCEMENT_INTERVAL_S = 0.3
 
+# Maximum number of promotion requests that are remembered for log lines.
+MAX_REMEMBERED_REQUESTS = 256
+
 # Pause before the records of promotion requests are read again after a failure.
 PROMOTIONS_RETRY_DELAY_S = 0.3
 
@@ -118,6 +121,21 @@
     is_owner: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _RememberedRequest:
+    """A promotion request that has not been seen to take effect, also if it is no longer pending.
+
+    Attributes:
+      replaced_term: Term of the primary that it replaces.
+      requested_at_s: When it was sent, or when this instance learned of it.
+      own: Whether this instance has sent it.
+    """
+
+    replaced_term: int
+    requested_at_s: float
+    own: bool
+
+
 @dataclasses.dataclass(slots=True)
 class _GroupState:
     """The coordinator's state of one group.
@@ -131,6 +149,8 @@
       withdrawal_sent_at_s: When the last withdrawal was sent.
       action_running: Whether an order to a member or a promotion request is in progress.
       contradicted: Whether the newest reports name no member as the primary that was granted last.
+      primary_term: Newest term of a primary that was seen under this lease; 0 before the first.
+      granted: Whether a grant was given under this lease.
     """
 
     change_machine: primary_change.PrimaryChange
@@ -140,6 +160,8 @@
     withdrawal_sent_at_s: float = 0.0
     action_running: bool = False
     contradicted: bool = False
+    primary_term: int = 0
+    granted: bool = False
 
 
 class Coordinator:
@@ -173,6 +195,7 @@
         "_promotions_task",
         "_quota_limits",
         "_quotas",
+        "_remembered_requests",
         "_running_time",
         "_status_pending",
         "_status_queried_at_s",
@@ -220,6 +243,8 @@
         # lease, and the names of their records by group and member.
         self._pending_promotions: dict[str, pending_promotions.PendingPromotions] = {}
         self._promotion_records: dict[tuple[str, str], set[str]] = {}
+        # Requests by group and member, for log lines and metrics only.
+        self._remembered_requests: dict[tuple[str, str], _RememberedRequest] = {}
         # The newest term and primary of each group, also after an interruption of the lease.
         self._newest_terms: dict[str, newest_term.NewestTerm] = {}
         # What the members of each group have shown of their logs, also after an interruption.
@@ -246,9 +271,14 @@
         """Take the decisions that are due at each interval, until cancelled."""
         while True:
             self.step()
+            self._count_pending_promotions()
             self._load_promotions_if_due()
             await asyncio.sleep(STEP_INTERVAL_S)
 
+    def _count_pending_promotions(self) -> None:
+        pending = self._pending_promotions.values() if self._token is not None else ()
+        self._metrics.promotions_pending.set({}, sum(len(requests.members) for requests in pending))
+
     def _load_promotions_if_due(self) -> None:
         """Read the promotion requests of earlier coordinators if that was not done yet."""
         running = self._promotions_task is not None and not self._promotions_task.done()
@@ -292,6 +322,7 @@
                 continue
             self._promotion_records.setdefault(key, set()).add(record.name)
             self._pending_of(record.service).add(record.member, record.replaced_term, now_s)
+            self._remember_request(record, own=False)
             _LOG.info(
                 "promotion request of an earlier coordinator may still take effect",
                 service=record.service,
@@ -365,9 +396,83 @@
                 service=service,
                 member=member,
                 resolution=resolution.value,
+                **self._describe_request(service, member),
             )
+            if resolution is pending_promotions.Resolution.IN_EFFECT:
+                self._remembered_requests.pop((service, member), None)
             self._remove_promotion_records(service, member)
 
+    def _remember_request(self, record: interfaces.PromotionRecord, *, own: bool) -> None:
+        """Remember a promotion request for later log lines."""
+        key = (record.service, record.member)
+        self._remembered_requests.pop(key, None)
+        self._remembered_requests[key] = _RememberedRequest(
+            record.replaced_term, self._clock(), own
+        )
+        if len(self._remembered_requests) > MAX_REMEMBERED_REQUESTS:
+            del self._remembered_requests[next(iter(self._remembered_requests))]
+
+    def _describe_request(self, service: str, member: str) -> dict[str, int | bool]:
+        """Return what is remembered of the last request that names a member, for a log line."""
+        request = self._remembered_requests.get((service, member))
+        if request is None:
+            return {}
+        return {
+            "replaced_term": request.replaced_term,
+            "request_age_ms": round((self._clock() - request.requested_at_s) * 1000),
+            "own_request": request.own,
+        }
+
+    def _log_newer_primary(
+        self, service: str, state: _GroupState, views: list[member_view.MemberView]
+    ) -> None:
+        """Log a primary of a newer term, with the request that may have led to it.
+
+        It is called before pending requests are compared with the same reports.
+        """
+        primaries = [view for view in views if view.primary and view.term > state.primary_term]
+        if not primaries:
+            return
+        newest = max(primaries, key=lambda view: view.term)
+        former_term, state.primary_term = state.primary_term, newest.term
+        known = (service, newest.id) in self._remembered_requests
+        request = "ended" if known else "none"
+        if newest.id in self._pending_of(service).members:
+            request = "pending"
+        _LOG.info(
+            "primary of a newer term seen",
+            service=service,
+            member=newest.id,
+            term=newest.term,
+            former_term=former_term,
+            token=self._token,
+            request=request,
+            **self._describe_request(service, newest.id),
+        )
+        if request == "ended":
+            del self._remembered_requests[(service, newest.id)]
+        # The first primary under a lease may have led before.
+        if former_term > 0:
+            self._metrics.newer_primaries.inc({"request": request})
+
+    def _record_grant(
+        self, service: str, state: _GroupState, leader: permission.Leader, until_s: float
+    ) -> None:
+        """Take account of a grant for log lines."""
+        self._lease.grants_end_at_s = max(self._lease.grants_end_at_s, until_s)
+        if state.granted:
+            return
+        state.granted = True
+        _LOG.info(
+            "first grant of a group under this lease",
+            service=service,
+            member=leader.member,
+            term=leader.term,
+            token=self._token,
+            change=state.change_number,
+            held_ms=round((self._clock() - self._token_since_s) * 1000),
+        )
+
     def _remove_promotion_records(self, service: str, member: str) -> None:
         for name in self._promotion_records.pop((service, member), ()):
             self._tasks.start(self._remove_promotion_record(name))
@@ -467,6 +572,7 @@
         self._poll_members(service, served_group, state, now_s)
         self._resend_withdrawal(service, state, token, now_s)
         views = self._member_views(served_group, now_s)
+        self._log_newer_primary(service, state, views)
         self._record_primary_position(service, served_group, state, now_s)
         if state.action_running:
             self._observe(state, served_group, views, now_s)
@@ -790,7 +896,34 @@
                 member, primary_change.PromotionReply.NOT_MADE, self._clock()
             )
             return
-        await self._record_promotion(service, state, member, token)
+        record = self._promotion_record(service, state, member, token)
+        request = {
+            "service": service,
+            "member": member,
+            "token": token,
+            "change": state.change_number,
+            "replaced_term": record.replaced_term,
+        }
+        stored = await self._record_promotion(record)
+        _LOG.info("promotion request sent", **request, stored=stored)
+        sent_at_s = self._clock()
+        self._remember_request(record, own=True)
+        reply = await self._request_promotion(service, member, token)
+        self._metrics.promotion_calls.inc({"result": reply.value})
+        _LOG.info(
+            "promotion requested",
+            **request,
+            answer=reply.value,
+            took_ms=round((self._clock() - sent_at_s) * 1000),
+        )
+        state.change_machine.record_reply(member, reply, self._clock())
+        if member not in self._pending_of(service).members:
+            self._remove_promotion_records(service, member)
+
+    async def _request_promotion(
+        self, service: str, member: str, token: int
+    ) -> primary_change.PromotionReply:
+        """Send a promotion request to the platform."""
         try:
             # A coordinator that was suspended may have lost the lease to another instance since.
             accepted = await self._platform.promote(
@@ -800,49 +933,45 @@
                 token,
                 may_send=lambda: self._lease.token == token,
             )
-            reply = (
-                primary_change.PromotionReply.ACCEPTED
-                if accepted
-                else primary_change.PromotionReply.REJECTED
-            )
         except interfaces.NotDone as failure:
-            reply = primary_change.PromotionReply.NOT_MADE
             _LOG.warning(
                 "promotion request had no effect; the primary change tries again",
                 service=service,
                 detail=str(failure),
             )
+            return primary_change.PromotionReply.NOT_MADE
         except interfaces.StoreFailure as failure:
-            reply = primary_change.PromotionReply.UNKNOWN
             _LOG.warning(
                 "promotion request has an unknown outcome; it may still take effect",
                 service=service,
                 detail=str(failure),
             )
-        self._metrics.promotion_calls.inc({"result": reply.value})
-        _LOG.info(
-            "promotion requested",
-            service=service,
-            member=member,
-            token=token,
-            answer=reply.value,
+            return primary_change.PromotionReply.UNKNOWN
+        return (
+            primary_change.PromotionReply.ACCEPTED
+            if accepted
+            else primary_change.PromotionReply.REJECTED
         )
-        state.change_machine.record_reply(member, reply, self._clock())
-        if member not in self._pending_of(service).members:
-            self._remove_promotion_records(service, member)
 
-    async def _record_promotion(
+    def _promotion_record(
         self, service: str, state: _GroupState, member: str, token: int
-    ) -> None:
-        """Store a promotion request before it is made; a coordinator that follows reads it."""
+    ) -> interfaces.PromotionRecord:
         leader = state.change_machine.leader
-        record = interfaces.PromotionRecord(
+        return interfaces.PromotionRecord(
             name=f"{service}.{member}.{token}.{state.change_number}",
             service=service,
             member=member,
             replaced_term=0 if leader is None else leader.term,
         )
-        self._promotion_records.setdefault((service, member), set()).add(record.name)
+
+    async def _record_promotion(self, record: interfaces.PromotionRecord) -> bool:
+        """Store a promotion request before it is made; a coordinator that follows reads it.
+
+        Returns:
+          Whether the store has acknowledged the record.
+        """
+        key = (record.service, record.member)
+        self._promotion_records.setdefault(key, set()).add(record.name)
         try:
             async with asyncio.timeout(PROMOTION_RECORD_TIMEOUT_S):
                 await self._platform.record_promotion(record)
@@ -852,10 +981,12 @@
         except (interfaces.StoreFailure, TimeoutError) as failure:
             _LOG.warning(
                 "promotion request not stored; a successor would not know of it",
-                service=service,
-                member=member,
+                service=record.service,
+                member=record.member,
                 failure=type(failure).__name__,
             )
+            return False
+        return True
 
     def _grant_to_self(
         self, served_group: group.Group, state: _GroupState, token: int, now_s: float
@@ -864,6 +995,7 @@
         if leader is None:
             return
         until_s = min(now_s + permission.GRANT_DURATION_S, self._lease.ends_at_s)
+        self._record_grant(served_group.service.name, state, leader, until_s)
         if served_group.permission.grant(leader, until_s, (token, state.change_number)):
             served_group.dispatch()
 
@@ -926,11 +1058,13 @@
                 continue
             if self._contradicts_primary(heartbeat, state, served_group):
                 views = self._member_views(served_group, now_s)
+                self._log_newer_primary(service, state, views)
                 self._observe(state, served_group, views, now_s)
             leader = self._grantable_primary(service, state, now_s)
             if leader is None:
                 continue
             state.granted_until_s[heartbeat.incarnation] = now_s + valid_s
+            self._record_grant(service, state, leader, now_s + valid_s)
             grants.append(
                 self._build_grant(served_group, leader, state.change_number, heartbeat, now_s)
             )
--- a/bilberrystack/pooling/coordinator_lease.py
+++ b/bilberrystack/pooling/coordinator_lease.py
@@ -125,6 +125,7 @@
         reads the lease itself.
       coordinator_heard_at_s: When the coordinator was last known to be alive; minus infinity if it
         never was, or has departed.
+      grants_end_at_s: When the last grant given under this instance's lease ends, for log lines.
       is_primary_leaving: Returns whether any group's primary leaves; set by the instance.
       leaving_replaceable_at_s: When grants of the previous coordinator have ended. A primary that
         leaves can be replaced from then on.
@@ -156,6 +157,7 @@
         "acknowledgement",
         "check_after_s",
         "coordinator_heard_at_s",
+        "grants_end_at_s",
         "is_primary_leaving",
         "leaving_replaceable_at_s",
         "settled_at_s",
@@ -209,6 +211,7 @@
         self.acknowledgement: Acknowledgement | None = None
         self.check_after_s = 0.0
         self.coordinator_heard_at_s = float("-inf")
+        self.grants_end_at_s = float("-inf")
         self.is_primary_leaving: collections.abc.Callable[[], bool] = lambda: False
         self.leaving_replaceable_at_s = 0.0
         self.settled_at_s = 0.0
@@ -312,7 +315,16 @@
         # A promotion request from before the interruption may still take effect.
         self.settled_at_s = self._clock() + SETTLE_DELAY_S
         self.leaving_replaceable_at_s = self.settled_at_s
-        _LOG.info("coordinator lease can be used again", token=token)
+        _LOG.info(
+            "coordinator lease can be used again",
+            token=token,
+            requests_wait_ms=round(SETTLE_DELAY_S * 1000),
+        )
+
+    @property
+    def _grants_left_ms(self) -> int:
+        """For how long the last given grants still run, for log lines."""
+        return round(max(0.0, self.grants_end_at_s - self._clock()) * 1000)
 
     async def _reconcile(self, held: interfaces.LeaseRecord) -> None:
         """Compare the held lease with the stored one after a failure or a return of the store."""
@@ -345,7 +357,12 @@
 
     def _lose(self, reason: str) -> None:
         assert self._held_record is not None
-        _LOG.warning("coordinator lease lost", reason=reason, token=self._held_record.token)
+        _LOG.warning(
+            "coordinator lease lost",
+            reason=reason,
+            token=self._held_record.token,
+            grants_left_ms=self._grants_left_ms,
+        )
         self._metrics.lease_changes.inc({"change": "lost"})
         self._last_read, self._held_record = None, None
         self._release_requested = False
@@ -508,7 +525,8 @@
         self._renewed_at_s = sent_at_s
         self._attempted_standbys.clear()
         self.supporters.clear()
-        self.settled_at_s = self._clock() + (0.0 if reason == _NEVER_HELD else SETTLE_DELAY_S)
+        settle_s = 0.0 if reason == _NEVER_HELD else SETTLE_DELAY_S
+        self.settled_at_s = self._clock() + settle_s
         # The grants of a coordinator end with its lease, but may outlast its process.
         outlasting_s = 0.0 if reason in (_NEVER_HELD, _EXPIRED) else permission.GRANT_DURATION_S
         self.leaving_replaceable_at_s = self._clock() + outlasting_s
@@ -520,6 +538,8 @@
             former_token=record.token,
             former="" if record.coordinator is None else record.coordinator.name,
             era=acquired.revision.era,
+            grants_wait_ms=round(outlasting_s * 1000),
+            requests_wait_ms=round(settle_s * 1000),
         )
 
     async def release(self) -> None:
@@ -559,14 +579,22 @@
         if self._held_record is held:
             self._held_record, self._release_requested = None, False
             self._metrics.lease_changes.inc({"change": "released"})
-            _LOG.info("coordinator lease released", token=held.token, reason=reason)
+            self._log_release(held.token, reason)
+
+    def _log_release(self, token: int, reason: str) -> None:
+        _LOG.info(
+            "coordinator lease released",
+            token=token,
+            reason=reason,
+            grants_left_ms=self._grants_left_ms,
+        )
 
     async def _release_held(self, reason: str) -> None:
         held, self._held_record = self._held_record, None
         if held is None:
             return
         self._metrics.lease_changes.inc({"change": "released"})
-        _LOG.info("coordinator lease released", token=held.token, reason=reason)
+        self._log_release(held.token, reason)
         try:
             await self._platform.write_coordinator_lease(held, None, held.token)
         except interfaces.StoreFailure as failure:
--- a/bilberrystack/pooling/coordinator_lease_test.py
+++ b/bilberrystack/pooling/coordinator_lease_test.py
@@ -1,7 +1,9 @@
 """Tests what a standby that stood still concludes about the coordinator lease."""
 
 import asyncio
+import dataclasses
 
+import loguru
 import pytest
 
 from bilberrystack.pooling import coordinator_lease
@@ -104,3 +106,23 @@
     await standby.lease._try_acquire()
     standby.lease.record_answer(7, 2.0, told)
     assert standby.lease.acknowledgement.answered_at_s == 2.0
+
+
+async def test_the_line_of_a_takeover_says_how_long_the_new_coordinator_waits():
+    """The logs did not tell until when a successor waited for grants of its predecessor."""
+    standby, records = Standby(), []
+
+    async def write(replaced, coordinator, token, standbys=()):
+        return dataclasses.replace(RECORD, coordinator=coordinator, token=token)
+
+    standby.write_coordinator_lease = write
+    handler_id = loguru.logger.add(lambda line: records.append(line.record), format="")
+    try:
+        await standby.lease._acquire(RECORD, "coordinator process has ended")
+        standby.lease.grants_end_at_s = standby.now_s() + 0.25
+        await standby.lease.release()
+    finally:
+        loguru.logger.remove(handler_id)
+    acquired, released = (record["extra"] for record in records)
+    assert (acquired["grants_wait_ms"], acquired["requests_wait_ms"]) == (1500, 2000)
+    assert (released["token"], released["grants_left_ms"]) == (acquired["token"], 250)
--- a/bilberrystack/pooling/coordinator_test.py
+++ b/bilberrystack/pooling/coordinator_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 
+import loguru
 import pytest
 
 from bilberrystack.core import positions
@@ -10,10 +11,12 @@
 from bilberrystack.pooling import coordinator
 from bilberrystack.pooling import counters
 from bilberrystack.pooling import group
+from bilberrystack.pooling import interfaces
 from bilberrystack.pooling import messages
 from bilberrystack.pooling import tasks
 from bilberrystack.routing import lease_terms
 from bilberrystack.routing import model
+from bilberrystack.routing import permission
 from bilberrystack.routing import running_time
 from bilberrystack.routing import statements
 
@@ -29,6 +32,7 @@
     settled_at_s = 0.0
     leaving_replaceable_at_s = 0.0
     ends_at_s = 1e9
+    grants_end_at_s = 0.0
     renewal = None
 
     def __init__(self):
@@ -57,6 +61,7 @@
     def __init__(self, with_group=False):
         self.now_s = 100.0
         self.lease = FakeLease()
+        self.metrics = counters.Counters()
         self.running = running_time.RunningTime()
         self.groups = {}
         if with_group:
@@ -76,7 +81,7 @@
             dialect=wire,
             clock=lambda: self.now_s,
             background_tasks=tasks.Tasks(),
-            metrics=counters.Counters(),
+            metrics=self.metrics,
             running=self.running,
         )
         self.coordinator.step()
@@ -347,3 +352,117 @@
     observed.granted(reports=[of_new])
     view = observed.coordinator._member_views(observed.group, observed.now_s)[0]
     assert (view.primary, view.term) == (False, 1)
+
+
+@pytest.fixture
+def logged():
+    """Return a function that returns the fields of the lines with a text so far."""
+    records = []
+    handler_id = loguru.logger.add(lambda line: records.append(line.record), format="")
+    yield lambda text: [record["extra"] for record in records if record["message"] == text]
+    loguru.logger.remove(handler_id)
+
+
+def _remember(observed):
+    """Have a coordinator know of a request of its own for member b."""
+    observed.coordinator._pending_of("store").add("b", 2, observed.now_s)
+    record = interfaces.PromotionRecord("r", "store", "b", 2)
+    observed.coordinator._remember_request(record, own=True)
+
+
+@pytest.mark.asyncio
+@pytest.mark.parametrize("given_up", [False, True])
+async def test_a_primary_of_a_newer_term_is_logged_with_the_request_that_led_to_it(
+    logged, given_up
+):
+    """The logs could not tell a late promotion from one that nobody had asked for."""
+    observed = Observed()
+    for member in "abc":
+        observed.report(member, primary=member == "a")
+    await observed.step()
+    _remember(observed)
+    if given_up:
+        observed.coordinator._pending_of("store").remove("b")
+    observed.report("b", primary=True, term=3)
+    await observed.step()
+    first, promoted = logged("primary of a newer term seen")
+    assert (first["member"], first["former_term"], first["request"]) == ("a", 0, "none")
+    assert (promoted["member"], promoted["term"], promoted["former_term"]) == ("b", 3, 2)
+    assert promoted["request"] == ("ended" if given_up else "pending")
+    assert (promoted["replaced_term"], promoted["request_age_ms"]) == (2, 40)
+    resolved = logged("promotion request no longer pending")
+    assert [line["resolution"] for line in resolved] == ([] if given_up else ["in effect"])
+    assert all(line["request_age_ms"] == 40 for line in resolved)
+    observed.report("c", primary=True, term=4)
+    observed.report("b", primary=True, term=5)
+    await observed.step()
+    assert logged("primary of a newer term seen")[-1]["request"] == "none"
+
+
+@pytest.mark.asyncio
+async def test_a_promotion_that_nobody_has_requested_is_counted():
+    """Guards against primaries that change behind the coordinator's back without a sign."""
+    observed = Observed()
+    observed.report("a", primary=True)
+    await observed.step()
+    assert "newer_primaries_total{" not in observed.metrics.render().decode()
+    observed.report("c", primary=True, term=3)
+    await observed.step()
+    lines = observed.metrics.render().decode().splitlines()
+    assert 'bilberrystack_newer_primaries_total{request="none"} 1' in lines
+
+
+@pytest.mark.asyncio
+async def test_pending_requests_are_counted_at_the_coordinator_only():
+    """Guards against a gauge that stays above 0 at an instance that decides nothing any more."""
+    observed = Observed()
+    await observed.step()
+    _remember(observed)
+    observed.coordinator._count_pending_promotions()
+    assert "bilberrystack_promotions_pending 1" in observed.metrics.render().decode()
+    observed.lease.token = None
+    await observed.step()
+    observed.coordinator._count_pending_promotions()
+    assert "bilberrystack_promotions_pending 0" in observed.metrics.render().decode()
+
+
+@pytest.mark.asyncio
+async def test_the_first_grant_under_a_lease_is_logged_once(logged):
+    """The logs could not tell which coordinator had begun to grant a group, and when."""
+    observed = Observed()
+    for member in "abc":
+        observed.report(member, primary=member == "a")
+    await observed.step()
+    observed.granted()
+    (line,) = logged("first grant of a group under this lease")
+    assert (line["member"], line["term"], line["token"], line["change"]) == ("a", 2, 7, 0)
+    assert observed.lease.grants_end_at_s == observed.now_s + permission.GRANT_DURATION_S
+
+
+@pytest.mark.asyncio
+async def test_a_promotion_request_is_logged_before_and_after_it(logged):
+    """The line after the time limit alone did not say when a request had been sent."""
+    observed = Observed()
+    observed.report("a", primary=True)
+    await observed.step()
+
+    class Platform(FakePlatform):
+        async def record_promotion(self, record):
+            raise interfaces.StoreFailure("no answer")
+
+        async def promote(self, *_, may_send):
+            assert len(logged("promotion request sent")) == 1
+            observed.now_s += 0.5
+            raise interfaces.StoreFailure("no answer")
+
+    observed.coordinator._platform = Platform()
+    state = observed.coordinator._group_states["store"]
+    await observed.coordinator._promote("store", state, "b")
+    (sent,) = logged("promotion request sent")
+    assert (sent["member"], sent["replaced_term"], sent["stored"]) == ("b", 2, False)
+    (answered,) = logged("promotion requested")
+    assert (answered["answer"], answered["took_ms"], answered["replaced_term"]) == (
+        "unknown",
+        500,
+        2,
+    )
--- a/bilberrystack/pooling/counters.py
+++ b/bilberrystack/pooling/counters.py
@@ -31,7 +31,9 @@
         "loop_delay_seconds",
         "loop_stalls",
         "member_answer_faults",
+        "newer_primaries",
         "promotion_calls",
+        "promotions_pending",
         "quota_operations",
         "reads",
         "request_seconds",
@@ -76,6 +78,14 @@
             "store_era", "Era of the store; it rises when the store returns from an older copy."
         )
         self.promotion_calls = self._counter("duty_calls_total", "Calls for promotions, by result.")
+        self.promotions_pending = self._gauge(
+            "promotions_pending",
+            "Promotion requests that may still take effect, at the coordinator.",
+        )
+        self.newer_primaries = self._counter(
+            "newer_primaries_total",
+            "Primaries of a newer term that the coordinator has seen, by the promotion request.",
+        )
         self.quota_operations = self._counter(
             "quota_operations_total", "Operations of limited accounts at this owner, by result."
         )
--- a/bilberrystack/pooling/execution.py
+++ b/bilberrystack/pooling/execution.py
@@ -14,6 +14,7 @@
 from bilberrystack.admission import queueing
 from bilberrystack.admission import waiting
 from bilberrystack.core import positions
+from bilberrystack.pooling import confirmation
 from bilberrystack.pooling import counters
 from bilberrystack.pooling import group
 from bilberrystack.pooling import interfaces
@@ -142,6 +143,11 @@
       waited_ms: Total time that the request waited for connections.
       sent: How often the statement was sent to a member.
       confirmed: How an answer of the primary was confirmed: grant, round or none.
+      grant_token: Fencing token of the coordinator whose grant confirmed it, 0 for none.
+      grant_change: Number of the primary change that preceded that grant, -1 for none.
+      grant_left_ms: For how long the grant was still valid when the answer arrived, -1 for none.
+      round_age_ms: How long before the confirmation the round that confirmed it began, -1 for none.
+      round_asked: Ids of the members that the round asked, separated by spaces, empty for none.
       position: The log position that the member showed in that answer, empty for none.
       reported: The role and the term that the member last reported on the connection of that
         answer, empty if it has reported none.
@@ -157,12 +163,40 @@
     waited_ms: int = 0
     sent: int = 0
     confirmed: str = ""
+    grant_token: int = 0
+    grant_change: int = -1
+    grant_left_ms: int = -1
+    round_age_ms: int = -1
+    round_asked: str = ""
     position: str = ""
     reported: str = ""
     connection_age_ms: int = -1
     leaving_ms: int = -1
     cause: str = ""
 
+    def record_confirmation(
+        self,
+        now_s: float,
+        grant: tuple[permission.ChangeNumber, float] | None = None,
+        completed_round: confirmation.Round | None = None,
+    ) -> None:
+        """Set what confirmed an answer, in place of what confirmed an earlier attempt's.
+
+        Args:
+          now_s: The current time.
+          grant: The grant's number, and how long it was still valid when the answer arrived.
+          completed_round: The round, if no grant confirmed the answer.
+        """
+        self.confirmed = "none" if grant is None and completed_round is None else "round"
+        self.grant_token, self.grant_change, self.grant_left_ms = 0, -1, -1
+        self.round_age_ms, self.round_asked = -1, ""
+        if grant is not None:
+            (self.grant_token, self.grant_change), left_s = grant
+            self.confirmed, self.grant_left_ms = "grant", round(left_s * 1000)
+        elif completed_round is not None:
+            self.round_age_ms = round((now_s - completed_round.began_at_s) * 1000)
+            self.round_asked = completed_round.asked
+
     def fields(self) -> dict[str, str | int]:
         """Return the fields by name, for a log line or another instance."""
         return dataclasses.asdict(self)
@@ -828,15 +862,16 @@
         Returns:
           Whether the answer is confirmed.
         """
-        leader = self.group.permission.leader
+        held = self.group.permission
+        leader = held.leader
         if leader is None or not link.shows_lead_of(leader):
-            trace.confirmed = "none"
-        elif self.group.permission.valid_at(leader, reply.received_at_s):
-            trace.confirmed = "grant"
-        elif await self.group.confirmation.confirm(leader):
-            trace.confirmed = "round"
+            trace.record_confirmation(self._clock())
+        elif held.valid_at(leader, reply.received_at_s):
+            left_s = held.grant_ends_at_s - reply.received_at_s
+            trace.record_confirmation(self._clock(), (held.change_number, left_s))
         else:
-            trace.confirmed = "none"
+            completed = await self.group.confirmation.confirming_round(leader)
+            trace.record_confirmation(self._clock(), completed_round=completed)
         trace.term = 0 if leader is None else leader.term
         trace.position = "" if reply.position is None else str(reply.position)
         trace.reported = "" if link.reported is None else str(link.reported)
--- a/bilberrystack/pooling/older_version_test.py
+++ b/bilberrystack/pooling/older_version_test.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from bilberrystack.pooling import execution
 from bilberrystack.pooling import frames
 from bilberrystack.pooling import messages
 
@@ -43,6 +44,26 @@
     assert (decoded.id, decoded.configuration_version, decoded.account) == ("q1", 42, "")
 
 
+def _outcome(trace):
+    outcome = frames.encode_outcome(7, execution.Outcome(), execution.Trace(), 0.0, None)
+    return msgspec.structs.replace(outcome, trace=trace)
+
+
+def test_the_trace_of_an_older_owner_is_read():
+    """Guards against a forwarded answer that is lost for want of the fields of its log line."""
+    received = execution.Trace()
+    frames.decode_outcome(_outcome({"member": "a", "confirmed": "grant"}), received, 0.0)
+    assert (received.confirmed, received.grant_token, received.round_asked) == ("grant", 0, "")
+
+
+def test_fields_of_a_newer_owners_trace_are_ignored_and_the_known_ones_kept():
+    """Guards against an older instance that fails on the fields that a newer owner adds."""
+    sent = execution.Trace(grant_token=7, grant_change=2, round_asked="b c")
+    received = execution.Trace()
+    frames.decode_outcome(_outcome({**sent.fields(), "of_a_later_version": 1}), received, 0.0)
+    assert received == sent
+
+
 @pytest.mark.parametrize(
     ("kind", "old"),
     [
--- a/bilberrystack/pooling/restarted_primary_test.py
+++ b/bilberrystack/pooling/restarted_primary_test.py
@@ -94,6 +94,16 @@
     await members.stop()
 
 
+async def test_the_trace_of_a_write_names_the_round_that_confirmed_it(fixture):
+    """The log line of a write did not tell when its round had begun, nor whom it had asked."""
+    instance = fixture.open_instance(granted=False)
+    trace = execution.Trace(grant_token=7, grant_change=3, grant_left_ms=5)
+    assert (await instance.run_write(_request("w2", "WRITE x 2"), trace)).failure is None
+    assert (trace.confirmed, trace.round_asked) == ("round", "b c")
+    assert trace.round_age_ms >= 0
+    assert (trace.grant_token, trace.grant_change, trace.grant_left_ms) == (0, -1, -1)
+
+
 @pytest.mark.parametrize("granted", [True, False])
 @pytest.mark.parametrize("connected", [True, False])
 async def test_no_read_relies_on_a_primary_that_has_restarted_without_its_log(
--- a/bilberrystack/routing/permission.py
+++ b/bilberrystack/routing/permission.py
@@ -78,6 +78,16 @@
         """Whether the leader has reported that it is no longer the primary."""
         return self._stepped_down_at_s is not None
 
+    @property
+    def change_number(self) -> ChangeNumber:
+        """Number of the last grant or withdrawal that was accepted."""
+        return self._change_number
+
+    @property
+    def grant_ends_at_s(self) -> float:
+        """End of the grant; minus infinity without one."""
+        return self._grant_ends_at_s
+
     def valid_at(self, leader: Leader, instant_s: float) -> bool:
         """Returns whether a grant covers an answer of this leader that arrived at a given time."""
         return self._leader == leader and not self._withdrawn and instant_s <= self._grant_ends_at_s
