--- a/bilberrystack_standins/platform_server.py
+++ b/bilberrystack_standins/platform_server.py
@@ -1,7 +1,7 @@
 """The platform of the session mode: a store of objects with revisions and watches, and promotions.
 
 Tests can make it refuse calls, delay updates, lose answers, drop its event history and return from
-an older copy.
+an older copy. Promotion requests can be carried out late, twice, or without an answer.
 """
 
 import asyncio
@@ -48,6 +48,48 @@
     fencing_token: int
 
 
+class PromotionAnswer(enum.Enum):
+    """When a promotion request is answered."""
+
+    WHEN_CARRIED_OUT = "when it is carried out for the first time"
+    AT_ONCE = "with status 200 before it is carried out"
+    NEVER = "never, on an open connection"
+    RESET = "never, by a reset of the connection"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromotionFault:
+    """What happens to a promotion request.
+
+    Attributes:
+      carried_out_after_s: Times between the arrival of the request and each time that it is carried
+        out, whether or not its caller still waits. A member that does not run then is not promoted.
+      answer: When it is answered.
+    """
+
+    carried_out_after_s: tuple[float, ...] = (0.0,)
+    answer: PromotionAnswer = PromotionAnswer.WHEN_CARRIED_OUT
+
+    def __str__(self) -> str:
+        times = " and ".join(f"{time_s:.1f} s" for time_s in self.carried_out_after_s)
+        return f"request carried out after {times}, answered {self.answer.value}"
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _LatePromotion:
+    """A promotion request that is to be carried out once.
+
+    Attributes:
+      request: The request.
+      accepted: Whether it is accepted; set when it is carried out.
+      timer: Carries it out at its time; None if it is carried out at once.
+    """
+
+    request: PromotionRequest
+    accepted: asyncio.Future[bool]
+    timer: asyncio.TimerHandle | None = None
+
+
 class News(enum.Enum):
     """When the record of a restarted member is written."""
 
@@ -100,6 +142,7 @@
         instead of sending the response.
       next_update_delay_s: If not 0, the connection of the next update is closed at once, and the
         update is executed after this time.
+      promotion_faults: What happens to the next promotion requests, in the order of their arrival.
       unpromotable_members: Ids of the members whose promotion requests are rejected.
       sync_replicas: Declared number of replicas that receive a commit before it is acknowledged.
       port: The port that the server listens on; 0 before the first start.
@@ -114,6 +157,7 @@
         self.calls_to_refuse = 0
         self.responses_to_lose = 0
         self.next_update_delay_s = 0.0
+        self.promotion_faults: collections.deque[PromotionFault] = collections.deque()
         self.unpromotable_members: set[str] = set()
         self.sync_replicas = 0
         self.port = 0
@@ -123,6 +167,7 @@
         )
         self._oldest_watchable_revision: dict[str, int] = collections.defaultdict(int)
         self._changed = asyncio.Condition()
+        self._late_promotions: list[_LatePromotion] = []
         self._runner: web.AppRunner | None = None
 
     @property
@@ -334,23 +379,59 @@
         if stored_object is not None and self._matches(stored_object, body["meta"].get("rev")):
             self._store(kind, name, body["spec"])
 
+    @property
+    def late_promotions(self) -> list[PromotionRequest]:
+        """The promotion requests that are still to be carried out, once for each time."""
+        return [late.request for late in self._late_promotions]
+
+    def carry_out_late_promotions(self) -> None:
+        """Carries out all late promotion requests now instead of at their time."""
+        for late in list(self._late_promotions):
+            self._carry_out(late)
+
     async def _handle_promotion(self, request: web.Request) -> web.Response:
         body = json.loads(await request.read())
-        self.promotion_requests.append(
-            PromotionRequest(
-                body["service"],
-                body["id"],
-                request.headers["Duty-Holder"],
-                int(request.headers["Fencing-Token"]),
-            )
+        promotion = PromotionRequest(
+            body["service"],
+            body["id"],
+            request.headers["Duty-Holder"],
+            int(request.headers["Fencing-Token"]),
         )
-        group = self.groups.get(body["service"])
-        accepted = (
+        self.promotion_requests.append(promotion)
+        fault = self.promotion_faults.popleft() if self.promotion_faults else PromotionFault()
+        # Each runs on when the caller closes the connection.
+        first, *_ = [self._promote(promotion, time_s) for time_s in fault.carried_out_after_s]
+        match fault.answer:
+            case PromotionAnswer.AT_ONCE:
+                return web.Response()
+            case PromotionAnswer.NEVER:
+                await asyncio.Event().wait()
+            case PromotionAnswer.RESET:
+                assert request.transport is not None
+                request.transport.abort()
+        return web.Response(status=200 if await first else 409)
+
+    def _promote(self, promotion: PromotionRequest, delay_s: float) -> asyncio.Future[bool]:
+        """Carries out a promotion request after a time; the result says whether it is accepted."""
+        loop = asyncio.get_running_loop()
+        late = _LatePromotion(promotion, loop.create_future())
+        self._late_promotions.append(late)
+        if delay_s:
+            late.timer = loop.call_later(delay_s, self._carry_out, late)
+        else:
+            self._carry_out(late)
+        return late.accepted
+
+    def _carry_out(self, late: _LatePromotion) -> None:
+        self._late_promotions.remove(late)
+        if late.timer is not None:
+            late.timer.cancel()
+        group = self.groups.get(late.request.service)
+        late.accepted.set_result(
             group is not None
-            and body["id"] not in self.unpromotable_members
-            and group.promote(body["id"])
+            and late.request.member not in self.unpromotable_members
+            and group.promote(late.request.member)
         )
-        return web.Response(status=200 if accepted else 409)
 
     async def declare_configuration(
         self,
--- a/bilberrystack_standins/platform_server_test.py
+++ b/bilberrystack_standins/platform_server_test.py
@@ -1,5 +1,6 @@
 """Tests that the stand-in of the store is as strict as the protocol."""
 
+import asyncio
 import contextlib
 
 import aiohttp
@@ -93,3 +94,61 @@
         assert member.record_withheld == (news is platform_server.News.LOST)
         member.group.notify_role_change(member)
         assert not member.record_withheld
+
+
+async def _request_promotion(server, timeout_s):
+    """Ask for the promotion of b; return the status, or the type of the error without an answer."""
+    headers = {"Duty-Holder": "one", "Fencing-Token": "1"}
+    async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=timeout_s)) as session:
+        try:
+            url, body = f"http://{server.address}/promote", {"service": "s", "id": "b"}
+            async with session.post(url, json=body, headers=headers) as response:
+                return response.status
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return type(error)
+
+
+Answer = platform_server.PromotionAnswer
+
+# Faults of a request, with its outcome at a caller that waits for 0.1 s, and how often it has been
+# carried out then and after all delays.
+PROMOTION_FAULTS = {
+    "none": (platform_server.PromotionFault(), 200, 1, 1),
+    "answer lost": (platform_server.PromotionFault((0.0,), Answer.NEVER), TimeoutError, 1, 1),
+    "reset": (platform_server.PromotionFault((0.5,), Answer.RESET), aiohttp.ClientError, 0, 1),
+    "late": (platform_server.PromotionFault((0.5,)), TimeoutError, 0, 1),
+    "late without an answer": (
+        platform_server.PromotionFault((0.5,), Answer.NEVER),
+        TimeoutError,
+        0,
+        1,
+    ),
+    "accepted": (platform_server.PromotionFault((0.5,), Answer.AT_ONCE), 200, 0, 1),
+    "twice": (platform_server.PromotionFault((0.0, 0.5)), 200, 1, 2),
+}
+
+
+@pytest.mark.parametrize("fault", PROMOTION_FAULTS)
+async def test_promotion_requests_are_late_twice_or_unanswered(fault):
+    """Guards against a dial that changes nothing, or that forgets a request with its caller."""
+    dial, outcome, first_count, last_count = PROMOTION_FAULTS[fault]
+    group = line_group.LineGroup("s", ("a", "b"))
+    server = platform_server.PlatformServer({"s": group})
+    await group.start()
+    await server.start()
+    carried_out = []
+    group.promote = lambda member: not carried_out.append(member)
+    server.promotion_faults.append(dial)
+    try:
+        result = await _request_promotion(server, timeout_s=0.1)
+        assert result == outcome or issubclass(result, outcome)
+        assert carried_out == ["b"] * first_count
+        assert len(server.late_promotions) == last_count - first_count
+        while server.late_promotions:
+            await asyncio.sleep(0.01)
+        assert carried_out == ["b"] * last_count
+        # Only one request was to be disturbed.
+        assert await _request_promotion(server, timeout_s=1.0) == 200
+    finally:
+        await server.stop()
+        await group.stop()
