Check acknowledged commits at replaced primaries by times of the members

Cause: the check relied on one flag, which the replaced primary's stand-in sets at its commit, and its detail named neither the members nor the times. Ruled out: a gap in what the flag covers. It is set at the commit itself, also in transactions and for promoted members that have ended since; no play was found that it misses. Change: commits record their member and time, promotions the time of their effect. soak/replaced_primaries.py compares them, in addition to the flag, and names the request, both members, both terms and the times of effect, commit and acknowledgement. Figures: account_test.py has a late commit of a write, a prepared write and a transaction, which are found without the flag, and three commits near a promotion that violate nothing.

--- a/bilberrystack_standins/line_group.py
+++ b/bilberrystack_standins/line_group.py
@@ -55,6 +55,8 @@
       request_id: The id of the request that caused the commit.
       newer_primary_existed: Whether another member was primary of a newer term at the time of the
         commit.
+      member_id: The primary that committed it.
+      committed_at_s: The time of the commit, on the event loop's clock.
     """
 
     term: int
@@ -62,6 +64,8 @@
     writes: tuple[tuple[str, str], ...]
     request_id: str = ""
     newer_primary_existed: bool = False
+    member_id: str = ""
+    committed_at_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -103,11 +107,13 @@
       member_id: The promoted member.
       term: The term that it leads.
       log: Its log at that moment. Commits of earlier terms that are not in it are rolled back.
+      effective_at_s: The time of that moment, on the event loop's clock.
     """
 
     member_id: str
     term: int
     log: tuple[CommittedEntry, ...]
+    effective_at_s: float = dataclasses.field(default=0.0, compare=False)
 
 
 @dataclasses.dataclass(slots=True)
@@ -700,7 +706,13 @@
     def _commit(self, request_id: str, writes: tuple[tuple[str, str], ...]) -> None:
         index = self.log[-1].index + 1 if self.log else 1
         entry = CommittedEntry(
-            self.term, index, writes, request_id, self.group.has_newer_primary(self.term)
+            term=self.term,
+            index=index,
+            writes=writes,
+            request_id=request_id,
+            newer_primary_existed=self.group.has_newer_primary(self.term),
+            member_id=self.id,
+            committed_at_s=asyncio.get_running_loop().time(),
         )
         self.log.append(entry)
         self.group.committed_entries.append(entry)
@@ -896,7 +908,8 @@
         promoted.term = newest_term + 1
         promoted.is_primary = True
         promoted.applied_count = len(promoted.log)
-        self.promotions.append(Promotion(promoted.id, promoted.term, tuple(promoted.log)))
+        now_s = asyncio.get_running_loop().time()
+        self.promotions.append(Promotion(promoted.id, promoted.term, tuple(promoted.log), now_s))
         for member in self.members.values():
             member.held_term = 0
             if member is promoted or not member.is_running:
--- a/soak/account.py
+++ b/soak/account.py
@@ -8,6 +8,7 @@
 from bilberrystack_standins import line_group
 from bilberrystack_standins import platform_server
 from soak import history
+from soak import replaced_primaries
 
 # Maximum age of the data that a read returns, by database. For a read in a transaction the age
 # counts from the first byte of the transaction.
@@ -100,6 +101,12 @@
         executed_by_request[executed.request_id].append(executed)
     violations: list[Violation] = []
     violations += _check_statements(trace, executed_by_request)
+    violations += [
+        Violation("a replaced primary acknowledges no write", detail)
+        for detail in replaced_primaries.find_acknowledged_commits(
+            trace.operations, trace.committed_entries, trace.promotions
+        )
+    ]
     violations += _check_executions(trace)
     violations += _check_transactions(trace, executed_by_request)
     violations += _check_freshness(trace, executed_by_request)
@@ -123,9 +130,6 @@
     the member gave.
     """
     violations = []
-    committed_by_old_primary = {
-        entry.request_id for entry in trace.committed_entries if entry.newer_primary_existed
-    }
     for operation in trace.operations:
         for statement in operation.statements:
             location = f"{statement.id} {statement.text} at {operation.instance}"
@@ -150,8 +154,6 @@
                 violations.append(
                     Violation("an acknowledged prepared statement is known", location)
                 )
-            if statement.succeeded and statement.id in committed_by_old_primary:
-                violations.append(Violation("a replaced primary acknowledges no write", location))
     return violations
 
 
--- a/soak/account_test.py
+++ b/soak/account_test.py
@@ -52,8 +52,16 @@
     )
 
 
-def _commit(number, newer_primary_existed=False):
-    return line_group.CommittedEntry(1, number, (("x", "1"),), f"q{number}", newer_primary_existed)
+def _commit(number, newer_primary_existed=False, committed_at_s=0.0, term=1):
+    return line_group.CommittedEntry(
+        term=term,
+        index=number,
+        writes=(("x", "1"),),
+        request_id=f"q{number}",
+        newer_primary_existed=newer_primary_existed,
+        member_id="a",
+        committed_at_s=committed_at_s,
+    )
 
 
 WRITE, READ = "WRITE x 1", "READ x"
@@ -367,3 +375,52 @@
     )
     guarantees = {violation.guarantee for violation in account.check(trace)}
     assert guarantees == {"an acknowledged commit survives a promotion"}
+
+
+def _trace_of_commit_near_promotion(committed_at_s, term, statement):
+    """Return a trace with a commit of "a" and a promotion of "b" to term 2 at 1.05 s."""
+    entry = _commit(1, committed_at_s=committed_at_s, term=term)
+    operation = _operation(statement, is_transaction=statement.text == "COMMIT")
+    return _trace(
+        [operation],
+        [_executed(1, statement.expected_text, in_transaction=operation.is_transaction)],
+        commit_counts={"q1": 1},
+        committed_entries=[entry],
+        promotions=[line_group.Promotion("b", 2, (), effective_at_s=1.05)],
+    )
+
+
+REPLACED = "a replaced primary acknowledges no write"
+
+
+@pytest.mark.parametrize(
+    "statement",
+    [
+        _statement(1, WRITE),
+        _statement(1, "EXEC p x 1", expected_text=WRITE),
+        _statement(1, "COMMIT"),
+    ],
+    ids=["write", "prepared write", "transaction"],
+)
+def test_an_acknowledged_commit_after_a_promotion_is_found_by_its_time(statement):
+    """Guards against a check that relies on what the replaced primary knew at its commit."""
+    violations = account.check(_trace_of_commit_near_promotion(1.06, 1, statement))
+    assert [violation.guarantee for violation in violations] == [REPLACED]
+    assert violations[0].detail == (
+        f"q1 {statement.text} at proxy-0: b led term 2 from 1.050 s, committed by a in term 1 at"
+        " 1.060 s, acknowledged at 1.100 s"
+    )
+
+
+@pytest.mark.parametrize(
+    "committed_at_s, term, statement",
+    [
+        (1.04, 1, _statement(1, WRITE)),
+        (1.06, 3, _statement(1, WRITE)),
+        (1.06, 1, _statement(1, WRITE, proof="", error_code="UNSURE")),
+    ],
+    ids=["before the promotion", "in a newer term", "unknown outcome"],
+)
+def test_other_commits_near_a_promotion_violate_no_guarantee(committed_at_s, term, statement):
+    """Guards against a check that is stricter than the guarantee."""
+    assert account.check(_trace_of_commit_near_promotion(committed_at_s, term, statement)) == []
