Keep promotion requests pending until they are seen in effect

Cause: a request was taken for void once its member had answered for 2 s without leading, whether it had no answer or had been accepted. The old primary was granted again, and the platform carried the request out later. A successor took the requests that it read from the store for void after the same time. Besides, a rejected or unsent request for a member ended earlier ones for it, a member that was missing from the store for 10 s ended its requests for good, and the removal of a record that the store carries out late could remove the record of the next request. Class: an unanswered request is taken to be over because time has passed. Ruled out: requesting the same promotion again, waiting for the answer on the open connection and a higher token, none of which voids the first request; see docs/platform.md, section 4. Change: each request counts by itself until it is seen in effect, rejected or certainly not made. While one is pending no grant names another member than that of the request, and answers rest on confirmation rounds. The 2 s only end the wait before another change may begin. Records have a name each, and are removed also if the store is away at first. The requests have moved from the coordinator to a module of their own. The test that a stored request without effect ends after 2 s asserted the fault: its replacement has the platform carry the request out after 3.4 s, and asserts that no grant names the old primary before. The model has calls that are late by 0.6 to 20 s; its check against two outstanding promotions holds unless the first one got no answer.

--- a/bilberrystack/pooling/coordinator.py
+++ b/bilberrystack/pooling/coordinator.py
@@ -15,6 +15,7 @@
 from bilberrystack.pooling import messages
 from bilberrystack.pooling import pool
 from bilberrystack.pooling import primary_records
+from bilberrystack.pooling import promotion_requests
 from bilberrystack.pooling import quota_messages
 from bilberrystack.pooling import tasks
 from bilberrystack.quotas import allocation
@@ -24,7 +25,6 @@
 from bilberrystack.routing import member_view
 from bilberrystack.routing import model
 from bilberrystack.routing import newest_term
-from bilberrystack.routing import pending_promotions
 from bilberrystack.routing import permission
 from bilberrystack.routing import primary_change
 from bilberrystack.routing import running_time
@@ -81,18 +81,11 @@
 # A coordinator that hears less than half of the owners for this long resigns.
 MINORITY_TIMEOUT_S = 1.0
 
-# Time limit for storing a promotion request before it is made. While the store does not answer, the
-# request is made without: a group without a primary serves no writes.
-PROMOTION_RECORD_TIMEOUT_S = 0.2
-
 # How often, and how far apart, a new coordinator asks the instances that have not sent their quota
 # claims. Datagrams may be lost, and instances that have lost power are back after 1 to 2 s.
 ANNOUNCEMENT_COUNT = 12
 ANNOUNCEMENT_INTERVAL_S = 0.3
 
-# Maximum number of promotion requests that are remembered for log lines.
-MAX_REMEMBERED_REQUESTS = 256
-
 # Pause before the records of promotion requests are read again after a failure.
 PROMOTIONS_RETRY_DELAY_S = 0.3
 
@@ -121,21 +114,6 @@
     is_owner: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _RememberedRequest:
-    """A promotion request that has not been seen to take effect, also if it is no longer pending.
-
-    Attributes:
-      replaced_term: Term of the primary that it replaces.
-      requested_at_s: When it was sent, or when this instance learned of it.
-      own: Whether this instance has sent it.
-    """
-
-    replaced_term: int
-    requested_at_s: float
-    own: bool
-
-
 @dataclasses.dataclass(slots=True)
 class _GroupState:
     """The coordinator's state of one group.
@@ -187,15 +165,13 @@
         "_own_instance",
         "_peers",
         "_peers_heard_for",
-        "_pending_promotions",
         "_platform",
         "_primary_records",
-        "_promotion_records",
+        "_promotion_requests",
         "_promotions_loaded_for",
         "_promotions_task",
         "_quota_limits",
         "_quotas",
-        "_remembered_requests",
         "_running_time",
         "_status_pending",
         "_status_queried_at_s",
@@ -239,12 +215,10 @@
         # The token under which the peers were heard. They are kept over an interruption of the
         # lease, so that a coordinator that hears too few owners still knows that afterwards.
         self._peers_heard_for: int | None = None
-        # Pending promotion requests of all coordinators by group, also after an interruption of the
-        # lease, and the names of their records by group and member.
-        self._pending_promotions: dict[str, pending_promotions.PendingPromotions] = {}
-        self._promotion_records: dict[tuple[str, str], set[str]] = {}
-        # Requests by group and member, for log lines and metrics only.
-        self._remembered_requests: dict[tuple[str, str], _RememberedRequest] = {}
+        # The promotion requests of all coordinators, also after an interruption of the lease.
+        self._promotion_requests = promotion_requests.PromotionRequests(
+            platform, clock, background_tasks, metrics, running
+        )
         # The newest term and primary of each group, also after an interruption of the lease.
         self._newest_terms: dict[str, newest_term.NewestTerm] = {}
         # What the members of each group have shown of their logs, also after an interruption.
@@ -276,8 +250,8 @@
             await asyncio.sleep(STEP_INTERVAL_S)
 
     def _count_pending_promotions(self) -> None:
-        pending = self._pending_promotions.values() if self._token is not None else ()
-        self._metrics.promotions_pending.set({}, sum(len(requests.members) for requests in pending))
+        count = self._promotion_requests.pending_count if self._token is not None else 0
+        self._metrics.promotions_pending.set({}, count)
 
     def _load_promotions_if_due(self) -> None:
         """Read the promotion requests of earlier coordinators if that was not done yet."""
@@ -314,21 +288,9 @@
         self._load_primaries(
             [item for item in snapshot.items.values() if isinstance(item, interfaces.PrimaryRecord)]
         )
-        for record in snapshot.items.values():
-            if not isinstance(record, interfaces.PromotionRecord):
-                continue
-            key = (record.service, record.member)
-            if record.name in self._promotion_records.get(key, ()):
-                continue
-            self._promotion_records.setdefault(key, set()).add(record.name)
-            self._pending_of(record.service).add(record.member, record.replaced_term, now_s)
-            self._remember_request(record, own=False)
-            _LOG.info(
-                "promotion request of an earlier coordinator may still take effect",
-                service=record.service,
-                member=record.member,
-                replaced_term=record.replaced_term,
-            )
+        self._promotion_requests.load(
+            item for item in snapshot.items.values() if isinstance(item, interfaces.PromotionRecord)
+        )
         self._promotions_loaded_for = token
 
     async def _announce(self, registered: collections.abc.Mapping[str, object], token: int) -> None:
@@ -363,11 +325,6 @@
     def _newest_term_of(self, service: str) -> newest_term.NewestTerm:
         return self._newest_terms.setdefault(service, newest_term.NewestTerm())
 
-    def _pending_of(self, service: str) -> pending_promotions.PendingPromotions:
-        return self._pending_promotions.setdefault(
-            service, pending_promotions.PendingPromotions(self._running_time)
-        )
-
     def _grantable_primary(
         self, service: str, state: _GroupState, now_s: float
     ) -> permission.Leader | None:
@@ -388,41 +345,6 @@
         if leader is not None and self._promotions_loaded_for == self._token:
             self._primary_records.store(service, leader)
 
-    def _remove_resolved_promotions(self, service: str) -> None:
-        """Remove the records of promotion requests that can't take effect any more."""
-        for member, resolution in self._pending_of(service).take_resolved().items():
-            _LOG.info(
-                "promotion request no longer pending",
-                service=service,
-                member=member,
-                resolution=resolution.value,
-                **self._describe_request(service, member),
-            )
-            if resolution is pending_promotions.Resolution.IN_EFFECT:
-                self._remembered_requests.pop((service, member), None)
-            self._remove_promotion_records(service, member)
-
-    def _remember_request(self, record: interfaces.PromotionRecord, *, own: bool) -> None:
-        """Remember a promotion request for later log lines."""
-        key = (record.service, record.member)
-        self._remembered_requests.pop(key, None)
-        self._remembered_requests[key] = _RememberedRequest(
-            record.replaced_term, self._clock(), own
-        )
-        if len(self._remembered_requests) > MAX_REMEMBERED_REQUESTS:
-            del self._remembered_requests[next(iter(self._remembered_requests))]
-
-    def _describe_request(self, service: str, member: str) -> dict[str, int | bool]:
-        """Return what is remembered of the last request that names a member, for a log line."""
-        request = self._remembered_requests.get((service, member))
-        if request is None:
-            return {}
-        return {
-            "replaced_term": request.replaced_term,
-            "request_age_ms": round((self._clock() - request.requested_at_s) * 1000),
-            "own_request": request.own,
-        }
-
     def _log_newer_primary(
         self, service: str, state: _GroupState, views: list[member_view.MemberView]
     ) -> None:
@@ -435,25 +357,7 @@
             return
         newest = max(primaries, key=lambda view: view.term)
         former_term, state.primary_term = state.primary_term, newest.term
-        known = (service, newest.id) in self._remembered_requests
-        request = "ended" if known else "none"
-        if newest.id in self._pending_of(service).members:
-            request = "pending"
-        _LOG.info(
-            "primary of a newer term seen",
-            service=service,
-            member=newest.id,
-            term=newest.term,
-            former_term=former_term,
-            token=self._token,
-            request=request,
-            **self._describe_request(service, newest.id),
-        )
-        if request == "ended":
-            del self._remembered_requests[(service, newest.id)]
-        # The first primary under a lease may have led before.
-        if former_term > 0:
-            self._metrics.newer_primaries.inc({"request": request})
+        self._promotion_requests.record_newer_primary(service, newest, former_term, self._token)
 
     def _record_grant(
         self, service: str, state: _GroupState, leader: permission.Leader, until_s: float
@@ -473,21 +377,6 @@
             held_ms=round((self._clock() - self._token_since_s) * 1000),
         )
 
-    def _remove_promotion_records(self, service: str, member: str) -> None:
-        for name in self._promotion_records.pop((service, member), ()):
-            self._tasks.start(self._remove_promotion_record(name))
-
-    async def _remove_promotion_record(self, name: str) -> None:
-        try:
-            await self._platform.remove_promotion_record(name)
-        except interfaces.StoreFailure as failure:
-            # A later coordinator finds the request resolved, and removes the record.
-            _LOG.info(
-                "record of a promotion request not removed",
-                record=name,
-                failure=type(failure).__name__,
-            )
-
     def step(self) -> None:
         """Take the decisions that are due, if this instance is the coordinator."""
         token = self._lease.token
@@ -515,7 +404,7 @@
                 change = primary_change.PrimaryChange(
                     self._lease.settled_at_s,
                     self._lease.leaving_replaceable_at_s,
-                    self._pending_of(service),
+                    self._promotion_requests.pending_of(service),
                     self._running_time,
                     newest=self._newest_term_of(service),
                     logs=self._member_logs.setdefault(service, member_logs.MemberLogs()),
@@ -586,7 +475,7 @@
             self._lacks_majority(),
             served_group.service.sync_replicas,
         )
-        self._remove_resolved_promotions(service)
+        self._promotion_requests.remove_resolved(service)
         self._log_contradiction(state, served_group, views)
         if state.change_machine.phase is not phase_before:
             # The candidates' positions are needed at once.
@@ -608,8 +497,8 @@
                 self._start_action(state, self._hold(served_group, state, members, term))
             case primary_change.Resume(member):
                 self._start_action(state, self._resume(served_group, member))
-            case primary_change.Promote(member):
-                self._start_action(state, self._promote(service, state, member))
+            case primary_change.Promote(member, number):
+                self._start_action(state, self._promote(service, state, member, number))
         self._store_primary(service, state, now_s)
         self._grant_to_self(served_group, state, token, now_s)
 
@@ -684,14 +573,15 @@
         steady = (
             change.phase is primary_change.Phase.STEADY
             and not change.without_primary
-            and not change.promotion_pending
+            and not change.promotion_awaited
         )
-        leader = state.change_machine.leader
+        leader, promotable = change.leader, change.promotable_at_any_moment
         for member, member_pool in served_group.pools.items():
             queried_at_s = self._status_queried_at_s.get(member, float("-inf"))
             may_lead = leader is None or leader.member == member
+            polled_often = may_lead or member in promotable
             interval_s = (
-                (PRIMARY_POLL_INTERVAL_S if may_lead else REPLICA_POLL_INTERVAL_S)
+                (PRIMARY_POLL_INTERVAL_S if polled_often else REPLICA_POLL_INTERVAL_S)
                 if steady
                 else CHANGE_POLL_INTERVAL_S
             )
@@ -889,104 +779,30 @@
             held=None if status is None else status.held,
         )
 
-    async def _promote(self, service: str, state: _GroupState, member: str) -> None:
+    async def _promote(self, service: str, state: _GroupState, member: str, number: int) -> None:
         token = self._lease.token
         if token is None or token != self._token:
             state.change_machine.record_reply(
                 member, primary_change.PromotionReply.NOT_MADE, self._clock()
             )
             return
-        record = self._promotion_record(service, state, member, token)
-        request = {
-            "service": service,
-            "member": member,
-            "token": token,
-            "change": state.change_number,
-            "replaced_term": record.replaced_term,
-        }
-        stored = await self._record_promotion(record)
-        _LOG.info("promotion request sent", **request, stored=stored)
-        sent_at_s = self._clock()
-        self._remember_request(record, own=True)
-        reply = await self._request_promotion(service, member, token)
-        self._metrics.promotion_calls.inc({"result": reply.value})
-        _LOG.info(
-            "promotion requested",
-            **request,
-            answer=reply.value,
-            took_ms=round((self._clock() - sent_at_s) * 1000),
-        )
-        state.change_machine.record_reply(member, reply, self._clock())
-        if member not in self._pending_of(service).members:
-            self._remove_promotion_records(service, member)
-
-    async def _request_promotion(
-        self, service: str, member: str, token: int
-    ) -> primary_change.PromotionReply:
-        """Send a promotion request to the platform."""
-        try:
-            # A coordinator that was suspended may have lost the lease to another instance since.
-            accepted = await self._platform.promote(
-                service,
-                member,
-                self._own_instance.name,
-                token,
-                may_send=lambda: self._lease.token == token,
-            )
-        except interfaces.NotDone as failure:
-            _LOG.warning(
-                "promotion request had no effect; the primary change tries again",
-                service=service,
-                detail=str(failure),
-            )
-            return primary_change.PromotionReply.NOT_MADE
-        except interfaces.StoreFailure as failure:
-            _LOG.warning(
-                "promotion request has an unknown outcome; it may still take effect",
-                service=service,
-                detail=str(failure),
-            )
-            return primary_change.PromotionReply.UNKNOWN
-        return (
-            primary_change.PromotionReply.ACCEPTED
-            if accepted
-            else primary_change.PromotionReply.REJECTED
-        )
-
-    def _promotion_record(
-        self, service: str, state: _GroupState, member: str, token: int
-    ) -> interfaces.PromotionRecord:
         leader = state.change_machine.leader
-        return interfaces.PromotionRecord(
-            name=f"{service}.{member}.{token}.{state.change_number}",
-            service=service,
-            member=member,
-            replaced_term=0 if leader is None else leader.term,
+        reply = await self._promotion_requests.make(
+            promotion_requests.Request(
+                service=service,
+                member=member,
+                number=number,
+                replaced_term=0 if leader is None else leader.term,
+                change_number=state.change_number,
+                coordinator=self._own_instance.name,
+                token=token,
+            ),
+            # A coordinator that was suspended may have lost the lease to another instance since.
+            may_send=lambda: self._lease.token == token,
         )
-
-    async def _record_promotion(self, record: interfaces.PromotionRecord) -> bool:
-        """Store a promotion request before it is made; a coordinator that follows reads it.
-
-        Returns:
-          Whether the store has acknowledged the record.
-        """
-        key = (record.service, record.member)
-        self._promotion_records.setdefault(key, set()).add(record.name)
-        try:
-            async with asyncio.timeout(PROMOTION_RECORD_TIMEOUT_S):
-                await self._platform.record_promotion(record)
-        except interfaces.Conflict:
-            # The same change has requested this promotion before, without effect.
-            pass
-        except (interfaces.StoreFailure, TimeoutError) as failure:
-            _LOG.warning(
-                "promotion request not stored; a successor would not know of it",
-                service=record.service,
-                member=record.member,
-                failure=type(failure).__name__,
-            )
-            return False
-        return True
+        state.change_machine.record_reply(member, reply, self._clock())
+        if not self._promotion_requests.pending_of(service).is_pending(number):
+            self._promotion_requests.remove_record(service, number)
 
     def _grant_to_self(
         self, served_group: group.Group, state: _GroupState, token: int, now_s: float
--- a/bilberrystack/pooling/coordinator_test.py
+++ b/bilberrystack/pooling/coordinator_test.py
@@ -364,10 +364,12 @@
 
 
 def _remember(observed):
-    """Have a coordinator know of a request of its own for member b."""
-    observed.coordinator._pending_of("store").add("b", 2, observed.now_s)
-    record = interfaces.PromotionRecord("r", "store", "b", 2)
-    observed.coordinator._remember_request(record, own=True)
+    """Have a coordinator know of a request of its own for member b; return its number."""
+    requests = observed.coordinator._promotion_requests
+    number = requests.pending_of("store").add("b", 2, observed.now_s)
+    requests.pending_of("store").record_unanswered(number)
+    requests._remember(interfaces.PromotionRecord("r", "store", "b", 2), own=True)
+    return number
 
 
 @pytest.mark.asyncio
@@ -380,9 +382,9 @@
     for member in "abc":
         observed.report(member, primary=member == "a")
     await observed.step()
-    _remember(observed)
+    number = _remember(observed)
     if given_up:
-        observed.coordinator._pending_of("store").remove("b")
+        observed.coordinator._promotion_requests.pending_of("store").remove(number)
     observed.report("b", primary=True, term=3)
     await observed.step()
     first, promoted = logged("primary of a newer term seen")
@@ -455,9 +457,9 @@
             observed.now_s += 0.5
             raise interfaces.StoreFailure("no answer")
 
-    observed.coordinator._platform = Platform()
+    observed.coordinator._promotion_requests._platform = Platform()
     state = observed.coordinator._group_states["store"]
-    await observed.coordinator._promote("store", state, "b")
+    await observed.coordinator._promote("store", state, "b", 1)
     (sent,) = logged("promotion request sent")
     assert (sent["member"], sent["replaced_term"], sent["stored"]) == ("b", 2, False)
     (answered,) = logged("promotion requested")
--- a/bilberrystack/pooling/promotion_records_test.py
+++ b/bilberrystack/pooling/promotion_records_test.py
@@ -37,22 +37,28 @@
 
 
 async def test_a_new_coordinator_withholds_grants_while_a_stored_request_may_take_effect():
-    """Guards against writes at the old primary after a promotion that nobody remembers."""
+    """Guards against writes at the old primary after a promotion that nobody remembers.
+
+    The platform carries the request out after its member has answered for more than 2 s.
+    """
     async with line_site.Site(0) as site:
         spec = {"service": line_site.SERVICE, "member": "b", "replaced_term": 1}
         await site.platform.put(KIND, "store-1.b.7.1", spec)
         started = site.start_instance("proxy-0")
         await site.wait_until(lambda: started.ready)
-        ends_at_s = started.clock() + pending_promotions.PROMOTION_EFFECT_S * 0.7
+        ends_at_s = started.clock() + pending_promotions.PROMOTION_EFFECT_S * 1.7
         held = started.executor(line_site.SERVICE).group.permission
         while started.clock() < ends_at_s:
             leader = held.leader
             assert leader is None or not held.valid_at(leader, started.clock())
             await asyncio.sleep(0.02)
+        site.group.promote("b")
         await site.wait_until(
             lambda: held.leader is not None and held.valid_at(held.leader, started.clock())
         )
-        await site.wait_until(lambda: not site.platform.object_names(KIND))
+        assert held.leader.member == "b"
+        newest = f"{line_site.SERVICE}.primary-of-term.{held.leader.term}"
+        await site.wait_until(lambda: site.platform.object_names(KIND) == [newest])
 
 
 async def test_a_new_coordinator_grants_nothing_below_a_stored_term():
--- a/bilberrystack/routing/primary_change.py
+++ b/bilberrystack/routing/primary_change.py
@@ -4,8 +4,8 @@
 of the members and returns the next action. The caller carries out the action and reports its
 result. The silence of members and each wait for them count in running time; ends of grants and of
 earlier requests count all time. The state machine never requests a promotion while a grant of the
-group may be in use, nor while an earlier promotion request may still take effect; no grants are
-given in that time either.
+group may be in use, nor while the effect of an earlier request is awaited. While an earlier request
+may still take effect, no grant names another member than that of the request.
 """
 
 import collections.abc
@@ -81,9 +81,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Promote:
-    """Action: request the promotion of a member."""
+    """Action: request the promotion of a member.
+
+    Attributes:
+      member: Id of the member.
+      request: Number of the request among the pending ones of the group.
+    """
 
     member: str
+    request: int = dataclasses.field(default=0, compare=False)
 
 
 class PromotionReply(enum.Enum):
@@ -134,6 +140,7 @@
         "_phase",
         "_reason",
         "_rejected_at_s",
+        "_request",
         "_requested_at_s",
         "_resumed_at_s",
         "_running_time",
@@ -184,6 +191,8 @@
         self._known_since_s: dict[str, float] = {}
         self._observed_since_s: float | None = None
         self._requested_at_s: float | None = None
+        # Number of the last promotion request; 0 before the first.
+        self._request = 0
         self._candidate: str | None = None
         self._stepped_down: set[str] = set()
         self._fixed_at_s = math.inf
@@ -214,9 +223,15 @@
         return not self._leader_reported or self._no_primary_since_s is not None
 
     @property
-    def promotion_pending(self) -> bool:
-        """Whether a promotion request may still take effect."""
-        return bool(self._pending.members)
+    def promotion_awaited(self) -> bool:
+        """Whether the group waits for the effect of a promotion request."""
+        return bool(self._pending.awaited)
+
+    @property
+    def promotable_at_any_moment(self) -> frozenset[str]:
+        """Ids of the members, other than the leader, whose promotion may still take effect."""
+        led_by = frozenset() if self._leader is None else frozenset([self._leader.member])
+        return self._pending.members - led_by
 
     @property
     def reason(self) -> str:
@@ -226,13 +241,14 @@
     def grantable_primary(self, now_s: float) -> permission.Leader | None:
         """Returns the primary for which grants may be given.
 
-        There is none during a primary change, while a promotion request may still take effect, if a
-        member knows a newer term than the primary's, and if the last report of the primary names it
-        as a replica. A member that is only silent remains the primary by its last report.
+        There is none during a primary change, while the promotion of another member may still take
+        effect, if a member knows a newer term than the primary's, and if the last report of the
+        primary names it as a replica. A member that is only silent remains the primary by its last
+        report.
         """
         if self._phase is not Phase.STEADY or now_s < self._settled_at_s:
             return None
-        if self.promotion_pending or not self._leader_reported:
+        if self.promotion_awaited or self.promotable_at_any_moment or not self._leader_reported:
             return None
         # Without a report, a primary is one by its record in the store alone, in no known term.
         return self._leader if self._leader is not None and self._leader.term > 0 else None
@@ -266,6 +282,10 @@
         """
         match reply:
             case PromotionReply.ACCEPTED | PromotionReply.UNKNOWN:
+                if reply is PromotionReply.ACCEPTED:
+                    self._pending.record_accepted(self._request)
+                else:
+                    self._pending.record_unanswered(self._request)
                 self._settled_at_s = max(
                     self._settled_at_s, now_s + pending_promotions.PROMOTION_EFFECT_S
                 )
@@ -274,7 +294,7 @@
                 self._rejected_at_s[member] = now_s
             case PromotionReply.NOT_MADE:
                 pass
-        self._pending.remove(member)
+        self._pending.remove(self._request)
         self._requested_at_s = None
         self._phase = Phase.FENCING
 
@@ -384,7 +404,7 @@
         if leader is None and self._awaits_first_reports(views, now_s):
             return None
         reason = self._change_reason(leader, now_s, isolated)
-        if not reason or self.promotion_pending or now_s < self._earliest_change_s(reason):
+        if not reason or self.promotion_awaited or now_s < self._earliest_change_s(reason):
             return self._resume_held(views, now_s)
         if not any(view.in_store and not view.primary and not view.leaving for view in views):
             return None
@@ -549,8 +569,9 @@
         self._phase = Phase.CALLING
         self._candidate = candidate.id
         self._requested_at_s = now_s
-        self._pending.add(candidate.id, self._leader.term if self._leader else 0, now_s)
-        return Promote(candidate.id)
+        replaced_term = self._leader.term if self._leader else 0
+        self._request = self._pending.add(candidate.id, replaced_term, now_s)
+        return Promote(candidate.id, self._request)
 
     def _is_behind(
         self,
--- a/bilberrystack/routing/primary_change_test.py
+++ b/bilberrystack/routing/primary_change_test.py
@@ -381,11 +381,55 @@
 
 
 def test_a_promotion_without_effect_returns_the_group_to_its_primary():
-    """Guards against a group without writes for good after a request that was never executed."""
+    """Guards against a group without grants for good after a request that was never executed."""
     group, now_s = _silent_candidate(primary_change.PromotionReply.UNKNOWN)
-    for step in range(50):
-        assert group.step(now_s + step * 0.05) is None
-    assert group.change.grantable_primary(now_s + 2.5) == permission.Leader("a", 1)
+    ends_at_s = now_s + pending_promotions.REQUEST_LIFETIME_S
+    while now_s < ends_at_s:
+        assert group.step(now_s) is None
+        assert group.change.grantable_primary(now_s) is None
+        now_s += 0.05
+    for step in range(4):
+        group.step(now_s + step * 0.05)
+    assert group.change.grantable_primary(now_s + 0.15) == permission.Leader("a", 1)
+
+
+def _overdue_request():
+    """Returns a group whose primary is back, and whose request for c has had no effect for 3 s."""
+    group = _Group()
+    _request_promotion(group)
+    group.change.record_reply("c", primary_change.PromotionReply.UNKNOWN, 1.1)
+    for step in range(60):
+        assert group.step(1.1 + step * 0.05) is None
+    return group, 4.1
+
+
+def test_a_primary_that_fails_while_a_request_is_overdue_is_replaced():
+    """Guards against a group without a primary for as long as an unanswered request may last."""
+    group, now_s = _overdue_request()
+    actions = [group.step(now_s + step * 0.05, unresponsive="a") for step in range(40)]
+    assert primary_change.Promote("c") in actions
+    group.change.record_reply("c", primary_change.PromotionReply.ACCEPTED, now_s + 2.0)
+    group.set("c", primary=True, term=2)
+    group.step(now_s + 2.3, unresponsive="a")
+    assert group.change.grantable_primary(now_s + 2.3) == permission.Leader("c", 2)
+
+
+def test_a_primary_is_not_granted_while_an_earlier_request_may_promote_another_member():
+    """Guards against a late call that is carried out after another change of the primary."""
+    group, now_s = _overdue_request()
+    group.set("b", received_position=positions.Position(1, 13))
+    for step in range(40):
+        group.step(now_s + step * 0.05, unresponsive="a")
+    assert group.change.phase is primary_change.Phase.CALLING
+    group.change.record_reply("b", primary_change.PromotionReply.ACCEPTED, now_s + 2.0)
+    group.set("b", primary=True, term=2)
+    for step in range(60):
+        group.step(now_s + 2.3 + step * 0.05)
+        assert group.change.grantable_primary(now_s + 2.3 + step * 0.05) is None
+    group.set("a", primary=False, term=2)
+    group.set("c", primary=True, term=3)
+    group.step(now_s + 6.0)
+    assert group.change.grantable_primary(now_s + 6.0) == permission.Leader("c", 3)
 
 
 def test_no_second_promotion_is_requested_while_one_may_take_effect():
@@ -451,7 +495,7 @@
     """Guards against a coordinator that grants the old primary because it knows of no promotion."""
     group = _Group()
     pending = pending_promotions.PendingPromotions()
-    pending.add("c", 1, 0.0)
+    pending.add_earlier("c", 1, 0.0)
     group.change = primary_change.PrimaryChange(0.0, pending=pending)
     for step in range(100):
         assert group.step(step * 0.05, unresponsive="c") is None
--- a/bilberrystack/routing/takeover_model_test.py
+++ b/bilberrystack/routing/takeover_model_test.py
@@ -2,8 +2,9 @@
 
 The model runs the production classes `PrimaryChange` and `Permission` for a coordinator and two
 instances against a group of three members. It guards against two failures: an answer of a replaced
-primary that counts as confirmed, and two outstanding promotions at the same time. Mutations disable
-the safeguards against the first failure one at a time, to prove that the model detects it.
+primary that counts as confirmed, and two outstanding promotions at the same time, unless the first
+one got no answer. Mutations disable the safeguards against the first failure one at a time, to
+prove that the model detects it.
 """
 
 import dataclasses
@@ -15,6 +16,7 @@
 
 from bilberrystack.core import positions
 from bilberrystack.routing import member_view
+from bilberrystack.routing import pending_promotions
 from bilberrystack.routing import permission
 from bilberrystack.routing import primary_change
 
@@ -23,6 +25,9 @@
 STEP_S = 0.1
 PROMOTION_DELAY_S = 0.3
 
+# Time after which the coordinator gives up a promotion request.
+ANSWER_TIMEOUT_S = 0.6
+
 
 @dataclasses.dataclass
 class _Member:
@@ -33,6 +38,15 @@
     last_contact_at_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True)
+class _Promotion:
+    """A request that the platform has not carried out yet."""
+
+    due_s: float
+    member: str
+    answered: bool
+
+
 class InvariantViolation(Exception):
     """An invariant does not hold."""
 
@@ -41,7 +55,12 @@
     """A simulated group with a coordinator and two instances that receive grants from it."""
 
     def __init__(
-        self, wait_for_grants=True, count_changes=True, late_effect=False, keep_requests=True
+        self,
+        wait_for_grants=True,
+        count_changes=True,
+        late_effect=False,
+        late_calls=False,
+        keep_requests=True,
     ):
         self.now_s = 0.0
         self.members = {name: _Member(primary=name == "a") for name in MEMBERS}
@@ -51,6 +70,8 @@
         self.change_count = 0
         self.messages = []
         self.pending_promotions = []
+        self.next_delay_s = PROMOTION_DELAY_S
+        self.has_late_calls = late_calls
         self._wait_for_grants = wait_for_grants
         self._count_changes = count_changes
         self._late_effect = late_effect
@@ -64,16 +85,20 @@
 
     def _complete_promotions(self):
         due = [
-            (due_s, name)
-            for due_s, name in self.pending_promotions
-            if due_s <= self.now_s and (self.members[name].alive or not self._late_effect)
+            promotion
+            for promotion in self.pending_promotions
+            if promotion.due_s <= self.now_s
+            and (self.members[promotion.member].alive or not self._late_effect)
         ]
         self.pending_promotions = [
             promotion for promotion in self.pending_promotions if promotion not in due
         ]
-        for _, name in due:
-            term = max(member.term for member in self.members.values()) + 1
-            self.members[name].primary, self.members[name].term = True, term
+        for promotion in due:
+            promoted = self.members[promotion.member]
+            newest = max(member.term for member in self.members.values())
+            if promoted.primary and promoted.term == newest:
+                continue
+            promoted.primary, promoted.term = True, newest + 1
 
     def _views(self):
         for member in self.members.values():
@@ -98,8 +123,8 @@
     def _run_coordinator(self):
         end_s = max(self.grants_end_at_s.values()) if self._wait_for_grants else float("-inf")
         if not self._keep_requests and self.change.phase is primary_change.Phase.STEADY:
-            for name in MEMBERS:
-                self.change._pending.remove(name)
+            for number in list(self.change._pending._requests):
+                self.change._pending.remove(number)
         match self.change.step(self._views(), end_s, self.now_s):
             case primary_change.Withdraw():
                 self.change_count += 1
@@ -111,10 +136,20 @@
                     self.members[name].primary, self.members[name].term = False, term
                     self.change.record_fenced(name)
             case primary_change.Promote(name):
-                if self.pending_promotions:
-                    raise InvariantViolation("two promotions are outstanding")
-                self.pending_promotions.append((self.now_s + PROMOTION_DELAY_S, name))
-                self.change.record_reply(name, primary_change.PromotionReply.ACCEPTED, self.now_s)
+                self._request_promotion(name)
+
+    def _request_promotion(self, name):
+        if any(promotion.answered for promotion in self.pending_promotions):
+            raise InvariantViolation("two promotions are outstanding")
+        delay_s, self.next_delay_s = self.next_delay_s, PROMOTION_DELAY_S
+        answered = delay_s <= ANSWER_TIMEOUT_S
+        self.pending_promotions.append(_Promotion(self.now_s + delay_s, name, answered))
+        reply = (
+            primary_change.PromotionReply.ACCEPTED
+            if answered
+            else primary_change.PromotionReply.UNKNOWN
+        )
+        self.change.record_reply(name, reply, self.now_s)
 
     def _change_number(self):
         return (1, self.change_count if self._count_changes else 0)
@@ -183,6 +218,11 @@
     def write(self, name):
         self.group.members[name].index += 1
 
+    @stateful.rule(delay_s=strategies.floats(ANSWER_TIMEOUT_S, 20.0))
+    def delay_next_call(self, delay_s):
+        if self.group.has_late_calls:
+            self.group.next_delay_s = delay_s
+
     @stateful.invariant()
     def only_the_newest_primary_is_trusted(self):
         self.group.check()
@@ -213,13 +253,49 @@
     _run_model(lambda: SimulatedGroup(late_effect=True), 80)
 
 
+def test_no_replaced_primary_is_trusted_after_a_late_call():
+    """Guards against grants of the old primary while a call without an answer is on its way."""
+    _run_model(lambda: SimulatedGroup(late_calls=True), 120)
+
+
+def _play_late_call(group):
+    """Plays a history in which the primary is back before the call to replace it is carried out.
+
+    Args:
+      group: The simulated group.
+    """
+    group.next_delay_s = 8.0
+    group.advance_time(1)
+    group.members["a"].alive = False
+    while not group.pending_promotions:
+        group.advance_time(1)
+    group.members["a"].alive = True
+    for _ in range(100):
+        group.advance_time(1)
+        group.check()
+        group.request_grant(0)
+        if group.messages:
+            group.deliver(len(group.messages) - 1)
+    assert any(member.primary and member.term > 1 for member in group.members.values())
+
+
+def test_a_request_that_is_void_after_a_time_breaks_the_invariant(monkeypatch):
+    """Proves that the model detects a coordinator that takes an unanswered call for void."""
+    _play_late_call(SimulatedGroup(late_calls=True))
+    monkeypatch.setattr(
+        pending_promotions, "REQUEST_LIFETIME_S", pending_promotions.PROMOTION_EFFECT_S
+    )
+    with pytest.raises(InvariantViolation):
+        _play_late_call(SimulatedGroup(late_calls=True))
+
+
 def _play_silent_candidate(group):
     """Plays a history in which the promoted member is silent until the old primary is back."""
     group.advance_time(1)
     group.members["a"].alive = False
     while not group.pending_promotions:
         group.advance_time(1)
-    candidate = group.pending_promotions[0][1]
+    candidate = group.pending_promotions[0].member
     group.members[candidate].alive = False
     group.advance_time(15)
     group.members["a"].alive = True
