Show that a round for an earlier term of a leader is shared by its later one

Cause: statements that wait for a running round share the first one that begins after it. If the leader's next term becomes known meanwhile, a statement of the earlier term may begin that round, and its result counts for the later term too. Replicas that have not followed the leader into its term must not confirm it.

--- a/bilberrystack/pooling/confirmation_test.py
+++ b/bilberrystack/pooling/confirmation_test.py
@@ -62,3 +62,28 @@
     assert not await _confirms(b=_status(7), c=_status(7, primary=True))
     assert not await _confirms(b=_status(7), c=None)
     assert not await _confirms()
+
+
+async def test_a_round_of_an_earlier_term_is_not_shared():
+    """Guards against a round for a leader's earlier term that confirms its present one."""
+    served_group = FakeGroup(b=_status(7), c=_status(7))
+    asked = asyncio.Event()
+
+    async def query_member(member_id, _query):
+        await asked.wait()
+        return served_group.answers[member_id]
+
+    served_group.query_member = query_member
+    served = confirmation.Confirmation(
+        served_group, wire, asyncio.get_running_loop().time, tasks.Tasks()
+    )
+    # The second statement waits for a round that begins after the first one, and has just begun to
+    # wait when the leader's next term becomes known.
+    earlier = [asyncio.create_task(served.confirm(LEADER)) for _ in range(2)]
+    await asyncio.sleep(0)
+    newer = permission.Leader("a", 8)
+    served_group.permission.observe(newer)
+    later = asyncio.create_task(served.confirm(newer))
+    await asyncio.sleep(0)
+    asked.set()
+    assert await asyncio.gather(*earlier, later) == [False, False, False]
