Share a round only among statements of the present leader

Ruled out: a round per leader at the same time; a statement of a former leader is not confirmed in any case. Change: confirmation.py gives a statement of a former leader up once the running round has ended. Terms only rise, so that a shared round is one for the present leader.

--- a/bilberrystack/pooling/confirmation.py
+++ b/bilberrystack/pooling/confirmation.py
@@ -149,6 +149,9 @@
         running = self._round_task
         if running is not None:
             await asyncio.wait({running})
+            if self._group.permission.leader != leader:
+                # Statements of the present leader must not share a round for this one.
+                return False
         if self._round_task is running:
             self._round_task = self._tasks.start(self._run_round(leader))
         current = self._round_task
