Show that a round confirms a commit while replicas are held for a promotion

Cause: in a synchronous group a coordinator orders the replicas to receive nothing more, and chooses by positions that were asked for since. It takes the grants to be over, but an instance without one still confirms by rounds. If the order to one replica is lost, the primary commits with that replica, a round finds all replicas in the primary's term, and another one may be promoted without the commit (rule LOST). A HOLD that all replicas have carried out was safe: the primary then commits nothing.

--- /dev/null
+++ b/bilberrystack/pooling/replaced_primary_rounds_test.py
@@ -0,0 +1,101 @@
+"""Tests that no round confirms a write at a primary that is being replaced, or was."""
+
+import asyncio
+
+import pytest
+
+from bilberrystack.platform import wire
+from bilberrystack.pooling import counters
+from bilberrystack.pooling import execution
+from bilberrystack.pooling import group
+from bilberrystack.pooling import tasks
+from bilberrystack.routing import model
+from bilberrystack.routing import permission
+from bilberrystack.routing import statements
+from bilberrystack_standins import line_group
+
+pytestmark = pytest.mark.asyncio
+
+ROUTE = model.Route("strict", "store", model.Consistency.PRIMARY, 1.0, 0.2, 0, None)
+LEADER = permission.Leader("a", 1)
+
+
+class Instance:
+    """An instance without a grant, and the members of its group; the first one is the primary."""
+
+    def __init__(self, members="abc", sync_replicas=0):
+        self.service = model.Service("store", 24, sync_replicas)
+        options = line_group.GroupOptions(sync_replicas=sync_replicas)
+        self.members = line_group.LineGroup("store", tuple(members), options)
+        self.tasks = tasks.Tasks()
+        clock = asyncio.get_running_loop().time
+        self.group = group.Group(
+            service=self.service,
+            failure_domain="zone",
+            instance_name="proxy",
+            dialect=wire,
+            clock=clock,
+            background_tasks=self.tasks,
+        )
+        self.executor = execution.Executor(self.group, wire, clock, counters.Counters())
+
+    async def __aenter__(self):
+        await self.members.start()
+        self.group.permission.observe(LEADER)
+        self.know(self.members.members)
+        return self
+
+    async def __aexit__(self, *_):
+        await self.tasks.close()
+        self.group.close()
+        await self.members.stop()
+
+    def know(self, ids, leaving=""):
+        """Apply the members' records as the instance's cache of the store has them."""
+        endpoints = {
+            member_id: model.Endpoint("127.0.0.1", self.members.members[member_id].port)
+            for member_id in ids
+        }
+        records = [
+            model.Member(
+                *(member_id, "store", endpoint, "zone", 2, member_id in leaving, None, 1),
+            )
+            for member_id, endpoint in endpoints.items()
+        ]
+        self.group.update(self.service, records, frozenset())
+
+    async def write(self, request_id):
+        """Return the outcome of a write."""
+        now_s = asyncio.get_running_loop().time()
+        request = execution.Request(
+            *(request_id, "WRITE x 1", statements.Access.WRITE, None, now_s, ROUTE, {}, None)
+        )
+        return await self.executor.run_write(request, execution.Trace())
+
+    async def promote_unnoticed(self, member_id):
+        """Have a member lead a newer term of which the others hear nothing."""
+        promoted = self.members.members[member_id]
+        promoted.is_isolated = True
+        assert self.members.promote(member_id)
+        while not promoted.is_primary:
+            await asyncio.sleep(0.01)
+
+
+async def test_a_round_of_all_members_confirms_a_write():
+    """Guards against tests below that pass since nothing is confirmed."""
+    async with Instance() as instance:
+        assert (await instance.write("w1")).failure is None
+        await instance.promote_unnoticed("c")
+        assert (await instance.write("w2")).failure is not None
+
+
+async def test_a_held_replica_does_not_confirm():
+    """Guards against acknowledged commits that the member to be promoted has not received."""
+    async with Instance(sync_replicas=1) as instance:
+        assert (await instance.write("w1")).failure is None
+        # The order to "b" is lost. A coordinator has asked for both positions since.
+        await instance.group.query_member("c", wire.encode_hold(LEADER.term + 1))
+        outcome = await instance.write("w2")
+        await instance.promote_unnoticed("c")
+        received = [entry.request_id for entry in instance.members.promotions[0].log]
+        assert "w2" in received or outcome.failure is not None
