Confirm nothing by a round while a replica is held for a promotion

In a synchronous group a commit that no grant covers was acknowledged after the positions had been asked for by which a member is promoted. Ruled out: to have the coordinator wait until each replica has carried out its HOLD; one that is unreachable would keep the group without a primary. One held replica is enough, since a round asks all of them: either its answer shows the HOLD, or the commit was received before the HOLD and is in the positions that are asked for afterwards. If no order to hold is carried out at all, the coordinator still goes on; that is not changed here.

--- a/bilberrystack/pooling/confirmation.py
+++ b/bilberrystack/pooling/confirmation.py
@@ -174,9 +174,13 @@
             )
         )
         # A member of a lower term has not followed the primary into its term. It may have led a
-        # newer one and restarted without its log since.
+        # newer one and restarted without its log since. A held one awaits a promotion: the commits
+        # that the promoted member has to contain were determined after the HOLD.
         confirmed = bool(other_ids) and all(
-            status is not None and status.term == leader.term and not status.primary
+            status is not None
+            and status.term == leader.term
+            and not status.primary
+            and not status.held
             for status in answers
         )
         self._round_results = {leader: (self._clock(), confirmed)}
--- a/bilberrystack/pooling/confirmation_test.py
+++ b/bilberrystack/pooling/confirmation_test.py
@@ -34,8 +34,8 @@
         return self.answers[member_id]
 
 
-def _status(term, primary=False):
-    return statements.MemberStatus(primary, term, None, 0.0, 0, 1)
+def _status(term, primary=False, *, held=False):
+    return statements.MemberStatus(primary, term, None, 0.0, 0, 1, held)
 
 
 async def _confirms(**answers):
@@ -87,3 +87,8 @@
     await asyncio.sleep(0)
     asked.set()
     assert await asyncio.gather(*earlier, later) == [False, False, False]
+
+
+async def test_a_held_member_does_not_confirm():
+    """Guards against commits that a member to be promoted is not known to have."""
+    assert not await _confirms(b=_status(7), c=_status(7, held=True))
