Show that a round leaves out a promoted member whose record is gone

Cause: a member whose record is missing from the store is dropped after 4 to 6 s, and rounds ask it no more. Its coordinator takes a promotion request that names it for pending until the record has been missing for 10 s. If the request takes effect meanwhile, and the other members have not followed the new primary, a round of these confirms commits at the old one (rule ONE).

--- a/bilberrystack/pooling/replaced_primary_rounds_test.py
+++ b/bilberrystack/pooling/replaced_primary_rounds_test.py
@@ -75,7 +75,8 @@
     async def promote_unnoticed(self, member_id):
         """Have a member lead a newer term of which the others hear nothing."""
         promoted = self.members.members[member_id]
-        promoted.is_isolated = True
+        for member in self.members.members.values():
+            member.is_isolated = True
         assert self.members.promote(member_id)
         while not promoted.is_primary:
             await asyncio.sleep(0.01)
@@ -99,3 +100,17 @@
         await instance.promote_unnoticed("c")
         received = [entry.request_id for entry in instance.members.promotions[0].log]
         assert "w2" in received or outcome.failure is not None
+
+
+async def test_a_member_that_was_removed_does_not_make_a_round_complete():
+    """Guards against commits at a primary whose successor has no record in the store.
+
+    A promotion request that names a member stays pending while the member is gone for seconds.
+    """
+    async with Instance() as instance:
+        assert (await instance.write("w1")).failure is None
+        instance.know("ab")
+        await instance.promote_unnoticed("c")
+        outcome = await instance.write("w2")
+        committed = [entry.request_id for entry in instance.members.committed_entries]
+        assert "w2" not in committed or outcome.failure is not None
