Let no round confirm while a removed member may still be promoted

A promotion request that names a member may be pending for longer. Ruled out: to keep such members in the group; statements and status queries would go to an address that another member may use by now. To ask for a number of members; it would fail for good after a real loss. To make rounds depend on the age of the member cache; all writes would stop in a long outage of the store, in which nobody promotes. Change: group.py remembers a member that it removed for 15 s unless it was leaving, and confirmation.py confirms nothing meanwhile. The price is that, for up to 15 s after a crashed member's removal, an instance without a grant refuses what it confirmed by rounds before. A member that this instance has never known of, and a request that takes effect later than 15 s, remain.

--- a/bilberrystack/pooling/confirmation.py
+++ b/bilberrystack/pooling/confirmation.py
@@ -48,6 +48,9 @@
 
     @property
     def pools(self) -> collections.abc.Mapping[str, pool.MemberPool]: ...
+    @property
+    def removed_members(self) -> frozenset[str]:
+        """Ids of members that can't be asked any more and may still be promoted."""
 
     async def query_member(
         self, member_id: str, query: bytes
@@ -176,12 +179,17 @@
         # A member of a lower term has not followed the primary into its term. It may have led a
         # newer one and restarted without its log since. A held one awaits a promotion: the commits
         # that the promoted member has to contain were determined after the HOLD.
-        confirmed = bool(other_ids) and all(
-            status is not None
-            and status.term == leader.term
-            and not status.primary
-            and not status.held
-            for status in answers
+        removed_ids = self._group.removed_members
+        confirmed = (
+            bool(other_ids)
+            and not removed_ids
+            and all(
+                status is not None
+                and status.term == leader.term
+                and not status.primary
+                and not status.held
+                for status in answers
+            )
         )
         self._round_results = {leader: (self._clock(), confirmed)}
         _LOG.info(
@@ -195,6 +203,7 @@
                 for member_id, status in zip(other_ids, answers, strict=True)
             ],
             without_record=sorted(self._group.members_without_record),
+            removed=sorted(removed_ids),
             confirmed=confirmed,
             took_ms=round((self._clock() - began_at_s) * 1000),
         )
--- a/bilberrystack/pooling/confirmation_test.py
+++ b/bilberrystack/pooling/confirmation_test.py
@@ -27,6 +27,7 @@
         self.history = freshness.PositionHistory()
         self.owned = True
         self.members_without_record = frozenset()
+        self.removed_members = frozenset()
         self.pools = {"a": None, **dict.fromkeys(answers)}
         self.answers = answers
 
--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -62,6 +62,11 @@
 # equal members differ by less under load.
 SLOW_MEMBER_FACTOR = 2.0
 
+# How long after its removal a member that was not leaving may still be promoted by a pending
+# request. A coordinator drops the request once the record has been missing for 10 s; the member was
+# removed after 4 s of that, and the coordinator's cache is up to 8 s late.
+REMOVED_MEMBER_S = 15.0
+
 # Kind of queries to members that the instance sends itself.
 OWN_QUERY = queueing.Kind("", queueing.Access.READ)
 
@@ -208,6 +213,7 @@
         "_owner_count",
         "_pools",
         "_queue",
+        "_removed_at_s",
         "_running_time",
         "_tasks",
         "accounts_enabled",
@@ -266,6 +272,7 @@
         self._clock = clock
         self._tasks = background_tasks
         self._pools: dict[str, pool.MemberPool] = {}
+        self._removed_at_s: dict[str, float] = {}
         self._queue: queueing.StatementQueue[QueueEntry] = queueing.StatementQueue()
         self._holds: dict[member_link.MemberLink, Hold] = {}
         self._owner_count = 1
@@ -279,6 +286,17 @@
         """The members' connection pools by member id."""
         return self._pools
 
+    @property
+    def removed_members(self) -> frozenset[str]:
+        """Ids of members that can't be asked any more and may still be promoted."""
+        now_s = self._clock()
+        self._removed_at_s = {
+            member_id: removed_at_s
+            for member_id, removed_at_s in self._removed_at_s.items()
+            if member_id not in self._pools and now_s - removed_at_s < REMOVED_MEMBER_S
+        }
+        return frozenset(self._removed_at_s)
+
     @property
     def waiting(self) -> int:
         """Number of requests that wait for a connection."""
@@ -309,7 +327,10 @@
         self.members_without_record = members_without_record
         current = {member.id: member for member in members}
         for removed_id in self._pools.keys() - current.keys():
-            self._pools.pop(removed_id).close()
+            removed = self._pools.pop(removed_id)
+            removed.close()
+            if not removed.member.leaving:
+                self._removed_at_s[removed_id] = self._clock()
         for member in current.values():
             known = self._pools.get(member.id)
             if known is not None and _restarted(known.member, member):
--- a/bilberrystack/pooling/replaced_primary_rounds_test.py
+++ b/bilberrystack/pooling/replaced_primary_rounds_test.py
@@ -114,3 +114,21 @@
         outcome = await instance.write("w2")
         committed = [entry.request_id for entry in instance.members.committed_entries]
         assert "w2" not in committed or outcome.failure is not None
+
+
+async def test_a_member_that_is_gone_for_good_or_left_does_not_make_rounds_fail(monkeypatch):
+    """Guards against instances that confirm nothing any more after a real loss."""
+    async with Instance() as instance:
+        confirm = instance.group.confirmation.confirm
+        instance.know("ab")
+        assert not await confirm(LEADER)
+        instance.know("abc")
+        assert await confirm(LEADER)
+        instance.know("abc", leaving="c")
+        instance.know("ab")
+        assert await confirm(LEADER)
+        instance.know("abc")
+        instance.know("ab")
+        assert not await confirm(LEADER)
+        monkeypatch.setattr(group, "REMOVED_MEMBER_S", 0.0)
+        assert await confirm(LEADER)
