--- a/bilberrystack/pooling/confirmation.py
+++ b/bilberrystack/pooling/confirmation.py
@@ -67,6 +67,9 @@
 
     @property
     def pools(self) -> collections.abc.Mapping[str, pool.MemberPool]: ...
+    @property
+    def removed_members(self) -> frozenset[str]:
+        """Ids of members that can't be asked any more and may still be promoted."""
 
     async def query_member(
         self, member_id: str, query: bytes
@@ -178,6 +181,9 @@
         running = self._round_task
         if running is not None:
             await asyncio.wait({running})
+            if self._group.permission.leader != leader:
+                # Statements of the present leader must not share a round for this one.
+                return None
         if self._round_task is running:
             self._round_task = self._tasks.start(self._run_round(leader))
         current = self._round_task
@@ -203,10 +209,19 @@
             )
         )
         # A member of a lower term has not followed the primary into its term. It may have led a
-        # newer one and restarted without its log since.
-        confirmed = bool(other_ids) and all(
-            status is not None and status.term == leader.term and not status.primary
-            for status in answers
+        # newer one and restarted without its log since. A held one awaits a promotion: the commits
+        # that the promoted member has to contain were determined after the HOLD.
+        removed_ids = self._group.removed_members
+        confirmed = (
+            bool(other_ids)
+            and not removed_ids
+            and all(
+                status is not None
+                and status.term == leader.term
+                and not status.primary
+                and not status.held
+                for status in answers
+            )
         )
         self._round_results = {leader: (self._clock(), confirmed)}
         _LOG.info(
@@ -220,6 +235,7 @@
                 for member_id, status in zip(other_ids, answers, strict=True)
             ],
             without_record=sorted(self._group.members_without_record),
+            removed=sorted(removed_ids),
             confirmed=confirmed,
             took_ms=round((self._clock() - began_at_s) * 1000),
         )
