Serve a group with conditional grants while a promotion request is overdue

Cause: grants were the only sign that a primary change had ended. Without any, the other owners used rounds after 4 s, and the coordinator's own instance never did. Ruled out: failed rounds. Change: while a request is overdue the coordinator gives conditional grants, which name the members that may be promoted at any moment. They exclude the promotion of all others, as other grants do, so that a round after the answer asks the named members alone. They are withdrawn before another promotion like all grants. On the wire they are a new last field, which instances of an earlier version ignore: these ask all members.

--- a/bilberrystack/pooling/confirmation.py
+++ b/bilberrystack/pooling/confirmation.py
@@ -1,7 +1,8 @@
 """Confirms that a group's primary still leads: by a grant, or by a round of status queries.
 
 Without a grant the other members are asked for their terms. If all of them follow the primary in
-its term, no promotion had taken effect. All statements that wait for a round share it.
+its term, no promotion had taken effect. During a conditional grant those that it names are asked.
+All statements that wait for a round share it.
 """
 
 import asyncio
@@ -200,8 +201,11 @@
             self._round_task = self._tasks.start(self._run_round(leader))
 
     async def _run_round(self, leader: permission.Leader) -> Round:
-        other_ids = [member_id for member_id in self._group.pools if member_id != leader.member]
         began_at_s = self._clock()
+        condition = self._group.permission.confirming_members(leader, began_at_s)
+        other_ids = sorted(condition) or [
+            member_id for member_id in self._group.pools if member_id != leader.member
+        ]
         answers = await asyncio.gather(
             *(
                 self._group.query_member(member_id, self._dialect.encode_status_query())
@@ -214,7 +218,7 @@
         removed_ids = self._group.removed_members
         confirmed = (
             bool(other_ids)
-            and not removed_ids
+            and (bool(condition) or not removed_ids)
             and all(
                 status is not None
                 and status.term == leader.term
@@ -230,6 +234,7 @@
             leader=leader.member,
             term=leader.term,
             asked=len(other_ids),
+            conditional=bool(condition),
             answers=[
                 f"{member_id} {status}"
                 for member_id, status in zip(other_ids, answers, strict=True)
@@ -255,7 +260,10 @@
             self._group.permission.change_in_progress and not self._group.permission.stepped_down
         ):
             return False
-        return leader is None or not self._group.permission.valid_at(leader, now_s)
+        return leader is None or not (
+            self._group.permission.valid_at(leader, now_s)
+            or self._group.permission.confirming_members(leader, now_s)
+        )
 
     async def find_primary(self) -> None:
         """Ask all members for their roles; concurrent calls share one round of queries."""
--- a/bilberrystack/pooling/coordinator.py
+++ b/bilberrystack/pooling/coordinator.py
@@ -575,7 +575,7 @@
             and not change.without_primary
             and not change.promotion_awaited
         )
-        leader, promotable = change.leader, change.promotable_at_any_moment
+        leader, promotable = change.leader, change.promotable
         for member, member_pool in served_group.pools.items():
             queried_at_s = self._status_queried_at_s.get(member, float("-inf"))
             may_lead = leader is None or leader.member == member
@@ -812,7 +812,8 @@
             return
         until_s = min(now_s + permission.GRANT_DURATION_S, self._lease.ends_at_s)
         self._record_grant(served_group.service.name, state, leader, until_s)
-        if served_group.permission.grant(leader, until_s, (token, state.change_number)):
+        change_number, condition = (token, state.change_number), state.change_machine.promotable
+        if served_group.permission.grant(leader, until_s, change_number, condition):
             served_group.dispatch()
 
     def receive(
@@ -867,7 +868,7 @@
     ) -> None:
         """Send grants for the groups that the sender of a heartbeat owns."""
         valid_s = min(permission.GRANT_DURATION_S, self._lease.ends_at_s - now_s)
-        grants = []
+        grants, conditional_grants = [], []
         for service in heartbeat.owned_services:
             state, served_group = self._group_states.get(service), self._groups.get(service)
             if state is None or served_group is None:
@@ -881,9 +882,12 @@
                 continue
             state.granted_until_s[heartbeat.incarnation] = now_s + valid_s
             self._record_grant(service, state, leader, now_s + valid_s)
-            grants.append(
-                self._build_grant(served_group, leader, state.change_number, heartbeat, now_s)
-            )
+            grant = self._build_grant(served_group, leader, state.change_number, heartbeat, now_s)
+            condition = state.change_machine.promotable
+            if condition:
+                conditional_grants.append(messages.ConditionalGrant(grant, sorted(condition)))
+            else:
+                grants.append(grant)
         answer = messages.Grants(
             coordinator=self._own_instance.name,
             incarnation=self._own_instance.incarnation,
@@ -898,6 +902,7 @@
             answered_at_s=now_s,
             renewal=self._told_renewal(heartbeat.incarnation),
             quotas=self._assign_claimed_quotas(heartbeat),
+            conditional_grants=conditional_grants,
         )
         self.send(answer, sender)
 
--- a/bilberrystack/pooling/fleet.py
+++ b/bilberrystack/pooling/fleet.py
@@ -282,30 +282,41 @@
             )
             if self._quota.allowances.urgent:
                 self.schedule_urgent_heartbeat()
-        until_s = message.requested_at_s + message.valid_s
         for grant in message.grants:
-            served_group = self._groups.get(grant.service)
-            if served_group is None:
-                continue
-            leader = permission.Leader(grant.member, grant.term)
-            if served_group.permission.grant(leader, until_s, (message.token, grant.change_number)):
-                _LOG.info(
-                    "grant names another primary than before",
-                    service=grant.service,
-                    member=grant.member,
-                    term=grant.term,
-                    token=message.token,
-                    change=grant.change_number,
-                )
-            self._withdrawn_at_s.pop(grant.service, None)
-            served_group.relay = model.parse_endpoint(grant.relay_address)
-            if grant.position is not None and served_group.permission.valid_at(leader, now_s):
-                request_sent_at_s = message.requested_at_s - grant.position_age_s
-                position = positions.Position(grant.position.term, grant.position.index)
-                served_group.history.record(
-                    grant.term, freshness.Sample(request_sent_at_s, position)
-                )
-            served_group.dispatch()
+            self._apply_grant(message, grant, frozenset(), now_s)
+        for conditional in message.conditional_grants:
+            self._apply_grant(message, conditional.grant, frozenset(conditional.members), now_s)
+
+    def _apply_grant(
+        self,
+        message: messages.Grants,
+        grant: messages.Grant,
+        condition: frozenset[str],
+        now_s: float,
+    ) -> None:
+        """Apply a grant, under which the members of a condition confirm each answer."""
+        served_group = self._groups.get(grant.service)
+        if served_group is None:
+            return
+        leader = permission.Leader(grant.member, grant.term)
+        until_s = message.requested_at_s + message.valid_s
+        change_number = (message.token, grant.change_number)
+        if served_group.permission.grant(leader, until_s, change_number, condition):
+            _LOG.info(
+                "grant names another primary than before",
+                service=grant.service,
+                member=grant.member,
+                term=grant.term,
+                token=message.token,
+                change=grant.change_number,
+            )
+        self._withdrawn_at_s.pop(grant.service, None)
+        served_group.relay = model.parse_endpoint(grant.relay_address)
+        if grant.position is not None and served_group.permission.valid_at(leader, now_s):
+            request_sent_at_s = message.requested_at_s - grant.position_age_s
+            position = positions.Position(grant.position.term, grant.position.index)
+            served_group.history.record(grant.term, freshness.Sample(request_sent_at_s, position))
+        served_group.dispatch()
 
     def _is_coordinator(self, incarnation: str) -> bool:
         """Return whether a process is the coordinator, as this instance last read in the store."""
--- a/bilberrystack/pooling/messages.py
+++ b/bilberrystack/pooling/messages.py
@@ -134,6 +134,18 @@
     relay_address: str
 
 
+class ConditionalGrant(msgspec.Struct, frozen=True, array_like=True):
+    """A grant under which some members have to confirm each answer of the primary.
+
+    Attributes:
+      grant: The grant.
+      members: The ids of these members.
+    """
+
+    grant: Grant
+    members: list[str]
+
+
 class Renewal(msgspec.Struct, frozen=True, array_like=True):
     """The last successful renewal of the coordinator lease.
 
@@ -165,6 +177,8 @@
       answered_at_s: The time of sending on the coordinator's clock.
       renewal: The coordinator's last renewal of its lease; None from an earlier version's process.
       quotas: What the receiver may use of quotas; None for no change.
+      conditional_grants: One grant for each group that has a primary, and of which other members
+        may become the primary at any moment. An earlier version's process ignores them.
     """
 
     coordinator: str
@@ -177,6 +191,7 @@
     answered_at_s: float = 0.0
     renewal: Renewal | None = None
     quotas: QuotaAssignment | None = None
+    conditional_grants: list[ConditionalGrant] = []
 
 
 class Withdrawal(msgspec.Struct, frozen=True, tag="withdrawal", array_like=True):
--- a/bilberrystack/routing/permission.py
+++ b/bilberrystack/routing/permission.py
@@ -6,6 +6,10 @@
 answer that arrives during a grant therefore precedes any promotion. An answer that arrives without
 a grant needs a confirmation by the other members.
 
+A conditional grant is given while requested promotions of some members may still take effect at any
+moment. It lasts as long as a grant, and excludes the promotion of all others: an answer needs a
+confirmation by those members alone.
+
 A leader is a process that has led its member's group in a term. Another process may start under the
 member's id without the log, so that an answer counts as the leader's only if its connection, which
 lasts no longer than the process, has shown that the process leads that term.
@@ -50,6 +54,8 @@
 
     __slots__ = (
         "_change_number",
+        "_condition",
+        "_condition_ends_at_s",
         "_grant_ends_at_s",
         "_leader",
         "_stepped_down_at_s",
@@ -59,6 +65,9 @@
     def __init__(self) -> None:
         self._leader: Leader | None = None
         self._grant_ends_at_s = NEVER_S
+        # The members that have to confirm an answer during a conditional grant, and its end.
+        self._condition: frozenset[str] = frozenset()
+        self._condition_ends_at_s = NEVER_S
         self._withdrawn = False
         self._stepped_down_at_s: float | None = None
         self._change_number = INITIAL_CHANGE_NUMBER
@@ -92,7 +101,22 @@
         """Returns whether a grant covers an answer of this leader that arrived at a given time."""
         return self._leader == leader and not self._withdrawn and instant_s <= self._grant_ends_at_s
 
-    def grant(self, leader: Leader, until_s: float, change_number: ChangeNumber) -> bool:
+    def confirming_members(self, leader: Leader, instant_s: float) -> frozenset[str]:
+        """Returns the members whose confirmation a conditional grant requires at a given time.
+
+        Returns:
+          Their ids; an empty set if there is no conditional grant for this leader.
+        """
+        usable = self._leader == leader and not self._withdrawn
+        return self._condition if usable and instant_s <= self._condition_ends_at_s else frozenset()
+
+    def grant(
+        self,
+        leader: Leader,
+        until_s: float,
+        change_number: ChangeNumber,
+        condition: frozenset[str] = frozenset(),
+    ) -> bool:
         """Applies a grant of the coordinator.
 
         Args:
@@ -100,6 +124,7 @@
           until_s: End of the grant: the time of the request plus the duration of the grant.
           change_number: Number of the last primary change before the grant. A grant that precedes a
             withdrawal is ignored.
+          condition: Ids of the members that have to confirm each answer; empty for none.
         Returns:
           Whether the leader differs from the previous one.
         """
@@ -110,8 +135,13 @@
         self._change_number = change_number
         self._withdrawn = False
         changed = leader != self._leader
-        self._grant_ends_at_s = until_s if changed else max(until_s, self._grant_ends_at_s)
         self._leader = leader
+        if condition:
+            self._condition, self._condition_ends_at_s = condition, until_s
+            self._grant_ends_at_s = NEVER_S
+        else:
+            self._grant_ends_at_s = until_s if changed else max(until_s, self._grant_ends_at_s)
+            self._condition_ends_at_s = NEVER_S
         requested_at_s = until_s - GRANT_DURATION_S
         if changed or (
             self._stepped_down_at_s is not None
@@ -130,7 +160,7 @@
             return
         self._change_number = change_number
         self._withdrawn = True
-        self._grant_ends_at_s = NEVER_S
+        self._end_grants()
 
     def observe(self, leader: Leader) -> bool:
         """Records a member that reports itself as the primary; this does not grant its use.
@@ -141,7 +171,7 @@
         if self._leader is not None and leader.term <= self._leader.term:
             return False
         self._leader = leader
-        self._grant_ends_at_s = NEVER_S
+        self._end_grants()
         self._stepped_down_at_s = None
         return True
 
@@ -157,7 +187,7 @@
         if self._leader != leader:
             return False
         known = self.stepped_down
-        self._grant_ends_at_s = NEVER_S
+        self._end_grants()
         self._stepped_down_at_s = now_s
         return not known
 
@@ -170,4 +200,7 @@
         """Ends a primary change whose coordinator is gone; answers then need confirmation."""
         self._withdrawn = False
         self._stepped_down_at_s = None
-        self._grant_ends_at_s = NEVER_S
+        self._end_grants()
+
+    def _end_grants(self) -> None:
+        self._grant_ends_at_s = self._condition_ends_at_s = NEVER_S
--- a/bilberrystack/routing/permission_test.py
+++ b/bilberrystack/routing/permission_test.py
@@ -73,6 +73,33 @@
     assert not held.change_in_progress
 
 
+def test_a_conditional_grant_alone_covers_no_answer():
+    """Guards against an answer of a primary whose successor may have been promoted just before."""
+    held = permission.Permission()
+    held.grant(OLD, 1.5, (1, 1))
+    held.grant(OLD, 1.9, (1, 1), frozenset("c"))
+    assert not held.valid_at(OLD, 0.5)
+    assert held.confirming_members(OLD, 1.9) == {"c"}
+    assert not held.confirming_members(OLD, 2.0)
+    held.grant(OLD, 2.3, (1, 1))
+    assert held.valid_at(OLD, 2.3)
+    assert not held.confirming_members(OLD, 1.0)
+
+
+def test_a_withdrawal_ends_a_conditional_grant():
+    """Guards against a round that leaves out the member which the coordinator promotes next."""
+    held = permission.Permission()
+    held.grant(OLD, 1.5, (1, 1), frozenset("c"))
+    held.withdraw((1, 2))
+    assert not held.confirming_members(OLD, 0.5)
+    held.grant(OLD, 1.6, (1, 1), frozenset("c"))
+    assert not held.confirming_members(OLD, 0.5)
+    held.grant(OLD, 1.7, (1, 2), frozenset("c"))
+    assert not held.change_in_progress
+    held.observe(NEW)
+    assert not held.confirming_members(OLD, 0.5)
+
+
 def test_an_abandoned_change_ends_without_a_grant():
     """A coordinator that fails during a primary change must not block the group forever."""
     held = permission.Permission()
--- a/bilberrystack/routing/primary_change.py
+++ b/bilberrystack/routing/primary_change.py
@@ -5,7 +5,7 @@
 result. The silence of members and each wait for them count in running time; ends of grants and of
 earlier requests count all time. The state machine never requests a promotion while a grant of the
 group may be in use, nor while the effect of an earlier request is awaited. While an earlier request
-may still take effect, no grant names another member than that of the request.
+may still take effect, grants of another member than that of the request are conditional.
 """
 
 import collections.abc
@@ -228,10 +228,10 @@
         return bool(self._pending.awaited)
 
     @property
-    def promotable_at_any_moment(self) -> frozenset[str]:
-        """Ids of the members, other than the leader, whose promotion may still take effect."""
-        led_by = frozenset() if self._leader is None else frozenset([self._leader.member])
-        return self._pending.members - led_by
+    def promotable(self) -> frozenset[str]:
+        """Ids of the members, other than the leader, that may be promoted at any moment."""
+        leader = () if self._leader is None else (self._leader.member,)
+        return self._pending.members.difference(leader)
 
     @property
     def reason(self) -> str:
@@ -241,14 +241,14 @@
     def grantable_primary(self, now_s: float) -> permission.Leader | None:
         """Returns the primary for which grants may be given.
 
-        There is none during a primary change, while the promotion of another member may still take
-        effect, if a member knows a newer term than the primary's, and if the last report of the
-        primary names it as a replica. A member that is only silent remains the primary by its last
-        report.
+        There is none during a primary change, while the effect of a promotion request is awaited,
+        if a member knows a newer term than the primary's, and if the last report of the primary
+        names it as a replica. A member that is only silent remains the primary by its last report.
+        Grants are conditional while other members may be promoted at any moment.
         """
         if self._phase is not Phase.STEADY or now_s < self._settled_at_s:
             return None
-        if self.promotion_awaited or self.promotable_at_any_moment or not self._leader_reported:
+        if self.promotion_awaited or not self._leader_reported:
             return None
         # Without a report, a primary is one by its record in the store alone, in no known term.
         return self._leader if self._leader is not None and self._leader.term > 0 else None
