Name the options of the simulated group in the takeover model

The linter allows five positional arguments, and the two options for late calls and for conditional grants made it six.

--- a/bilberrystack/routing/takeover_model_test.py
+++ b/bilberrystack/routing/takeover_model_test.py
@@ -56,6 +56,7 @@
 
     def __init__(
         self,
+        *,
         wait_for_grants=True,
         count_changes=True,
         late_effect=False,
