Log probes of the coordinator, changes of the followed one and ignored grants

Cause: the logs could not show two coordinators that act at the same time. A probe that found the holder of the lease ended left no line of its own, a refused connection and the answer of a newer process had the same reason, and grants of a coordinator that an instance does not follow were dropped silently. No decision is changed.

--- a/bilberrystack/pooling/coordinator_lease.py
+++ b/bilberrystack/pooling/coordinator_lease.py
@@ -396,6 +396,7 @@
         if told is not None and told.revision == record.revision:
             self._unchanged_since_s = min(self._unchanged_since_s, told.sent_before_s)
         self._last_read = record
+        self._log_coordinator_change(previous, record)
         if self._is_takeover_needed():
             # This instance reaches the store and the coordinator may not.
             self._abstained_at = record.revision
@@ -481,14 +482,45 @@
             return "held by an earlier incarnation of this instance"
         if self._time_until_acquirable_s(record) < PROBE_TIMEOUT_S:
             return ""
-        match await probe(record.coordinator):
-            case ProcessState.ENDED:
+        match await self._probe(record.coordinator, record.token):
+            case ProcessState.REFUSING:
+                return "coordinator refuses connections"
+            case ProcessState.REPLACED:
                 return "coordinator process has ended"
             case ProcessState.ALIVE:
                 # The coordinator has just answered, so that the next check can wait.
                 self.coordinator_heard_at_s = self._clock()
         return ""
 
+    async def _probe(self, coordinator: model.Instance, token: int) -> "ProcessState":
+        """Check whether the process of the coordinator is alive."""
+        state = await probe(coordinator)
+        self._metrics.coordinator_probes.inc({"result": state.value})
+        _LOG.info(
+            "coordinator probed",
+            coordinator=coordinator.name,
+            incarnation=coordinator.incarnation,
+            endpoint=str(coordinator.endpoint),
+            token=token,
+            result=state.value,
+        )
+        return state
+
+    @staticmethod
+    def _log_coordinator_change(
+        previous: interfaces.LeaseRecord | None, record: interfaces.LeaseRecord
+    ) -> None:
+        """Log whose grants this instance accepts from now on, if that differs from before."""
+        if previous is not None and previous.coordinator == record.coordinator:
+            return
+        _LOG.info(
+            "coordinator read from the store",
+            coordinator="" if record.coordinator is None else record.coordinator.name,
+            incarnation="" if record.coordinator is None else record.coordinator.incarnation,
+            token=record.token,
+            revision=str(record.revision),
+        )
+
     def _log_wait(self, record: interfaces.LeaseRecord) -> None:
         """Log a lease whose coordinator this instance does not hear and may not replace yet."""
         coordinator_unheard_s = self._clock() - self.coordinator_heard_at_s
@@ -619,7 +651,8 @@
     """The state of another instance's process as a probe found it."""
 
     ALIVE = "alive"
-    ENDED = "gone"
+    REPLACED = "replaced"
+    REFUSING = "refusing"
     UNRESPONSIVE = "silent"
 
 
@@ -637,7 +670,7 @@
     try:
         reader, writer = await member_link.connect(instance.endpoint, 256, PROBE_TIMEOUT_S)
     except member_link.Refused:
-        return ProcessState.ENDED
+        return ProcessState.REFUSING
     except member_link.LinkFailure:
         return ProcessState.UNRESPONSIVE
     try:
@@ -651,5 +684,5 @@
     return (
         ProcessState.ALIVE
         if answer.decode(errors="replace") == instance.incarnation
-        else ProcessState.ENDED
+        else ProcessState.REPLACED
     )
--- a/bilberrystack/pooling/coordinator_lease_test.py
+++ b/bilberrystack/pooling/coordinator_lease_test.py
@@ -126,3 +126,26 @@
     acquired, released = (record["extra"] for record in records)
     assert (acquired["grants_wait_ms"], acquired["requests_wait_ms"]) == (1500, 2000)
     assert (released["token"], released["grants_left_ms"]) == (acquired["token"], 250)
+
+
+@pytest.mark.parametrize("state", coordinator_lease.ProcessState)
+async def test_the_lines_of_a_reading_say_who_holds_the_lease_and_what_a_probe_found(
+    state, monkeypatch
+):
+    """The logs did not tell what made an instance take the coordinator for ended."""
+
+    async def probe(_instance):
+        return state
+
+    monkeypatch.setattr(coordinator_lease, "probe", probe)
+    standby, records = Standby(), []
+    handler_id = loguru.logger.add(lambda line: records.append(line.record), format="")
+    try:
+        await standby.lease._try_acquire()
+        await standby.lease._try_acquire()
+    finally:
+        loguru.logger.remove(handler_id)
+    lines = {record["message"]: record["extra"] for record in records}
+    read, probed = lines["coordinator read from the store"], lines["coordinator probed"]
+    assert (read["coordinator"], read["incarnation"], read["token"]) == ("proxy-0", "process-0", 7)
+    assert (probed["coordinator"], probed["token"], probed["result"]) == ("proxy-0", 7, state.value)
--- a/bilberrystack/pooling/counters.py
+++ b/bilberrystack/pooling/counters.py
@@ -22,6 +22,7 @@
         "budget_refusals",
         "confirmations",
         "connections",
+        "coordinator_probes",
         "denials",
         "departed_bytes",
         "departed_statements",
@@ -89,6 +90,9 @@
         self.quota_operations = self._counter(
             "quota_operations_total", "Operations of limited accounts at this owner, by result."
         )
+        self.coordinator_probes = self._counter(
+            "coordinator_probes_total", "Probes of the coordinator's process, by result."
+        )
         self.lease_changes = self._counter("duty_leases_total", "Changes of the promotion duty.")
         self.log_lines_dropped = self._counter(
             "log_lines_dropped_total", "Log lines that standard output did not take."
--- a/bilberrystack/pooling/fleet.py
+++ b/bilberrystack/pooling/fleet.py
@@ -63,6 +63,7 @@
         "_directory",
         "_granted_at_s",
         "_groups",
+        "_ignored_coordinator",
         "_lease",
         "_own_instance",
         "_ownership_changed",
@@ -115,6 +116,8 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._urgent_heartbeat: asyncio.TimerHandle | None = None
         self._withdrawn_at_s: dict[str, float] = {}
+        # The incarnation whose grants were ignored last, so that each is logged once in a row.
+        self._ignored_coordinator = ""
         self._granted_at_s = float("-inf")
         self._ownership_changed = asyncio.Event()
 
@@ -267,7 +270,9 @@
     def _apply_grants(self, message: messages.Grants, sender: model.Endpoint) -> None:
         now_s = self._clock()
         if not self._is_coordinator(message.incarnation):
+            self._log_ignored_grants(message, sender)
             return
+        self._ignored_coordinator = ""
         self._lease.record_answer(
             message.token, message.answered_at_s, _to_told_renewal(message.renewal, now_s)
         )
@@ -287,6 +292,20 @@
         for conditional in message.conditional_grants:
             self._apply_grant(message, conditional.grant, frozenset(conditional.members), now_s)
 
+    def _log_ignored_grants(self, message: messages.Grants, sender: model.Endpoint) -> None:
+        """Log grants of another coordinator than the one that this instance read in the store."""
+        if message.incarnation == self._ignored_coordinator:
+            return
+        self._ignored_coordinator = message.incarnation
+        known = self._lease.coordinator
+        _LOG.warning(
+            "grants ignored: their sender is not the known coordinator",
+            sender=str(sender),
+            coordinator=message.coordinator,
+            token=message.token,
+            known="" if known is None else known.name,
+        )
+
     def _apply_grant(
         self,
         message: messages.Grants,
