Play cuts between instances of a site with three groups

Cause: the stand-ins had one group and could not cut instances from each other, so that no play showed what an instance concludes from a refused connection to a coordinator that lives. Change: line_site.Site has up to three groups under one coordinator, with routes of each kind to each; without an argument it has one, as before. line_network.Network cuts pairs of instances, members and the store in one or both directions.

--- a/bilberrystack_standins/line_site.py
+++ b/bilberrystack_standins/line_site.py
@@ -1,9 +1,10 @@
-"""A site of the session mode in one process: platform, database group, instances and clients."""
+"""A site of the session mode in one process: platform, database groups, instances and clients."""
 
 import asyncio
 import collections.abc
 import itertools
 import os
+from typing import Any
 
 from bilberrystack.platform import client as platform_client
 from bilberrystack.platform import wire
@@ -12,6 +13,7 @@
 from bilberrystack.pooling import settings
 from bilberrystack.routing import model
 from bilberrystack_standins import line_group
+from bilberrystack_standins import line_network
 from bilberrystack_standins import platform_server
 
 SERVICE = "store-1"
@@ -25,6 +27,29 @@
     platform_server.route("own", SERVICE, "read_own_writes", 2500),
 ]
 
+# Ids of the members of each group; the first one is its first primary. An id belongs to one member
+# of the site.
+MEMBER_IDS = (("a", "b", "c"), ("d", "e", "f"), ("g", "h", "i"))
+
+
+def database_name(database: str, group_number: int) -> str:
+    """Returns the name of a database of ROUTES in another group; the first group has number 0."""
+    return database if group_number == 0 else f"{database}-{group_number + 1}"
+
+
+def _routes(group_count: int) -> list[Any]:
+    """Returns a route of each kind to each group."""
+    return [
+        {
+            **route,
+            "name": database_name(route["name"], number),
+            "host": database_name(route["host"], number),
+            "service": f"store-{number + 1}",
+        }
+        for number in range(group_count)
+        for route in ROUTES
+    ]
+
 
 class Client:
     """A client session in the line protocol."""
@@ -64,55 +89,81 @@
     """Runs a site on loopback addresses. Use it as an asynchronous context manager.
 
     Attributes:
-      group: The database group.
+      group: The first database group.
+      groups: All groups, by name.
+      network: The network between the instances, the members and the store.
       platform: The platform.
       instances: The instances, in the order of their start.
       settings: The settings of the instances, in the same order.
     """
 
     def __init__(
-        self, instance_count: int = 1, options: line_group.GroupOptions | None = None
+        self,
+        instance_count: int = 1,
+        options: line_group.GroupOptions | None = None,
+        group_count: int = 1,
+        network: line_network.Network | None = None,
     ) -> None:
-        self.group = line_group.LineGroup(SERVICE, ("a", "b", "c"), options)
-        self.platform = platform_server.PlatformServer({SERVICE: self.group})
+        """Creates a site.
+
+        Args:
+          instance_count: Number of instances that it starts with.
+          options: Options of each group; None for the usual ones.
+          group_count: Number of groups, at most three. The databases of the second one are named
+            "strict-2" and so on.
+          network: The network in which the site can be cut; the caller enters it. None without
+            cuts.
+        """
+        self.groups = {
+            f"store-{number + 1}": line_group.LineGroup(
+                f"store-{number + 1}", MEMBER_IDS[number], options
+            )
+            for number in range(group_count)
+        }
+        self.group = self.groups[SERVICE]
+        self.network = network or line_network.Network()
+        self.platform = platform_server.PlatformServer(self.groups)
         self.platform.sync_replicas = self.group.options.sync_replicas
         self.instances: list[instance.Instance] = []
         self.settings: list[settings.Settings] = []
         self._initial_instance_count = instance_count
         self._instance_tasks: list[asyncio.Task[None]] = []
-        self._role_reporter: asyncio.Task[None] | None = None
+        self._role_reporters: list[asyncio.Task[None]] = []
 
     async def __aenter__(self) -> "Site":
-        await self.group.start()
+        for group in self.groups.values():
+            await group.start()
         await self.platform.start()
-        await self.platform.declare_configuration(1, ROUTES)
-        for member in self.group.members.values():
-            await self.platform.register_member(member)
-        self._role_reporter = asyncio.create_task(self._report_roles())
+        self.network.add_endpoint(line_network.STORE, "127.0.0.1", self.platform.port)
+        await self.platform.declare_configuration(1, _routes(len(self.groups)))
+        for group in self.groups.values():
+            for member in group.members.values():
+                self.network.add_endpoint(member.id, "127.0.0.1", member.port)
+                await self.platform.register_member(member)
+            self._role_reporters.append(asyncio.create_task(self._report_roles(group)))
         for number in range(self._initial_instance_count):
             self.start_instance(f"proxy-{number}")
         await self.wait_until(lambda: all(started.ready for started in self.instances))
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        if self._role_reporter is not None:
-            self._role_reporter.cancel()
-        for task in self._instance_tasks:
+        for task in [*self._role_reporters, *self._instance_tasks]:
             task.cancel()
         await asyncio.gather(*self._instance_tasks, return_exceptions=True)
         for started in self.instances:
             await started.terminate()
         await self.platform.stop()
-        await self.group.stop()
+        for group in self.groups.values():
+            await group.stop()
 
-    async def _report_roles(self) -> None:
+    async def _report_roles(self, group: line_group.LineGroup) -> None:
         """Writes the members' records again after each role change, as real members do."""
         role_changed = asyncio.Event()
-        self.group.role_change_events.append(role_changed)
+        group.role_change_events.append(role_changed)
         while True:
             await role_changed.wait()
             role_changed.clear()
-            for member in self.group.members.values():
+            for member in group.members.values():
                 if (
                     member.id in self.platform.object_names("servers")
                     and member.is_running
@@ -121,15 +172,17 @@
                     await self.platform.register_member(member)
 
     def start_instance(
-        self, name: str, store_endpoint: model.Endpoint | None = None
+        self, name: str, store_endpoint: model.Endpoint | None = None, host: str = ""
     ) -> instance.Instance:
         """Starts an instance.
 
         Args:
           name: Its name.
           store_endpoint: The address at which it reaches the store; None for the store's own.
+          host: The host of its addresses; empty for an unused one.
         """
-        host = unused_loopback_address()
+        host = host or unused_loopback_address()
+        self.network.add_host(name, host)
         platform_endpoint = model.Endpoint("127.0.0.1", self.platform.port)
         instance_settings = settings.Settings(
             name=name,
@@ -151,7 +204,7 @@
         started = instance.Instance(instance_settings, client, wire, instance_counters)
         self.settings.append(instance_settings)
         self.instances.append(started)
-        self._instance_tasks.append(asyncio.create_task(started.run()))
+        self._instance_tasks.append(line_network.start_task(name, started.run()))
         return started
 
     async def connect(self, database: str, instance_number: int = 0) -> Client:
