Take no refused connection for the end of the coordinator's process

What callers saw: writes committed at replaced primaries of all groups were acknowledged for about a second after promotions, and later reads at the new primaries lacked them. Cause: an instance whose connection to the coordinator was refused took its process for ended and acquired the lease at once. A partition can refuse the connections of one instance while the coordinator lives, hears the others and grants them the old primaries. It goes on until its next renewal fails, and for up to 7 s with the support of its standbys when it does not reach the store; the successor waited 1.5 s for its grants, and requested promotions then. The reason in "coordinator lease acquired" was the end of the coordinator's process, which lived. Change: only the answer of another incarnation at the coordinator's port proves its end. Behind a refused connection the terms of the lease decide, as for a coordinator that does not answer: a standby acquires it 2.3 s after the last renewal or acknowledged answer, others after 9 s. Grants end with the lease, so that none outlasts these terms. Price: a successor of a killed process waits for the terms, or until the process has started again.

--- a/bilberrystack/pooling/coordinator_lease.py
+++ b/bilberrystack/pooling/coordinator_lease.py
@@ -483,8 +483,6 @@
         if self._time_until_acquirable_s(record) < PROBE_TIMEOUT_S:
             return ""
         match await self._probe(record.coordinator, record.token):
-            case ProcessState.REFUSING:
-                return "coordinator refuses connections"
             case ProcessState.REPLACED:
                 return "coordinator process has ended"
             case ProcessState.ALIVE:
@@ -659,8 +657,8 @@
 async def probe(instance: model.Instance) -> ProcessState:
     """Check whether the process of an instance is alive.
 
-    The process has certainly ended if its port refuses the connection or another incarnation
-    answers there.
+    The process has certainly ended if another incarnation answers at its port. A refused connection
+    proves nothing: a network partition may refuse connections to a process that others reach.
 
     Args:
       instance: The instance, with the incarnation that is expected to answer.
--- a/bilberrystack/pooling/coordinator_lease_test.py
+++ b/bilberrystack/pooling/coordinator_lease_test.py
@@ -20,6 +20,7 @@
 RECORD = interfaces.LeaseRecord(HOLDER, 7, interfaces.Revision(1, 5), 1, (OWN.incarnation,))
 
 STALL_S = 20.0
+STORE_ANSWER_S = 0.004
 
 
 class Standby:
@@ -57,6 +58,7 @@
 
     async def write_coordinator_lease(self, replaced, coordinator, token, standbys=()):
         self.acquisitions += 1
+        await asyncio.sleep(STORE_ANSWER_S)
         raise interfaces.Conflict
 
     async def check(self, seconds):
@@ -149,3 +151,17 @@
     read, probed = lines["coordinator read from the store"], lines["coordinator probed"]
     assert (read["coordinator"], read["incarnation"], read["token"]) == ("proxy-0", "process-0", 7)
     assert (probed["coordinator"], probed["token"], probed["result"]) == ("proxy-0", 7, state.value)
+
+
+async def test_a_coordinator_that_refuses_one_connection_is_not_taken_for_ended(monkeypatch):
+    """An instance behind a partition acquired the lease of a coordinator that others followed."""
+
+    async def probe(_instance):
+        return coordinator_lease.ProcessState.REFUSING
+
+    monkeypatch.setattr(coordinator_lease, "probe", probe)
+    standby = Standby()
+    await standby.check(lease_terms.CONTACT_DURATION_S)
+    assert standby.acquisitions == 0
+    await standby.check(lease_terms.STANDBY_MARGIN_S + 3 * coordinator_lease.CHECK_JITTER_S)
+    assert standby.acquisitions > 0
--- a/bilberrystack/pooling/member_link.py
+++ b/bilberrystack/pooling/member_link.py
@@ -49,7 +49,7 @@
 
 
 class Refused(LinkFailure):
-    """No process listens at the address."""
+    """No process listens at the address, or the way to it refuses connections."""
 
 
 class Unreachable(LinkFailure):
@@ -618,7 +618,7 @@
     Returns:
       The connection's reader and writer.
     Raises:
-      Refused: No process listens at the address.
+      Refused: No process listens at the address, or the way to it refuses connections.
       Unreachable: The address did not answer in time, or there is no route to it.
     """
     try:
