Check commits of read-only transactions and late commits in the soak

Cause: the check of stale reads took only statements whose text begins with READ, so that the COMMIT of a transaction that wrote nothing was never checked. It also exempted, as rolled back, each commit of an older term that some promoted log lacks. Commits that a replaced primary made after the promotion are among these, although no promotion cut them off: reads that lacked them passed. Change: the COMMIT of a transaction without a write is checked like a read, against the first byte of its transaction. A commit counts as rolled back only if it precedes the effect of each promotion to a newer term, by the members' times, and the log of one of the promoted members lacks it. The check of lost commits keeps the wider set. Already covered: executions of prepared reads, which are told by the text that the member executes. They have a test now. Tests: account_test.py. The tests of a stale COMMIT, of a transaction's age and of commits that follow a promotion (5 cases) fail with the check before.

--- a/soak/account.py
+++ b/soak/account.py
@@ -272,10 +272,11 @@
 ) -> list[Violation]:
     """Checks that a read sees each commit that was acknowledged early enough.
 
-    Only commits that a promotion rolled back are exempt. A commit that the log of a primary lacks
-    for another reason, such as a restart, still counts.
+    The COMMIT of a transaction that wrote nothing is a read, too. Only commits that a promotion
+    rolled back are exempt. A commit that the log of a primary lacks for another reason, such as a
+    restart, still counts.
     """
-    rolled_back = _rolled_back(trace)
+    rolled_back = replaced_primaries.find_rolled_back(trace.committed_entries, trace.promotions)
     entry_of_request = {
         entry.request_id: entry for entry in trace.committed_entries if id(entry) not in rolled_back
     }
@@ -298,7 +299,7 @@
     for operation in trace.operations:
         oldest_s = operation.started_at_s - MAX_AGE_S.get(operation.database, 0.0)
         for statement in operation.statements:
-            if not statement.succeeded or not statement.expected_text.startswith("READ"):
+            if not statement.succeeded or not _is_read(statement, operation):
                 continue
             visible = {
                 id(entry)
@@ -319,27 +320,32 @@
     return violations
 
 
-def _rolled_back(trace: Trace) -> set[int]:
-    """Returns the identities of the entries that a promotion rolled back.
+def _is_read(statement: history.Statement, operation: history.Operation) -> bool:
+    """Returns whether a statement is a read, or the COMMIT of a transaction that wrote nothing.
 
-    These are entries of an earlier term that the promoted member's log lacked, also those that a
-    replaced primary committed afterwards.
+    An execution of a prepared statement is told by the text that the member has to execute.
     """
-    rolled_back: set[int] = set()
+    if statement.expected_text.startswith("READ"):
+        return True
+    return statement.expected_text == "COMMIT" and not any(
+        other.expected_text.startswith("WRITE") for other in operation.statements
+    )
+
+
+def _check_lost_commits(trace: Trace) -> list[Violation]:
+    """Checks that each promoted member and the last primary have each acknowledged commit.
+
+    Commits that a replaced primary made after the promotion count as well.
+    """
+    lacked: set[int] = set()
     for promotion in trace.promotions:
-        kept = {id(entry) for entry in promotion.log}
-        rolled_back.update(
+        promoted_log = {id(entry) for entry in promotion.log}
+        lacked.update(
             id(entry)
             for entry in trace.committed_entries
-            if entry.term < promotion.term and id(entry) not in kept
+            if entry.term < promotion.term and id(entry) not in promoted_log
         )
-    return rolled_back
-
-
-def _check_lost_commits(trace: Trace) -> list[Violation]:
-    """Checks that each promoted member and the last primary have each acknowledged commit."""
-    rolled_back = _rolled_back(trace)
-    surviving = {id(entry) for entry in trace.final_log} - rolled_back
+    surviving = {id(entry) for entry in trace.final_log} - lacked
     lost = {entry.request_id for entry in trace.committed_entries if id(entry) not in surviving}
     return [
         Violation("an acknowledged commit survives a promotion", statement.id)
--- a/soak/account_test.py
+++ b/soak/account_test.py
@@ -306,6 +306,73 @@
 
 FRESHNESS = "a read is as fresh as its database guarantees"
 
+
+def _trace_of_transaction(*texts, started_at_s=2.0, applied_count=0):
+    """Return a trace with a write that is acknowledged at 1.1 s, and a transaction.
+
+    Args:
+      texts: Texts of the transaction's statements, each executed on the same log.
+      started_at_s: When the transaction started.
+      applied_count: Whether that log shows the write, 1 or 0.
+    """
+    entry = _commit(1)
+    rows = ("1",) if applied_count else ("-",)
+    own = [
+        _statement(number, text, rows=rows if text == READ else ())
+        for number, text in enumerate(texts, start=2)
+    ]
+    executed_statements = [
+        _executed(number, text, log=[entry], applied_count=applied_count, in_transaction=True)
+        for number, text in enumerate(texts, start=2)
+    ]
+    return _trace(
+        [
+            _operation(_statement(1, WRITE)),
+            _operation(*own, is_transaction=True, started_at_s=started_at_s),
+        ],
+        [_executed(1, WRITE), *executed_statements],
+        commit_counts={"q1": 1},
+        committed_entries=[entry],
+        final_log=[entry],
+    )
+
+
+def _details(trace):
+    return [(violation.guarantee, violation.detail) for violation in account.check(trace)]
+
+
+def test_a_stale_commit_of_a_transaction_that_wrote_nothing_is_found():
+    """Guards against a check that takes only statements with rows for reads.
+
+    Without any statement, the transaction begins at a member only at its COMMIT.
+    """
+    assert _details(_trace_of_transaction("COMMIT")) == [(FRESHNESS, "q2 of strict lacks q1")]
+    assert _details(_trace_of_transaction("COMMIT", applied_count=1)) == []
+
+
+def test_the_commit_of_a_transaction_with_writes_is_no_read():
+    """Guards against a check that is stricter than the guarantee."""
+    assert _details(_trace_of_transaction("WRITE y 2", "COMMIT")) == []
+
+
+def test_the_age_of_a_transaction_counts_from_its_first_byte():
+    """Guards against a check that compares a COMMIT with commits of the same time."""
+    assert _details(_trace_of_transaction(READ, "COMMIT", started_at_s=1.05)) == []
+    found = _details(_trace_of_transaction(READ, "COMMIT", started_at_s=1.2))
+    assert found == [
+        (FRESHNESS, "q2 of strict lacks q1"),
+        (FRESHNESS, "q3 of strict lacks q1"),
+    ]
+
+
+def test_a_stale_prepared_read_is_found():
+    """Guards against a check that tells reads by the text that the client sent."""
+    trace = _trace_with_stale_read()
+    read = trace.operations[1].statements[0]
+    read.text = "EXEC p x"
+    assert _details(trace) == [(FRESHNESS, "q2 of strict lacks q1")]
+
+
 # Time between the acknowledgement of a write and a read that may lack it no longer, by database,
 # and the session that wrote. The session that reads has the number 1.
 FRESHNESS_LIMITS = {"strict": (0.1, 2), "aged": (1.6, 2), "own": (0.1, 1), "own, aged": (2.6, 2)}
@@ -424,3 +491,48 @@
 def test_other_commits_near_a_promotion_violate_no_guarantee(committed_at_s, term, statement):
     """Guards against a check that is stricter than the guarantee."""
     assert account.check(_trace_of_commit_near_promotion(committed_at_s, term, statement)) == []
+
+
+def _trace_of_read_after_promotions(committed_at_s, *logs_with_commit):
+    """Return a trace with a commit of "a" that is acknowledged, and a later read that lacks it.
+
+    Args:
+      committed_at_s: When "a" commits it. Members are promoted at 1.05 s and each second later.
+      logs_with_commit: Whether the log of each promoted member has the commit.
+    """
+    entry = _commit(1, committed_at_s=committed_at_s)
+    return _trace(
+        [
+            _operation(_statement(1, WRITE)),
+            _operation(_statement(2, READ, rows=("-",)), started_at_s=9.0),
+        ],
+        [_executed(1, WRITE), _executed(2, READ)],
+        commit_counts={"q1": 1},
+        committed_entries=[entry],
+        promotions=[
+            line_group.Promotion("b", term, (entry,) if kept else (), effective_at_s=term - 0.95)
+            for term, kept in enumerate(logs_with_commit, start=2)
+        ],
+    )
+
+
+@pytest.mark.parametrize("logs_with_commit", [(False,), (False, False), (False, True)])
+def test_a_read_may_not_lack_a_commit_that_follows_the_promotion(logs_with_commit):
+    """Guards against a check that takes commits at a replaced primary for rolled back.
+
+    No promotion cut them off, neither the one before them nor a later one.
+    """
+    trace = _trace_of_read_after_promotions(1.06, *logs_with_commit)
+    assert {violation.guarantee for violation in account.check(trace)} == {FRESHNESS, REPLACED}
+
+
+@pytest.mark.parametrize("logs_with_commit", [(False,), (True, False), (False, True)])
+def test_a_read_may_lack_a_commit_that_one_of_the_promotions_cut_off(logs_with_commit):
+    """Guards against a check that is stricter than the guarantee."""
+    assert account.check(_trace_of_read_after_promotions(1.04, *logs_with_commit)) == []
+
+
+def test_a_read_may_not_lack_a_commit_that_all_promoted_members_had():
+    """Guards against a check that exempts all commits before a promotion."""
+    trace = _trace_of_read_after_promotions(1.04, True, True)
+    assert {violation.guarantee for violation in account.check(trace)} == {FRESHNESS}
--- a/soak/replaced_primaries.py
+++ b/soak/replaced_primaries.py
@@ -1,4 +1,4 @@
-"""Finds commits at replaced primaries whose success clients were told."""
+"""Tells commits at replaced primaries from those that a promotion rolled back."""
 
 import collections.abc
 import math
@@ -38,6 +38,31 @@
     ]
 
 
+def find_rolled_back(
+    committed_entries: collections.abc.Iterable[line_group.CommittedEntry],
+    promotions: collections.abc.Sequence[line_group.Promotion],
+) -> set[int]:
+    """Returns the identities of the commits that a promotion cut off.
+
+    Such a commit precedes the effect of each promotion to a newer term, and the log of one of the
+    promoted members lacks it. A commit that a replaced primary made afterwards was never part of
+    the log that the promotion took over, and no later promotion rolls it back either.
+
+    Args:
+      committed_entries: Every log entry that any member ever committed.
+      promotions: Promotions that took effect, in their order.
+    """
+    kept_by_term = {
+        promotion.term: {id(entry) for entry in promotion.log} for promotion in promotions
+    }
+    return {
+        id(entry)
+        for entry in committed_entries
+        if _replacement_before(entry, promotions) is None
+        and any(term > entry.term and id(entry) not in kept for term, kept in kept_by_term.items())
+    }
+
+
 def _describe(
     statement: history.Statement,
     entry: line_group.CommittedEntry,
