Confirm the commit of a transaction that has no confirmed read

In the tests, the COMMIT of a transaction without statements, or whose statements were all rejected as busy, was answered with success at a replaced primary. The rule counts such a COMMIT as a read: its log lacked the commits of the new primary. Cause: a COMMIT was confirmed only after a write. Before it is sent, a connection to the primary needs a grant or a round that confirmed within the last second; a round of that age excludes no promotion since. A member that has lost the lead answers the COMMIT of a transaction without writes with success. Change: the COMMIT is confirmed like a read, and answered with ABORTED if that fails, unless a read of the transaction was confirmed or its BEGIN carried a position. What a transaction has to see counts from its first byte, and its connection lasts no longer than the process with that log, so that a primary change after the confirmed read makes no difference. Weighed: to confirm each COMMIT. It would fail transactions that are right at each change of the primary. Remains: reads inside a transaction are confirmed one by one as before, which is stricter than the rule.

--- a/bilberrystack/pooling/transaction.py
+++ b/bilberrystack/pooling/transaction.py
@@ -76,6 +76,7 @@
         "_executor",
         "_leader",
         "_link",
+        "_log_confirmed",
         "_reads_at_position",
         "_rolled_back",
         "_statement_lock",
@@ -109,6 +110,9 @@
         self._dialect = dialect
         self._link: member_link.MemberLink | None = None
         self._leader: permission.Leader | None = None
+        # Whether the log at the other end of the connection is known to have all commits that
+        # precede the transaction and that its route requires.
+        self._log_confirmed = False
         self._reads_at_position = False
         self._rolled_back = False
         self._statement_lock = asyncio.Lock()
@@ -214,16 +218,13 @@
         reply: statements.Reply,
         trace: execution.Trace,
     ) -> execution.Outcome:
-        reads = request.access is statements.Access.READ
-        if (
-            reads
-            and not self._reads_at_position
-            and not await self._executor.confirm_answer(link, reply, trace)
-        ):
-            self._release_link()
-            return execution.failure_outcome(
-                statements.ErrorCode.ABORTED, "the primary was not confirmed"
-            )
+        if request.access is statements.Access.READ and not self._reads_at_position:
+            if not await self._executor.confirm_answer(link, reply, trace):
+                self._release_link()
+                return execution.failure_outcome(
+                    statements.ErrorCode.ABORTED, "the primary was not confirmed"
+                )
+            self._log_confirmed = True
         return execution.Outcome(reply.rows, reply.done, None, reply, self._leader)
 
     async def _begin_if_needed(
@@ -288,6 +289,7 @@
             if reply.failure is None:
                 self._link = link
                 self._reads_at_position = requirements.min_position is not None
+                self._log_confirmed = self._reads_at_position
                 self._leader = self._executor.group.permission.leader
                 return None
             self._executor.group.release(link)
@@ -360,13 +362,28 @@
             self._release_link()
             trace.cause = reply.failure.code.value
             return execution.member_failure_outcome(reply.failure, reply)
-        if not self._wrote:
-            self._release_link()
-            return execution.Outcome((), reply.done, None, reply, None)
-        outcome = await self._executor.committed_outcome(link, reply, trace)
+        if self._wrote:
+            outcome = await self._executor.committed_outcome(link, reply, trace)
+        else:
+            outcome = await self._read_only_outcome(link, reply, trace)
         self._release_link()
         return outcome
 
+    async def _read_only_outcome(
+        self, link: member_link.MemberLink, reply: statements.Reply, trace: execution.Trace
+    ) -> execution.Outcome:
+        """Return the outcome of the commit of a transaction that wrote nothing.
+
+        A replaced primary still commits it, also after it has stepped down. Its log has to contain
+        what was committed before the transaction, not before the commit: once an earlier answer on
+        the connection is confirmed, a later primary change makes no difference.
+        """
+        if self._log_confirmed or await self._executor.confirm_answer(link, reply, trace):
+            return execution.Outcome((), reply.done, None, reply, None)
+        return execution.failure_outcome(
+            statements.ErrorCode.ABORTED, "the primary was not confirmed", reply
+        )
+
     def _unanswered_commit(self, text: str) -> execution.Outcome:
         """Return the outcome of a commit that was not answered: unknown if there were writes."""
         code = statements.ErrorCode.UNKNOWN_OUTCOME if self._wrote else statements.ErrorCode.ABORTED
