Let soak clients run read-only and empty transactions

Cause: the clients of the soak began all transactions with BEGIN and ran one statement at least, so that no play had a BEGIN READ at a position, or a COMMIT that begins its transaction at the member. Change: two habits, shares of 0 by default, with which the choices of all existing seeds stay the same. Two plays of a whole site use them while the primary leaves or crashes. Tests: both plays pass. They fail with a BEGIN READ that is sent without its position (own reads lack commits of their session).

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -40,11 +40,15 @@
       databases: The databases that they choose from.
       write_share: Share of the statements that write.
       max_pause_s: Maximum pause between two operations of a session.
+      read_only_share: Share of the transactions that begin with BEGIN READ and only read.
+      empty_share: Share of the transactions that have no statement between BEGIN and COMMIT.
     """
 
     databases: tuple[str, ...] = DATABASES
     write_share: float = 0.4
     max_pause_s: float = 0.03
+    read_only_share: float = 0.0
+    empty_share: float = 0.0
 
 
 USUAL_HABITS = Habits()
@@ -137,10 +141,11 @@
         if not is_transaction:
             await self._run_statement(operation, *self._draw_statement(rng))
             return
-        if not await self._send_unrecorded("BEGIN"):
+        read_only = self._draws(rng, self._habits.read_only_share)
+        if not await self._send_unrecorded("BEGIN READ" if read_only else "BEGIN"):
             return
-        for _ in range(rng.randint(1, 4)):
-            statement = await self._run_statement(operation, *self._draw_statement(rng))
+        for _ in range(0 if self._draws(rng, self._habits.empty_share) else rng.randint(1, 4)):
+            statement = await self._run_statement(operation, *self._draw_statement(rng, read_only))
             if not statement.succeeded:
                 await self._send_unrecorded("ROLLBACK")
                 return
@@ -153,10 +158,15 @@
             case _:
                 await self._run_statement(operation, "COMMIT", "COMMIT")
 
-    def _draw_statement(self, rng: random.Random) -> tuple[str, str, str]:
+    def _draws(self, rng: random.Random, share: float) -> bool:
+        """Returns true with a probability. Without any, the seeds' other choices stay the same."""
+        return share > 0 and rng.random() < share
+
+    def _draw_statement(self, rng: random.Random, read_only: bool = False) -> tuple[str, str, str]:
         """Returns the text to send, and the text and the shape that a member has to execute."""
         item = rng.choice(ITEMS)
-        access = "WRITE" if rng.random() < self._habits.write_share else "READ"
+        write_share = 0.0 if read_only else self._habits.write_share
+        access = "WRITE" if rng.random() < write_share else "READ"
         expected_text = f"{access} {item}" + (
             f" {self._draw_data(f'w{next(_REQUEST_NUMBERS)}')}" if access == "WRITE" else ""
         )
--- a/soak/whole_site_test.py
+++ b/soak/whole_site_test.py
@@ -48,7 +48,7 @@
     return sum(executor is not None and executor.group.owned for executor in executors)
 
 
-def _start_clients(site, seed, any_characters, record):
+def _start_clients(site, seed, any_characters, record, habits=callers.USUAL_HABITS):
     """Start clients that use all instances; return their tasks."""
     return [
         asyncio.create_task(
@@ -57,6 +57,7 @@
                 random.Random(f"{seed} {number}"),
                 record,
                 random.Random(f"data {seed} {number}") if any_characters else None,
+                habits,
             )
         )
         for number in range(CLIENT_COUNT)
@@ -107,7 +108,7 @@
     await site.wait_until(lambda: any(member is not first for member in site.group.primaries))
 
 
-async def _play(play, seed, replace_primary, **options):
+async def _play(play, seed, replace_primary, habits=callers.USUAL_HABITS, **options):
     """Run clients while the primary is replaced.
 
     Returns:
@@ -119,7 +120,7 @@
     record = []
     async with line_site.Site(INSTANCE_COUNT, group_options) as site:
         await site.wait_until(lambda: _owner_count(site) == OWNER_COUNT)
-        clients = _start_clients(site, seed, PLAYS[play].any_characters, record)
+        clients = _start_clients(site, seed, PLAYS[play].any_characters, record, habits)
         await asyncio.sleep(LOAD_S)
         await replace_primary(site)
         await asyncio.sleep(LOAD_S)
@@ -161,6 +162,19 @@
     assert succeeded > MIN_SUCCEEDED_STATEMENTS
 
 
+READ_ONLY_TRANSACTIONS = callers.Habits(read_only_share=0.5, empty_share=0.2)
+
+
+@pytest.mark.parametrize("replace_primary", [_change_primary, _crash_primary])
+async def test_read_only_and_empty_transactions_are_as_fresh_as_their_databases(replace_primary):
+    """Guards against a BEGIN READ at a replica that lacks the position, and unchecked commits."""
+    succeeded, wrong_replies, violations = await _play(
+        "usual conditions", 1, replace_primary, READ_ONLY_TRANSACTIONS, apply_lag_s=0.3
+    )
+    assert (wrong_replies, violations) == ([], {})
+    assert succeeded > MIN_SUCCEEDED_STATEMENTS
+
+
 # Clients read often, since the first members that notice a restart end the reads from an empty log.
 RESTART_CLIENT_COUNT = 24
 MANY_WRITES = callers.Habits(("strict",), max_pause_s=0.005)
