Wait for the later end of two grants to the same instance

What callers would see: a commit at an old primary acknowledged after a promotion, by an instance whose earlier grant was still valid. Cause: an instance uses a grant until the latest end that it was told. The coordinator recorded the end of the last grant alone, which is sooner if the lease can now end sooner than before. A promotion whose withdrawal the instance did not receive waited for that end only. Change: the coordinator records the latest end. Tests: coordinator_test; it failed before: a promotion waited until 0.9 s before the end of the first grant.

--- a/bilberrystack/pooling/coordinator.py
+++ b/bilberrystack/pooling/coordinator.py
@@ -880,7 +880,10 @@
             leader = self._grantable_primary(service, state, now_s)
             if leader is None:
                 continue
-            state.granted_until_s[heartbeat.incarnation] = now_s + valid_s
+            # An earlier grant may end later, and the receiver goes on to use it.
+            state.granted_until_s[heartbeat.incarnation] = max(
+                now_s + valid_s, state.granted_until_s.get(heartbeat.incarnation, now_s)
+            )
             self._record_grant(service, state, leader, now_s + valid_s)
             grant = self._build_grant(served_group, leader, state.change_number, heartbeat, now_s)
             condition = state.change_machine.promotable
--- a/bilberrystack/pooling/coordinator_test.py
+++ b/bilberrystack/pooling/coordinator_test.py
@@ -468,3 +468,21 @@
         500,
         2,
     )
+
+
+@pytest.mark.asyncio
+async def test_a_shorter_grant_does_not_end_an_earlier_one():
+    """A promotion did not wait for a grant that a shorter one had followed."""
+    observed = Observed()
+    for member in "abc":
+        observed.report(member, primary=member == "a")
+    await observed.step()
+    assert observed.granted() == [("a", 2)]
+    granted_until_s = observed.now_s + permission.GRANT_DURATION_S
+    observed.now_s += 0.1
+    # A renewal that names another standby can end the lease sooner.
+    observed.lease.ends_at_s = observed.now_s + 0.5
+    assert observed.granted() == [("a", 2)]
+    observed.withdraw()
+    state = observed.coordinator._group_states["store"]
+    assert state.unacknowledged_until_s == {"1": granted_until_s}
