Take a standby for ended only after proof by its successor

What callers would see: grants of two coordinators at once, and so a commit at an old primary acknowledged after a promotion. Cause: a first heartbeat of another process of the same name counted as proof that the known one had ended. It can be a late datagram of an earlier process, or come from a second process of that name at another address. The coordinator then acted for up to 7 s after a renewal without the support of a process that was alive and could acquire the lease 2.3 s after its last acknowledgement. Change: a process counts as ended once another one of its name and address, which they can't use at the same time, acknowledges an answer that was sent after the former was last heard. Tests: coordinator_test. The two new cases failed before: the support was unlimited instead of 2 s. The test of a restarted standby now sends the acknowledgement that the proof needs, and its assertion is the same. Remains: the name of an instance that is taken over at another address. Its new process acquires a lease that the earlier one holds at once, by the name alone; that is not part of this change.

--- a/bilberrystack/pooling/coordinator.py
+++ b/bilberrystack/pooling/coordinator.py
@@ -833,7 +833,7 @@
             case messages.Heartbeat():
                 reports = {report.member: report for report in message.reports}
                 now_s = self._clock()
-                self._record_support(message, now_s)
+                self._record_support(message, sender, now_s)
                 self._peers[message.incarnation] = _PeerState(
                     name=message.sender,
                     endpoint=sender,
@@ -851,16 +851,22 @@
                 ):
                     state.unacknowledged_until_s.pop(incarnation, None)
 
-    def _record_support(self, heartbeat: messages.Heartbeat, now_s: float) -> None:
+    def _record_support(
+        self, heartbeat: messages.Heartbeat, sender: model.Endpoint, now_s: float
+    ) -> None:
         """Record which standbys can't acquire the lease yet."""
-        if heartbeat.acknowledged_token == self._token:
-            self._lease.supporters.acknowledge(
-                heartbeat.incarnation, min(heartbeat.acknowledged_at_s, now_s)
-            )
-        if heartbeat.incarnation in self._peers:
+        if heartbeat.acknowledged_token != self._token:
             return
+        acknowledged_at_s = min(heartbeat.acknowledged_at_s, now_s)
+        self._lease.supporters.acknowledge(heartbeat.incarnation, acknowledged_at_s)
+        # Two processes can't use one address at a time. An earlier one has therefore ended once
+        # another one at its address has received an answer that was sent after it was heard.
         for incarnation, peer in self._peers.items():
-            if peer.name == heartbeat.sender:
+            if (
+                incarnation != heartbeat.incarnation
+                and (peer.name, peer.endpoint) == (heartbeat.sender, sender)
+                and peer.heard_at_s < acknowledged_at_s
+            ):
                 self._lease.supporters.record_end(incarnation)
 
     def _answer_heartbeat(
--- a/bilberrystack/pooling/coordinator_test.py
+++ b/bilberrystack/pooling/coordinator_test.py
@@ -198,15 +198,50 @@
     assert clocked.lease.supporters.supported_until_s(["1"]) == until_s
 
 
+def _restart(clocked, endpoint=ENDPOINT):
+    """Have instance 1 acknowledge under one incarnation, and another process send heartbeats."""
+    first = _heartbeat(clocked, 1, "1", acknowledged_token=7, acknowledged_at_s=clocked.now_s)
+    clocked.coordinator.receive(first, ENDPOINT)
+    clocked.now_s += 0.5
+    clocked.coordinator.receive(_heartbeat(clocked, 1, "another"), endpoint)
+    answered_at_s = clocked.now_s
+    clocked.now_s += 0.4
+    second = _heartbeat(
+        clocked, 1, "another", acknowledged_token=7, acknowledged_at_s=answered_at_s
+    )
+    clocked.coordinator.receive(second, endpoint)
+
+
 def test_a_restarted_instance_ends_the_need_for_the_support_of_its_earlier_process():
     """The lease ended in an outage of the store because a killed standby could not acknowledge."""
     clocked = ClockedCoordinator()
-    first = _heartbeat(clocked, 1, "1", acknowledged_token=7, acknowledged_at_s=99.0)
-    clocked.coordinator.receive(first, ENDPOINT)
-    clocked.coordinator.receive(_heartbeat(clocked, 1, "another"), ENDPOINT)
+    _restart(clocked)
     assert clocked.lease.supporters.supported_until_s(["1"]) == float("inf")
 
 
+def test_a_late_datagram_of_an_earlier_process_does_not_end_the_need_for_support():
+    """The coordinator acted on while the present process, taken for ended, acquired the lease."""
+    clocked = ClockedCoordinator()
+    present = _heartbeat(clocked, 1, "1", acknowledged_token=7, acknowledged_at_s=clocked.now_s)
+    until_s = clocked.now_s + lease_terms.CONTACT_DURATION_S
+    clocked.coordinator.receive(present, ENDPOINT)
+    clocked.now_s += 0.1
+    clocked.coordinator.receive(_heartbeat(clocked, 1, "earlier"), ENDPOINT)
+    assert clocked.lease.supporters.supported_until_s(["1"]) == until_s
+    # The earlier process may have acknowledged an answer of before the present one was heard.
+    late = _heartbeat(clocked, 1, "earlier", acknowledged_token=7, acknowledged_at_s=99.0)
+    clocked.coordinator.receive(late, ENDPOINT)
+    assert clocked.lease.supporters.supported_until_s(["1"]) == until_s
+
+
+def test_two_processes_of_one_name_at_two_addresses_both_have_to_support_the_coordinator():
+    """A process that serves on beside its successor counted as ended, and could act as well."""
+    clocked = ClockedCoordinator()
+    until_s = clocked.now_s + lease_terms.CONTACT_DURATION_S
+    _restart(clocked, model.Endpoint("127.0.0.1", 2))
+    assert clocked.lease.supporters.supported_until_s(["1"]) == until_s
+
+
 def test_change_numbers_go_on_after_an_interruption_of_the_lease():
     """Instances ignored the grants of a coordinator that had lost its lease for a moment."""
     clocked = ClockedCoordinator(with_group=True)
--- a/bilberrystack/routing/lease_terms.py
+++ b/bilberrystack/routing/lease_terms.py
@@ -59,12 +59,15 @@
         """
         known_s = self._acknowledged_at_s.get(incarnation, _NEVER_S)
         if known_s == math.inf:
-            # A late datagram of an earlier process was taken for a newer process.
+            # A late datagram of the ended process.
             known_s = _NEVER_S
         self._acknowledged_at_s[incarnation] = max(known_s, answered_at_s)
 
     def record_end(self, incarnation: str) -> None:
-        """Record that a process has certainly ended, so that it can't acquire the lease."""
+        """Record that a process has certainly ended, so that it can't acquire the lease.
+
+        The lease must be in force: the process has then not tried to acquire it before its end.
+        """
         self._acknowledged_at_s[incarnation] = math.inf
 
     def clear(self) -> None:
