Take a change with an unexpected answer for one of unknown outcome

What callers would see: a commit at an old primary acknowledged after a promotion, or refused writes for up to 2 s, after a store or an intermediary had answered a change with 500, 502 or 504, or with a body that was cut off. Cause: the client raised NotDone for every status that the platform's page does not name, and for a malformed body, also if the change had been executed. A coordinator that resigned then acted on under a lease that was released and could be acquired at once. Other callers of changes don't depend on the difference: the lease is read before the next write, records of requests and primaries are written or removed again. A release is the one change after whose failure the coordinator goes on. Change: such answers to changes raise NoAnswer, and a 404 to a change other than a removal raises NotDone. Before, a registration whose object had just been removed counted as written. Reads raise NotDone as before. Tests: client_test; ten of its new cases failed before. Remains: a 503 to a promotion request still counts as not executed. The page says so for the store; it does not name the status for promotions.

--- a/bilberrystack/platform/client.py
+++ b/bilberrystack/platform/client.py
@@ -95,7 +95,7 @@
           target: The path.
           body: The content of the request, which is encoded as JSON; None for none.
         Raises:
-          interfaces.NotDone: The object was not changed.
+          interfaces.NotDone: The object was not changed, or there is none to replace.
           interfaces.NoAnswer: The outcome is unknown.
           interfaces.Conflict: The object exists already, or has changed since it was read.
         """
@@ -103,6 +103,8 @@
         response = await self._call(self._http, method, target, STORE_CALL_TIMEOUT_S, content)
         if response.status == 409:
             raise interfaces.Conflict(target)
+        if response.status == 404 and method != "DELETE":
+            raise interfaces.NotDone("status 404")
         return response
 
     async def _call(
@@ -120,10 +122,11 @@
         self._observe_era(response)
         if response.status in _NOT_EXECUTED_STATUSES:
             raise interfaces.NotDone(f"status {response.status}")
-        if response.status == 410:
+        if response.status == 410 and method == "GET":
             raise interfaces.HistoryGone(target)
         if response.status not in (200, 201, 404, 409):
-            raise interfaces.NotDone(f"status {response.status}")
+            # An intermediary may have given up a call that the store has executed.
+            raise interfaces.NoAnswer(f"status {response.status}")
         return response
 
     def _observe_era(self, response: http.Response) -> None:
@@ -399,8 +402,8 @@
           The record as written.
         Raises:
           interfaces.Conflict: The record has changed since.
-          interfaces.StoreFailure: The record may not have been written.
-          msgspec.MsgspecError, ValueError: The content of the returned lease is malformed.
+          interfaces.NotDone: The record was not written.
+          interfaces.NoAnswer: The outcome is unknown, also after a malformed answer.
         """
         self._lease_write_count += 1
         era = replaced.revision.era
@@ -414,8 +417,11 @@
             response = await self._store.change(
                 "POST", target, _encode_object(objects.LEASE_NAME, spec)
             )
-        stored = _decode_body(response, objects.StoredObject)
-        return objects.decode_lease(stored, self._store.era_of(response))
+        try:
+            stored = msgspec.json.decode(response.body, type=objects.StoredObject)
+            return objects.decode_lease(stored, self._store.era_of(response))
+        except store_results.DECODING_ERRORS as error:
+            raise interfaces.NoAnswer(f"malformed body: {error}") from error
 
     async def record_promotion(self, record: interfaces.PromotionRecord) -> None:
         """Store a promotion request that is about to be made.
@@ -499,7 +505,7 @@
 
 
 def _decode_body(response: http.Response, body_type: type[Decoded]) -> Decoded:
-    """Decode the body of a store response.
+    """Decode the body of the response to a read.
 
     Raises:
       interfaces.NotDone: The body is malformed.
--- a/bilberrystack/platform/client_test.py
+++ b/bilberrystack/platform/client_test.py
@@ -40,3 +40,61 @@
     cache._items = {"a": object()}
     assert not await cache._list(allow_stale=True)
     assert "b" not in cache.items
+
+
+HELD = interfaces.LeaseRecord(
+    model.Instance("proxy-0", "process-0", ENDPOINT, "a"), 7, interfaces.Revision(1, 5), 1
+)
+
+
+def _answer(monkeypatch, status, body=b"{}"):
+    """Have each call answered with a status and a body; return a client."""
+
+    async def call(*_args, **_keywords):
+        return http.Response(status, body, {"store-era": "1"})
+
+    monkeypatch.setattr(http.Client, "call", call)
+    return client.Client(ENDPOINT, ENDPOINT, counters.Counters())
+
+
+@pytest.mark.asyncio
+@pytest.mark.parametrize("status", [204, 400, 410, 500, 502, 504])
+async def test_the_outcome_of_a_change_with_an_unknown_status_is_unknown(status, monkeypatch):
+    """A coordinator acted on after its release, which had been stored and answered with 502."""
+    store = _answer(monkeypatch, status)
+    with pytest.raises(interfaces.NoAnswer):
+        await store.write_coordinator_lease(HELD, None, HELD.token)
+    with pytest.raises(interfaces.NoAnswer):
+        await store.remove_promotion_record("request")
+
+
+@pytest.mark.asyncio
+@pytest.mark.parametrize(
+    "body", [b"", b'{"meta": {"name"', b"[]", b'{"meta": {"name": "a", "rev": 6}, "spec": 1}']
+)
+async def test_the_outcome_of_a_change_with_a_malformed_answer_is_unknown(body, monkeypatch):
+    """A coordinator acted on after its release because the answer to it was cut off."""
+    store = _answer(monkeypatch, 200, body)
+    with pytest.raises(interfaces.NoAnswer):
+        await store.write_coordinator_lease(HELD, None, HELD.token)
+
+
+@pytest.mark.asyncio
+@pytest.mark.parametrize("status", [429, 503, 404])
+async def test_a_change_that_the_store_refuses_is_not_done(status, monkeypatch):
+    """Guards against a coordinator that does not act because the store has refused one call."""
+    store = _answer(monkeypatch, status)
+    with pytest.raises(interfaces.NotDone):
+        await store.write_coordinator_lease(HELD, None, HELD.token)
+
+
+@pytest.mark.asyncio
+@pytest.mark.parametrize("status", [404, 503, 504])
+async def test_a_read_without_a_valid_answer_is_not_done(status, monkeypatch):
+    """Guards against a read that is taken for a change with an unknown outcome."""
+    store = _answer(monkeypatch, status)
+    if status == 404:
+        assert not (await store.read_coordinator_lease()).exists
+        return
+    with pytest.raises(interfaces.NotDone):
+        await store.read_coordinator_lease()
