Use only grants that answer a heartbeat of the same process

What callers would see: after a reboot of a machine, an instance that takes an old primary for the present one until the uptime of the boot before, while others are granted a new one. Cause: a grant ends a fixed time after the heartbeat that it answers, on the clock of the sender. That clock starts anew at a reboot. A late answer to the heartbeat of the process from before, which came to the same address, had its end in the future of the new clock. Change: an instance notes the times of its heartbeats for as long as their grants can last, and uses only answers to these.

--- a/bilberrystack/pooling/fleet.py
+++ b/bilberrystack/pooling/fleet.py
@@ -1,6 +1,7 @@
 """Datagrams between this instance and the coordinator."""
 
 import asyncio
+import collections
 import collections.abc
 import contextlib
 import typing
@@ -67,6 +68,7 @@
         "_own_instance",
         "_ownership_changed",
         "_quota",
+        "_requested_at_s",
         "_running_time",
         "_tasks",
         "_transport",
@@ -116,6 +118,8 @@
         self._urgent_heartbeat: asyncio.TimerHandle | None = None
         self._withdrawn_at_s: dict[str, float] = {}
         self._granted_at_s = float("-inf")
+        # When the heartbeats were sent whose answers may grant anything, the oldest first.
+        self._requested_at_s: collections.deque[float] = collections.deque()
         self._ownership_changed = asyncio.Event()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -219,6 +223,11 @@
             if now_s - member_pool.observations.contact_at_s < REPORTED_CONTACT_MAX_AGE_S
             or member_pool.observations.refusing_since_s is not None
         ]
+        while (
+            self._requested_at_s and self._requested_at_s[0] < now_s - permission.GRANT_DURATION_S
+        ):
+            self._requested_at_s.popleft()
+        self._requested_at_s.append(now_s)
         acknowledgement = self._lease.acknowledgement
         heartbeat = messages.Heartbeat(
             sender=self._own_instance.name,
@@ -282,6 +291,10 @@
             )
             if self._quota.allowances.urgent:
                 self.schedule_urgent_heartbeat()
+        if message.requested_at_s not in self._requested_at_s:
+            # The answer to an earlier process at this address, whose clock may have been another
+            # one, or an answer whose grants have ended.
+            return
         for grant in message.grants:
             self._apply_grant(message, grant, frozenset(), now_s)
         for conditional in message.conditional_grants:
--- a/bilberrystack/pooling/fleet_test.py
+++ b/bilberrystack/pooling/fleet_test.py
@@ -1,4 +1,4 @@
-"""Tests when an instance ends a primary change that no coordinator has ended."""
+"""Tests which grants an instance uses, and when it ends a primary change."""
 
 import types
 
@@ -42,3 +42,78 @@
     now_s += fleet.WITHDRAWAL_EXPIRY_S
     protocol._expire_withdrawals()
     assert served.permission.change_in_progress == stalled
+
+
+class Receiver:
+    """An instance that receives the datagrams of a coordinator, on a clock that the test sets."""
+
+    def __init__(self):
+        self.now_s = 100.0
+        self.sent = []
+        self.groups = {}
+        lease = types.SimpleNamespace(
+            coordinator=COORDINATOR, acknowledgement=None, record_answer=lambda *_: None
+        )
+        self.protocol = fleet.FleetProtocol(
+            own_instance=OWN,
+            lease=lease,
+            local_coordinator=None,
+            groups=self.groups,
+            store_directory=types.SimpleNamespace(version=1, observe_version=lambda *_: None),
+            clock=lambda: self.now_s,
+            background_tasks=None,
+            quota=quota_gate.QuotaGate(lambda: self.now_s, counters.Counters()),
+        )
+        self.protocol.connection_made(
+            types.SimpleNamespace(
+                is_closing=lambda: False,
+                sendto=lambda data, _to: self.sent.append(messages.decode(data)),
+            )
+        )
+
+    def add_group(self):
+        """Add the group anew; return its permission."""
+        served = types.SimpleNamespace(
+            permission=permission.Permission(), dispatch=lambda: None, pools={}, owned=True
+        )
+        self.groups["store"] = served
+        return served.permission
+
+    def request(self):
+        """Send a heartbeat; return its time."""
+        self.protocol._send_heartbeat()
+        return self.sent[-1].sent_at_s
+
+    def receive(self, message):
+        self.protocol.datagram_received(messages.encode(message), ("127.0.0.1", 1))
+
+    def grant(self, requested_at_s, change_number=0):
+        """Deliver the answer to a heartbeat."""
+        grant = messages.Grant("store", "a", 2, change_number, None, 0.0, "")
+        answer = messages.Grants("proxy-0", "process-0", 7, requested_at_s, 1.5, [grant])
+        self.receive(answer)
+
+
+LEADER = permission.Leader("a", 2)
+
+
+def test_a_grant_that_answers_a_heartbeat_of_this_process_is_used():
+    """Guards against an instance that ignores its grants."""
+    receiver = Receiver()
+    held = receiver.add_group()
+    requested_at_s = receiver.request()
+    receiver.now_s += 0.1
+    receiver.grant(requested_at_s)
+    assert held.valid_at(LEADER, requested_at_s + 1.5)
+    assert not held.valid_at(LEADER, requested_at_s + 1.6)
+
+
+@pytest.mark.parametrize("requested_at_s", [99.9, 2000.0])
+def test_an_answer_to_an_earlier_process_grants_nothing(requested_at_s):
+    """After a reboot a late answer, on the clock of the boot before, granted for hours."""
+    receiver = Receiver()
+    held = receiver.add_group()
+    receiver.request()
+    receiver.now_s += 0.1
+    receiver.grant(requested_at_s)
+    assert not held.valid_at(LEADER, receiver.now_s)
