Keep the number of an acknowledged withdrawal beyond the group's removal

What callers would see: a commit at an old primary acknowledged after a promotion, by an instance whose configuration left a group out for a moment. Cause: an instance acknowledged the withdrawal of a group that was not configured without keeping it, and a group that was added again began without the number of the last withdrawal. A late answer from before the withdrawal was then used as a grant, for which the coordinator no longer waited. Change: the number of the newest acknowledged withdrawal of each group is kept for the life of the process, and grants of a lower number are ignored. Tests: fleet_test, two cases, which failed before. The tests of bilberrystack/pooling pass.

--- a/bilberrystack/pooling/fleet.py
+++ b/bilberrystack/pooling/fleet.py
@@ -74,6 +74,7 @@
         "_transport",
         "_urgent_heartbeat",
         "_withdrawn_at_s",
+        "_withdrawn_numbers",
         "registered",
     )
 
@@ -117,6 +118,8 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._urgent_heartbeat: asyncio.TimerHandle | None = None
         self._withdrawn_at_s: dict[str, float] = {}
+        # The newest acknowledged withdrawal of each group, also while the group is not configured.
+        self._withdrawn_numbers: dict[str, permission.ChangeNumber] = {}
         self._granted_at_s = float("-inf")
         # When the heartbeats were sent whose answers may grant anything, the oldest first.
         self._requested_at_s: collections.deque[float] = collections.deque()
@@ -314,6 +317,8 @@
         leader = permission.Leader(grant.member, grant.term)
         until_s = message.requested_at_s + message.valid_s
         change_number = (message.token, grant.change_number)
+        if change_number < self._withdrawn_numbers.get(grant.service, change_number):
+            return
         if served_group.permission.grant(leader, until_s, change_number, condition):
             _LOG.info(
                 "grant names another primary than before",
@@ -346,9 +351,13 @@
                 token=message.token,
             )
             return
+        change_number = (message.token, message.change_number)
+        self._withdrawn_numbers[message.service] = max(
+            change_number, self._withdrawn_numbers.get(message.service, change_number)
+        )
         served_group = self._groups.get(message.service)
         if served_group is not None:
-            served_group.permission.withdraw((message.token, message.change_number))
+            served_group.permission.withdraw(change_number)
             self._withdrawn_at_s.setdefault(message.service, self._clock())
             _LOG.info(
                 "grant withdrawn",
--- a/bilberrystack/pooling/fleet_test.py
+++ b/bilberrystack/pooling/fleet_test.py
@@ -117,3 +117,20 @@
     receiver.now_s += 0.1
     receiver.grant(requested_at_s)
     assert not held.valid_at(LEADER, receiver.now_s)
+
+
+@pytest.mark.parametrize("known", [False, True])
+def test_a_group_that_is_added_again_uses_no_grant_from_before_a_withdrawal(known):
+    """A withdrawal was acknowledged without a trace if the group was not configured just then."""
+    receiver = Receiver()
+    receiver.add_group()
+    requested_at_s = receiver.request()
+    if not known:
+        receiver.groups.clear()
+    receiver.receive(messages.Withdrawal("proxy-0", "process-0", 7, "store", 1))
+    assert isinstance(receiver.sent[-1], messages.Acknowledgement)
+    held = receiver.add_group()
+    receiver.grant(requested_at_s)
+    assert not held.valid_at(LEADER, receiver.now_s)
+    receiver.grant(receiver.request(), change_number=1)
+    assert held.valid_at(LEADER, receiver.now_s)
