Test that no acknowledgement brings an ended lease back

No behaviour changes. A coordinator forgets its grants when its lease ends, also if it goes on under the same token. That is safe because only a renewal lets it go on, and begins a pause of 2 s, longer than a grant. An acknowledgement that arrives meanwhile would raise the end of the lease without the pause; it is dropped, with all other datagrams. A test states this now, and a comment where they are dropped.

--- a/bilberrystack/pooling/coordinator.py
+++ b/bilberrystack/pooling/coordinator.py
@@ -828,6 +828,8 @@
           sender: The address that the message came from.
         """
         if self._token is None or self._lease.token != self._token:
+            # A lease that has ended must not go on because of an acknowledgement: only a renewal
+            # begins the pause in which the grants from before end.
             return
         match message:
             case messages.Heartbeat():
--- a/bilberrystack/pooling/coordinator_test.py
+++ b/bilberrystack/pooling/coordinator_test.py
@@ -189,6 +189,21 @@
     assert clocked.lease.supporters.supported_until_s(standbys) == until_s
 
 
+@pytest.mark.parametrize("noticed", [False, True])
+def test_an_acknowledgement_does_not_support_a_lease_that_has_ended(noticed):
+    """Guards against a lease that goes on without the pause that follows an interruption.
+
+    The coordinator keeps no grants beyond an interruption, and would replace a primary at once.
+    """
+    clocked = ClockedCoordinator()
+    clocked.lease.token = None
+    if noticed:
+        clocked.coordinator.step()
+    heartbeat = _heartbeat(clocked, 1, "1", acknowledged_token=7, acknowledged_at_s=clocked.now_s)
+    clocked.coordinator.receive(heartbeat, ENDPOINT)
+    assert clocked.lease.supporters.supported_until_s(["1"]) < 0.0
+
+
 def test_an_acknowledgement_from_the_future_counts_from_its_arrival():
     """A malformed heartbeat kept a cut-off coordinator's lease for good."""
     clocked = ClockedCoordinator()
