Reset the connection of a call that has got no response

What callers would see: a commit at an old primary acknowledged after a promotion whose request the coordinator had given up, or whose sender had been killed. Cause: a call without a response ended its connection by an abort, which was taken for a reset. An abort of the transport closes the socket, and the kernel goes on to send what it holds until TCP_USER_TIMEOUT_MS, 1.2 s after the sending. It does so after the end of the process too. A request that a cut path held up therefore arrived up to 0.6 s after its time limit. Change: from the sending of a request to its response, the kernel resets the connection when it is closed, also by the end of the process, and discards what was not sent. A call with a response ends as before. Tests: http_test, two cases, which failed before: after the time limit, and after the end of the sender, the whole request arrived.

--- a/bilberrystack/pooling/http.py
+++ b/bilberrystack/pooling/http.py
@@ -5,6 +5,8 @@
 import contextlib
 import dataclasses
 import re
+import socket
+import struct
 
 import httptools
 
@@ -109,6 +111,19 @@
         self._headers, self._parts = {}, []
 
 
+def _set_reset_at_close(writer: asyncio.StreamWriter, *, enabled: bool) -> None:
+    """Set whether the kernel resets a connection when it is closed, also by the process's end.
+
+    A reset discards unsent data, so that the call can't arrive much later. Otherwise the kernel
+    goes on to send what a lossy path has held up, until TCP_USER_TIMEOUT_MS.
+    """
+    # The connection may have been reset; the next read or write reports that.
+    with contextlib.suppress(OSError):
+        writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", enabled, 0)
+        )
+
+
 class Client:
     """An HTTP client for one address.
 
@@ -171,11 +186,13 @@
     ) -> Response:
         """Send a request and return the response."""
         try:
+            _set_reset_at_close(writer, enabled=True)
             member_link.write(writer, request)
             async with asyncio.timeout_at(ends_at_s):
-                return await self._read_response(reader)
+                response = await self._read_response(reader)
+            _set_reset_at_close(writer, enabled=False)
+            return response
         except (OSError, EOFError, TimeoutError, httptools.HttpParserError) as error:
-            # A reset discards unsent data, so that the call cannot arrive much later.
             writer.transport.abort()
             raise NoResponse(type(error).__name__) from error
         except asyncio.CancelledError:
--- a/bilberrystack/pooling/http_test.py
+++ b/bilberrystack/pooling/http_test.py
@@ -1,7 +1,9 @@
-"""Tests HTTP calls: the permission to send them, their heads, time limits and responses."""
+"""Tests HTTP calls: the permission to send them, heads, time limits, responses and their ends."""
 
 import asyncio
 import contextlib
+import socket
+import sys
 
 import pytest
 
@@ -179,3 +181,74 @@
         assert (await reader.read()).startswith(b"HTTP/1.1 200 ")
         writer.close()
     assert unhandled == []
+
+
+def _listen_without_room():
+    """Return a listening socket whose connections take only the first bytes while nobody reads."""
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    return listener
+
+
+# More than the receiver takes, and less than the sender's kernel does.
+_HELD_UP_BODY = b"x" * 100_000
+
+_CALLER = """
+import asyncio, sys
+from bilberrystack.pooling import http
+from bilberrystack.routing import model
+client = http.Client(model.Endpoint("127.0.0.1", int(sys.argv[1])))
+asyncio.run(client.call("POST", "/promote", 30.0, b"x" * 100_000))
+"""
+
+
+def _read_to_end(connection):
+    """Read what was held up; return whether all of it arrives."""
+    received_bytes = 0
+    connection.settimeout(5.0)
+    try:
+        while data := connection.recv(65_536):
+            received_bytes += len(data)
+    except ConnectionResetError:
+        return False
+    return received_bytes > len(_HELD_UP_BODY)
+
+
+async def test_a_held_up_request_does_not_arrive_after_its_time_limit():
+    """A promotion request arrived after the coordinator had given it up."""
+    with _listen_without_room() as listener:
+        client = http.Client(model.Endpoint(*listener.getsockname()))
+        with pytest.raises(http.NoResponse):
+            await client.call("POST", "/promote", 0.2, _HELD_UP_BODY)
+        connection, _ = listener.accept()
+        with connection:
+            assert not await asyncio.to_thread(_read_to_end, connection)
+
+
+async def test_a_held_up_request_does_not_arrive_after_the_end_of_its_sender():
+    """A promotion request of a killed coordinator arrived while its successor was at work."""
+    with _listen_without_room() as listener:
+        listener.settimeout(10.0)
+        arguments = ("-c", _CALLER, str(listener.getsockname()[1]))
+        caller = await asyncio.create_subprocess_exec(sys.executable, *arguments)
+        connection, _ = await asyncio.to_thread(listener.accept)
+        with connection:
+            await asyncio.sleep(0.3)
+            caller.kill()
+            await caller.wait()
+            assert not await asyncio.to_thread(_read_to_end, connection)
+
+
+async def test_a_call_with_a_response_ends_its_connection_without_a_reset():
+    """Guards against a server that takes each answered call for one that was broken off."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        client = http.Client(model.Endpoint(*listener.getsockname()))
+        call = asyncio.create_task(client.call("GET", "/page", 5.0))
+        connection, _ = await asyncio.to_thread(listener.accept)
+        with connection:
+            assert await asyncio.to_thread(connection.recv, 65_536)
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            assert (await call).status == 200
+            assert await asyncio.to_thread(connection.recv, 65_536) == b""
