Store a promotion request after it was made if the store did not answer before

What callers would see: a commit at an old primary acknowledged after a promotion, when a coordinator that requested it during an outage of the store is followed by another one. Cause: a request is stored for at most 0.2 s and then made without a record, since a group without a primary serves no writes. It was not stored later, so that a successor after the outage did not know of it and could grant the primary that it replaces. Change: the coordinator goes on to store it, 0.5 s after each attempt, while it is pending. If it is no longer pending, the record is removed once more, since the removal may have been executed before an attempt. No request is made later than before. Tests: promotion_requests_test. The case of an outage failed before; the one of a removal during an attempt fails without the second removal. Remains: a coordinator that alone is cut off from the store, and is replaced before it reaches the store again, still leaves no record.

--- a/bilberrystack/pooling/promotion_requests.py
+++ b/bilberrystack/pooling/promotion_requests.py
@@ -20,6 +20,9 @@
 # request is made without: a group without a primary serves no writes.
 RECORD_TIMEOUT_S = 0.2
 
+# Pause before a promotion request that was made without a record is stored again.
+RECORD_RETRY_DELAY_S = 0.5
+
 # Pause before the record of a promotion request is removed again after a failure.
 RECORD_REMOVAL_RETRY_DELAY_S = 2.0
 
@@ -161,6 +164,8 @@
             "replaced_term": request.replaced_term,
         }
         stored = await self._store(request)
+        if not stored:
+            self._tasks.start(self._store_while_pending(request))
         _LOG.info("promotion request sent", **fields, stored=stored)
         sent_at_s = self._clock()
         self._remember(request.record, own=True)
@@ -194,6 +199,32 @@
             return False
         return True
 
+    async def _store_while_pending(self, request: Request) -> None:
+        """Try again to store a request that was made without a record, until it is not pending."""
+        key, record = (request.service, request.number), request.record
+        stored = False
+        while not stored:
+            await asyncio.sleep(RECORD_RETRY_DELAY_S)
+            if self._record_names.get(key) != record.name:
+                break
+            try:
+                await self._platform.record_promotion(record)
+                stored = True
+            except interfaces.Conflict:
+                # An earlier attempt without an answer has stored it.
+                stored = True
+            except interfaces.StoreFailure:
+                pass
+        if self._record_names.get(key) != record.name:
+            # The removal may have been executed before an attempt to store it.
+            await self._remove_record(record.name)
+            return
+        _LOG.info(
+            "promotion request stored after it was made",
+            service=record.service,
+            member=record.member,
+        )
+
     async def _send(
         self, request: Request, may_send: collections.abc.Callable[[], bool]
     ) -> primary_change.PromotionReply:
