--- a/bilberrystack/pooling/fleet.py
+++ b/bilberrystack/pooling/fleet.py
@@ -1,6 +1,7 @@
 """Datagrams between this instance and the coordinator."""
 
 import asyncio
+import collections
 import collections.abc
 import contextlib
 import typing
@@ -68,11 +69,13 @@
         "_own_instance",
         "_ownership_changed",
         "_quota",
+        "_requested_at_s",
         "_running_time",
         "_tasks",
         "_transport",
         "_urgent_heartbeat",
         "_withdrawn_at_s",
+        "_withdrawn_numbers",
         "registered",
     )
 
@@ -118,7 +121,11 @@
         self._withdrawn_at_s: dict[str, float] = {}
         # The incarnation whose grants were ignored last, so that each is logged once in a row.
         self._ignored_coordinator = ""
+        # The newest acknowledged withdrawal of each group, also while the group is not configured.
+        self._withdrawn_numbers: dict[str, permission.ChangeNumber] = {}
         self._granted_at_s = float("-inf")
+        # When the heartbeats were sent whose answers may grant anything, the oldest first.
+        self._requested_at_s: collections.deque[float] = collections.deque()
         self._ownership_changed = asyncio.Event()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -222,6 +229,11 @@
             if now_s - member_pool.observations.contact_at_s < REPORTED_CONTACT_MAX_AGE_S
             or member_pool.observations.refusing_since_s is not None
         ]
+        while (
+            self._requested_at_s and self._requested_at_s[0] < now_s - permission.GRANT_DURATION_S
+        ):
+            self._requested_at_s.popleft()
+        self._requested_at_s.append(now_s)
         acknowledgement = self._lease.acknowledgement
         heartbeat = messages.Heartbeat(
             sender=self._own_instance.name,
@@ -287,6 +299,10 @@
             )
             if self._quota.allowances.urgent:
                 self.schedule_urgent_heartbeat()
+        if message.requested_at_s not in self._requested_at_s:
+            # The answer to an earlier process at this address, whose clock may have been another
+            # one, or an answer whose grants have ended.
+            return
         for grant in message.grants:
             self._apply_grant(message, grant, frozenset(), now_s)
         for conditional in message.conditional_grants:
@@ -320,6 +336,8 @@
         leader = permission.Leader(grant.member, grant.term)
         until_s = message.requested_at_s + message.valid_s
         change_number = (message.token, grant.change_number)
+        if change_number < self._withdrawn_numbers.get(grant.service, change_number):
+            return
         if served_group.permission.grant(leader, until_s, change_number, condition):
             _LOG.info(
                 "grant names another primary than before",
@@ -352,9 +370,13 @@
                 token=message.token,
             )
             return
+        change_number = (message.token, message.change_number)
+        self._withdrawn_numbers[message.service] = max(
+            change_number, self._withdrawn_numbers.get(message.service, change_number)
+        )
         served_group = self._groups.get(message.service)
         if served_group is not None:
-            served_group.permission.withdraw((message.token, message.change_number))
+            served_group.permission.withdraw(change_number)
             self._withdrawn_at_s.setdefault(message.service, self._clock())
             _LOG.info(
                 "grant withdrawn",
