Take only another incarnation for the end of the coordinator's process

Cause: the probe of the coordinator counted each line that was not the expected incarnation as the answer of a newer process: an empty line, and the line of a member or of an HTTP server. The lease was then acquired at once. Change: an answer counts as that of a newer process only if it has the form of an incarnation, 16 hexadecimal digits, which all versions answer. For any other one (result "unknown") the terms of the lease decide.

--- a/bilberrystack/pooling/coordinator_lease.py
+++ b/bilberrystack/pooling/coordinator_lease.py
@@ -652,13 +652,15 @@
     REPLACED = "replaced"
     REFUSING = "refusing"
     UNRESPONSIVE = "silent"
+    UNKNOWN = "unknown"
 
 
 async def probe(instance: model.Instance) -> ProcessState:
     """Check whether the process of an instance is alive.
 
     The process has certainly ended if another incarnation answers at its port. A refused connection
-    proves nothing: a network partition may refuse connections to a process that others reach.
+    proves nothing: a network partition may refuse connections to a process that others reach. Nor
+    does an answer that is no incarnation, since it shows no other process of an instance.
 
     Args:
       instance: The instance, with the incarnation that is expected to answer.
@@ -679,8 +681,8 @@
         return ProcessState.UNRESPONSIVE
     finally:
         writer.close()
+    if answer == instance.incarnation.encode():
+        return ProcessState.ALIVE
     return (
-        ProcessState.ALIVE
-        if answer.decode(errors="replace") == instance.incarnation
-        else ProcessState.REPLACED
+        ProcessState.REPLACED if instance_lines.is_incarnation(answer) else ProcessState.UNKNOWN
     )
--- a/bilberrystack/pooling/instance.py
+++ b/bilberrystack/pooling/instance.py
@@ -4,7 +4,6 @@
 import collections.abc
 import contextlib
 import functools
-import os
 import signal
 import time
 
@@ -26,6 +25,7 @@
 from bilberrystack.pooling import graceful_stop
 from bilberrystack.pooling import group
 from bilberrystack.pooling import http
+from bilberrystack.pooling import instance_lines
 from bilberrystack.pooling import interfaces
 from bilberrystack.pooling import loop_monitor
 from bilberrystack.pooling import member_link
@@ -139,7 +139,7 @@
         self._platform = platform
         self._own_instance = model.Instance(
             loaded_settings.name,
-            os.urandom(8).hex(),
+            instance_lines.new_incarnation(),
             loaded_settings.peers_endpoint,
             loaded_settings.failure_domain,
             loaded_settings.cores,
--- a/bilberrystack/pooling/instance_lines.py
+++ b/bilberrystack/pooling/instance_lines.py
@@ -6,6 +6,8 @@
 """
 
 import asyncio
+import os
+import re
 
 from bilberrystack.pooling import interfaces
 from bilberrystack.routing import model
@@ -21,6 +23,20 @@
 # Announces frames with forwarded statements.
 FORWARDING_REQUEST = b"forward"
 
+INCARNATION_BYTES = 8
+
+_INCARNATION = re.compile(rb"[0-9a-f]{%d}" % (2 * INCARNATION_BYTES))
+
+
+def new_incarnation() -> str:
+    """Return an incarnation that no other process has."""
+    return os.urandom(INCARNATION_BYTES).hex()
+
+
+def is_incarnation(line: bytes) -> bool:
+    """Return whether a line has the form of an incarnation, as each instance answers it."""
+    return _INCARNATION.fullmatch(line) is not None
+
 
 async def read_line(reader: asyncio.StreamReader) -> bytes:
     """Read a line and strip its line end.
