Count no standby as ended because of an earlier process's datagram

Cause: a heartbeat of a process that the coordinator had not heard under its token ended all others of the same name. A late datagram of a process that has ended thereby ended its successor, a live standby, whose silence then did not end the coordinator's lease. The coordinator has to have lost the lease and acquired it again between the two processes. Change: a sender that has acknowledged another token ran before the lease was acquired, and ends nobody. A datagram from before its first acknowledgement still does.

--- a/bilberrystack/pooling/coordinator.py
+++ b/bilberrystack/pooling/coordinator.py
@@ -859,6 +859,10 @@
             )
         if heartbeat.incarnation in self._peers:
             return
+        if heartbeat.acknowledged_token not in (0, self._token):
+            # The sender ran before this lease was acquired, so that a process heard under this
+            # lease may be its successor.
+            return
         for incarnation, peer in self._peers.items():
             if peer.name == heartbeat.sender:
                 self._lease.supporters.record_end(incarnation)
--- a/bilberrystack/pooling/coordinator_test.py
+++ b/bilberrystack/pooling/coordinator_test.py
@@ -207,6 +207,21 @@
     assert clocked.lease.supporters.supported_until_s(["1"]) == float("inf")
 
 
+def test_a_late_datagram_of_an_ended_process_does_not_end_its_successor():
+    """A standby counted as ended, so that its silence did not end the coordinator's lease.
+
+    The coordinator first heard the ended process after its successor: it had lost the lease and
+    acquired it again meanwhile.
+    """
+    clocked = ClockedCoordinator()
+    successor = _heartbeat(clocked, 1, "2", acknowledged_token=7, acknowledged_at_s=99.0)
+    clocked.coordinator.receive(successor, ENDPOINT)
+    late = _heartbeat(clocked, 1, "1", acknowledged_token=6, acknowledged_at_s=90.0)
+    clocked.coordinator.receive(late, ENDPOINT)
+    until_s = 99.0 + lease_terms.CONTACT_DURATION_S
+    assert clocked.lease.supporters.supported_until_s(["2"]) == until_s
+
+
 def test_change_numbers_go_on_after_an_interruption_of_the_lease():
     """Instances ignored the grants of a coordinator that had lost its lease for a moment."""
     clocked = ClockedCoordinator(with_group=True)
