--- a/soak/late_promotion_test.py
+++ b/soak/late_promotion_test.py
@@ -36,6 +36,10 @@
 # Time that the primary has to change a second time before the late request is carried out anyway.
 CHANGE_TIMEOUT_S = 6.0
 
+# Time for which the named member is away, longer than the 10 s after which its request does not
+# count while its record is missing.
+ABSENCE_S = 13.0
+
 # Time between the last event and the end, in which a replaced primary steps down.
 END_S = 2.0
 
@@ -98,6 +102,16 @@
     await asyncio.sleep(SUCCESSOR_DELAY_S)
 
 
+async def _carry_out_late_after_an_absence(site, _addresses):
+    """The member has been away with its record, and leads as soon as it is back."""
+    named = await _request_promotion(site, _late(Answer.NEVER))
+    named.go_dark()
+    await site.platform.remove("servers", named.id)
+    await asyncio.sleep(ABSENCE_S)
+    await named.end_darkness()
+    await site.platform.register_member(named)
+
+
 async def _carry_out_late_after_another_promotion(site, _addresses):
     """A third member leads when the request is carried out."""
     named = await _request_promotion(site, _late(Answer.NEVER))
@@ -140,6 +154,7 @@
     "late after a reset": _carry_out_late_after_a_reset,
     "late after an answer": _accept_and_carry_out_late,
     "late under a successor": _carry_out_late_under_a_successor,
+    "late after an absence": _carry_out_late_after_an_absence,
     "late after another promotion": _carry_out_late_after_another_promotion,
     "late after the return of the primary": _carry_out_late_after_the_return_of_the_primary,
     "twice": _carry_out_twice,
