--- a/bilberrystack/pooling/lease_takeover_test.py
+++ b/bilberrystack/pooling/lease_takeover_test.py
@@ -405,10 +405,6 @@
     for name in "abc"
 ]
 
-# Whether connections between some pairs of instances are refused in the play. A refused connection
-# counts as proof that a process has ended, so that the play finds two coordinators with it.
-PLAY_REFUSED_CONNECTIONS = False
-
 # The instance whose task runs, which a probe connects from.
 _PROBER = contextvars.ContextVar("prober")
 
@@ -753,11 +749,12 @@
 
 
 @pytest.mark.usefixtures("reachable_processes", "unreachable_members")
+@pytest.mark.parametrize("refusals", [False, True])
 @pytest.mark.parametrize("seed", range(10))
-async def test_no_grant_is_valid_anywhere_when_a_promotion_is_requested(seed):
+async def test_no_grant_is_valid_anywhere_when_a_promotion_is_requested(seed, refusals):
     """Commits at a replaced primary were acknowledged under a grant that nobody waited for."""
     async with ServingFleet(seed) as fleet:
-        await _play_promotions(fleet, 120.0, refusals=PLAY_REFUSED_CONNECTIONS)
+        await _play_promotions(fleet, 120.0, refusals=refusals)
         assert fleet.promotions >= 5
 
 
