Show a late promotion that the successor of its coordinator does not know of

Cause: a promotion request is made although the store has not acknowledged its record. If its coordinator loses the lease before the platform carries the request out, the successor grants the old primary without a condition.

--- a/soak/late_promotion_test.py
+++ b/soak/late_promotion_test.py
@@ -7,9 +7,12 @@
 import asyncio
 import contextlib
 import random
+from unittest import mock
 
 import pytest
 
+from bilberrystack.platform import client
+from bilberrystack.pooling import interfaces
 from bilberrystack_standins import line_site
 from bilberrystack_standins import platform_server
 from soak import account
@@ -102,6 +105,16 @@
     await asyncio.sleep(SUCCESSOR_DELAY_S)
 
 
+async def _carry_out_late_unknown_to_a_successor(site, addresses):
+    """The store did not answer when the request was to be stored, and the request was made."""
+
+    async def record_promotion(_client, _record):
+        raise interfaces.NoAnswer
+
+    with mock.patch.object(client.Client, "record_promotion", record_promotion):
+        await _carry_out_late_under_a_successor(site, addresses)
+
+
 async def _carry_out_late_after_an_absence(site, _addresses):
     """The member has been away with its record, and leads as soon as it is back."""
     named = await _request_promotion(site, _late(Answer.NEVER))
@@ -154,6 +167,7 @@
     "late after a reset": _carry_out_late_after_a_reset,
     "late after an answer": _accept_and_carry_out_late,
     "late under a successor": _carry_out_late_under_a_successor,
+    "late and unknown to a successor": _carry_out_late_unknown_to_a_successor,
     "late after an absence": _carry_out_late_after_an_absence,
     "late after another promotion": _carry_out_late_after_another_promotion,
     "late after the return of the primary": _carry_out_late_after_the_return_of_the_primary,
