--- a/soak/refused_primary_test.py
+++ b/soak/refused_primary_test.py
@@ -1,4 +1,4 @@
-"""Tests primaries that refuse connections of the coordinator, while all other instances use them."""
+"""Tests primaries that refuse the coordinator, while all other instances use them."""
 
 import asyncio
 
