--- a/bilberrystack_standins/line_network.py
+++ b/bilberrystack_standins/line_network.py
@@ -78,13 +78,14 @@
         self._timer: asyncio.TimerHandle | None = None
         patched = typing.cast(typing.Any, writer)
         patched.write, patched.close = self._hold_or_write, self._hold_or_close
+        patched.is_closing = lambda: self._closed or writer.transport.is_closing()
         patched = typing.cast(typing.Any, reader)
         patched.feed_data, patched.feed_eof = self._hold_or_feed, self._hold_or_end
 
     @property
     def ended(self) -> bool:
-        """Whether the instance's end is closed."""
-        return self._writer.is_closing()
+        """Whether no more data can be held back."""
+        return self._writer.transport.is_closing() and not self.incoming_held
 
     def set_held(self, outgoing: bool, incoming: bool) -> None:
         """Sets which directions are held, and delivers what was held in the others."""
@@ -106,7 +107,7 @@
         sent, self._sent = self._sent, []
         for data in sent:
             self._write(data)
-        if self._closed:
+        if self._closed and not self._writer.transport.is_closing():
             self._close()
 
     def reset(self) -> None:
@@ -117,6 +118,8 @@
         self._sent, self._received = [], []
         self.outgoing_held = self.incoming_held = False
         self._writer.transport.abort()
+        # The end that the transport reports may have been held back.
+        self._feed_eof()
 
     def _hold_or_write(self, data: bytes) -> None:
         # A lost acknowledgement has the same effect as lost data.
@@ -129,16 +132,23 @@
             self._write(data)
 
     def _hold_or_close(self) -> None:
-        if self.outgoing_held:
-            # The other end learns of it when the cut ends, or by the reset.
-            self._closed = True
-            if self._timer is None:
-                loop = asyncio.get_running_loop()
-                self._timer = loop.call_later(UNACKNOWLEDGED_LIMIT_S, self.reset)
-        else:
+        if self._closed:
+            return
+        self._closed = True
+        # The instance's own end is closed at once, also for a task that waits for data.
+        self._received = []
+        self._feed_eof()
+        if not self.outgoing_held:
+            self.incoming_held = False
             self._close()
+        elif self._timer is None:
+            # The other end learns of it when the cut ends, or by the reset.
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(UNACKNOWLEDGED_LIMIT_S, self.reset)
 
     def _hold_or_feed(self, data: bytes) -> None:
+        if self._closed:
+            return
         if self.incoming_held:
             self._received.append(bytes(data))
         else:
--- a/bilberrystack_standins/line_network_test.py
+++ b/bilberrystack_standins/line_network_test.py
@@ -103,6 +103,34 @@
         assert writer.is_closing()
 
 
+@pytest.mark.parametrize("both", [True, False])
+async def test_an_instance_reads_the_end_of_a_connection_that_it_closes_over_a_cut(both):
+    """Guards against tasks that wait for ever because the cut holds back the end as well."""
+    async with _EchoServer() as echo:
+        reader, writer = await _connect("proxy-0", echo.endpoint)
+        echo.network.cut("a", "proxy-0", Cut.SILENT, both=both)
+        writer.write(b"lost")
+        waiting = asyncio.create_task(reader.read(100))
+        await asyncio.sleep(0.05)
+        writer.close()
+        assert writer.is_closing()
+        assert await asyncio.wait_for(waiting, 0.1) == b""
+        echo.network.heal()
+
+
+async def test_the_end_of_a_cut_delivers_the_end_of_a_connection():
+    """Guards against a reader that misses that the other side has closed during the cut."""
+    async with _EchoServer() as echo:
+        reader, writer = await _connect("proxy-0", echo.endpoint)
+        echo.network.cut("a", "proxy-0", Cut.SILENT, both=False)
+        writer.write_eof()
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(reader.read(100), 0.1)
+        echo.network.cut("proxy-1", "a", Cut.SILENT)
+        echo.network.heal()
+        assert await asyncio.wait_for(reader.read(100), 0.1) == b""
+
+
 @pytest.mark.parametrize("kind", [Cut.REFUSE, Cut.RESET])
 async def test_other_cuts_reset_open_connections(kind):
     """Guards against open connections that stay in use over a cut."""
--- a/bilberrystack_standins/platform_server.py
+++ b/bilberrystack_standins/platform_server.py
@@ -10,6 +10,7 @@
 import dataclasses
 import enum
 import json
+import random
 from typing import Any
 
 from aiohttp import web
@@ -142,6 +143,10 @@
         instead of sending the response.
       next_update_delay_s: If not 0, the connection of the next update is closed at once, and the
         update is executed after this time.
+      call_delay_s: Time before a store call is executed.
+      notification_delays_s: Shortest and longest time between a change and the answer to a watch,
+        which has all changes up to then.
+      promotions_to_refuse: Number of the next promotion requests that are refused with status 429.
       promotion_faults: What happens to the next promotion requests, in the order of their arrival.
       unpromotable_members: Ids of the members whose promotion requests are rejected.
       sync_replicas: Declared number of replicas that receive a commit before it is acknowledged.
@@ -157,6 +162,9 @@
         self.calls_to_refuse = 0
         self.responses_to_lose = 0
         self.next_update_delay_s = 0.0
+        self.call_delay_s = 0.0
+        self.notification_delays_s = (0.0, 0.0)
+        self.promotions_to_refuse = 0
         self.promotion_faults: collections.deque[PromotionFault] = collections.deque()
         self.unpromotable_members: set[str] = set()
         self.sync_replicas = 0
@@ -271,8 +279,10 @@
         async with self._changed:
             self._changed.notify_all()
 
-    def _record_call(self, request: web.Request) -> web.Response | None:
+    async def _record_call(self, request: web.Request) -> web.Response | None:
         """Records a call to the store; returns the response if the call is to be refused."""
+        if self.call_delay_s:
+            await asyncio.sleep(self.call_delay_s)
         self.calls.append(StoreCall(request.method, request.path_qs))
         if self.calls_to_refuse > 0:
             self.calls_to_refuse -= 1
@@ -288,7 +298,7 @@
         return response
 
     async def _handle_kind(self, request: web.Request) -> web.Response:
-        refusal = self._record_call(request)
+        refusal = await self._record_call(request)
         if refusal is not None:
             return refusal
         kind = request.match_info["kind"]
@@ -321,6 +331,8 @@
                     await self._changed.wait_for(
                         lambda: self.era != era or self._events_after(kind, after_revision)
                     )
+            if any(self.notification_delays_s):
+                await asyncio.sleep(random.uniform(*self.notification_delays_s))
         except TimeoutError:
             # No change within the requested time: the answer is empty.
             pass
@@ -341,7 +353,7 @@
         return [event for event in self._events[kind] if event[0] > after_revision]
 
     async def _handle_object(self, request: web.Request) -> web.Response:
-        refusal = self._record_call(request)
+        refusal = await self._record_call(request)
         if refusal is not None:
             return refusal
         kind, name = request.match_info["kind"], request.match_info["name"]
@@ -390,6 +402,9 @@
             self._carry_out(late)
 
     async def _handle_promotion(self, request: web.Request) -> web.Response:
+        if self.promotions_to_refuse > 0:
+            self.promotions_to_refuse -= 1
+            return web.Response(status=429)
         body = json.loads(await request.read())
         promotion = PromotionRequest(
             body["service"],
--- a/bilberrystack_standins/platform_server_test.py
+++ b/bilberrystack_standins/platform_server_test.py
@@ -152,3 +152,51 @@
     finally:
         await server.stop()
         await group.stop()
+
+
+@contextlib.asynccontextmanager
+async def _server_and_client():
+    server = platform_server.PlatformServer({})
+    await server.start()
+    try:
+        async with aiohttp.ClientSession(f"http://{server.address}") as session:
+            yield server, session
+    finally:
+        await server.stop()
+
+
+async def test_a_slow_store_executes_a_call_late():
+    """Guards against a slow store that answers late but has executed the call at once."""
+    async with _server_and_client() as (server, session):
+        server.call_delay_s = 0.2
+        body = {"meta": {"name": "name"}, "spec": {"value": 1}}
+        creating = asyncio.create_task(session.post("/objects/kind", json=body))
+        await asyncio.sleep(0.1)
+        assert server.object_names("kind") == []
+        assert (await creating).status == 200
+        assert server.object_names("kind") == ["name"]
+
+
+async def test_a_late_notification_has_all_changes_up_to_its_time():
+    """Guards against watches that are answered at once, or that lose changes of a batch."""
+    async with _server_and_client() as (server, session):
+        await server.put("kind", "first", 0)
+        server.notification_delays_s = (0.2, 0.2)
+        target = f"/objects/kind?watch={server.revision}&wait_ms=2000"
+        watching = asyncio.create_task(session.get(target))
+        await asyncio.sleep(0.05)
+        for name in ("second", "third"):
+            await server.put("kind", name, 0)
+            await asyncio.sleep(0.05)
+            assert not watching.done()
+        events = (await (await watching).json())["events"]
+        assert [event["object"]["meta"]["name"] for event in events] == ["second", "third"]
+
+
+async def test_a_refused_promotion_request_is_not_carried_out():
+    """Guards against a status 429 behind which a promotion takes effect."""
+    async with _server_and_client() as (server, session):
+        server.promotions_to_refuse = 1
+        response = await session.post("/promote", json={"service": "s", "id": "a"})
+        assert response.status == 429
+        assert server.promotion_requests == []
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -55,17 +55,8 @@
         seed_range = range(first_seed, first_seed + seeds)
         options = [[logs] * seeds, [restores] * seeds, [departures] * seeds, [restarts] * seeds]
         for report in pool.map(_run_seed, seed_range, *options):
-            print(
-                f"seed {report.seed}: {report.operation_count} operations,"
-                f" {report.succeeded_statements} statements"
-                f" served, {report.promotion_requests} promotions, {len(report.faults)} faults",
-                flush=True,
-            )
-            for violation in report.violations:
-                print(
-                    f"  broken: {violation.guarantee}: {violation.detail};"
-                    f" {', '.join(report.faults)}"
-                )
+            for line in soaking.describe(report):
+                print(line, flush=True)
             if report.violations:
                 failed_seeds.append(report.seed)
     print(f"{seeds} seeds, broken: {failed_seeds or 'none'}")
--- a/soak/soaking.py
+++ b/soak/soaking.py
@@ -56,6 +56,22 @@
     violations: list[account.Violation]
 
 
+def describe(report: Report) -> list[str]:
+    """Returns the lines that the commands print for a report."""
+    summary = (
+        f"seed {report.seed}: {report.operation_count} operations,"
+        f" {report.succeeded_statements} statements"
+        f" served, {report.promotion_requests} promotions, {len(report.faults)} faults"
+    )
+    return [
+        summary,
+        *(
+            f"  broken: {violation.guarantee}: {violation.detail}; {', '.join(report.faults)}"
+            for violation in report.violations
+        ),
+    ]
+
+
 async def run_seed(
     seed: int,
     folder: pathlib.Path | None = None,
