Take a lease of the own name for free only if its holder used the own address

What callers would see: a commit at an old primary acknowledged after a promotion, beside two machines of one name. Cause: a process acquired the lease at once if its record named a holder of its own name, which was taken for an earlier process of the instance. A machine that is replaced may still run at its old address, and go on to grant. Evidence: the new test failed before for a holder at another address. A trial of the takeover model with a second process of a living holder's name showed two coordinators at once. Change: the address decides. Two processes can't listen at one address at the same time, so that the holder there has ended. At another address the holder is probed, and the terms of the lease decide, as for any other one.

--- a/bilberrystack/pooling/coordinator_lease.py
+++ b/bilberrystack/pooling/coordinator_lease.py
@@ -478,7 +478,9 @@
             return ""
         if record.coordinator is None:
             return "released"
-        if record.coordinator.name == self._own_instance.name:
+        if record.coordinator.endpoint == self._own_instance.endpoint:
+            # Two processes can't listen there at the same time. By the name alone, the holder may
+            # still run at another address.
             return "held by an earlier incarnation of this instance"
         if self._time_until_acquirable_s(record) < PROBE_TIMEOUT_S:
             return ""
--- a/bilberrystack/pooling/coordinator_lease_test.py
+++ b/bilberrystack/pooling/coordinator_lease_test.py
@@ -165,3 +165,13 @@
     assert standby.acquisitions == 0
     await standby.check(lease_terms.STANDBY_MARGIN_S + 3 * coordinator_lease.CHECK_JITTER_S)
     assert standby.acquisitions > 0
+
+
+@pytest.mark.parametrize("own_address", [False, True])
+async def test_a_holder_of_the_same_name_has_ended_only_if_it_used_the_own_address(own_address):
+    """The successor of a machine acquired the lease of the one that it was to replace."""
+    endpoint = OWN.endpoint if own_address else HOLDER.endpoint
+    holder = dataclasses.replace(OWN, incarnation="process-2", endpoint=endpoint)
+    record = dataclasses.replace(RECORD, coordinator=holder, standbys=())
+    reason = await Standby().lease._reason_to_acquire(record)
+    assert bool(reason) is own_address
