Keep promotion requests that were seen in effect as repeatable for 60 s

Cause: a request that was accepted and seen in effect was dropped, and its record removed. Grants of a later primary had no condition, so that a second execution replaced it while its answers counted. Class: a request that acts again. With REPEATABLE_S at 0 the takeover model finds a replaced primary that is trusted. Change: such a request stays repeatable for 60 s, the lifetime of a request without an answer. While its member leads nothing changes. Once another one leads, conditional grants name the member of the request, as they do for an overdue one, and a round after each answer asks it. A member that has answered nobody for 0.8 s is left out, since primaries that fail soon after their promotion are common and would stop their group. The end of its process confirms an answer too: the platform promotes no member that does not run. The record is marked when the effect is seen and removed after the 60 s: one call to the store more for each promotion. A successor does not wait for a marked request. Why it works: an answer of a later primary counts only after its arrival and a later status report of the named member that follows that primary in its term, so that no second execution precedes it. What remains: a second execution after more than 60 s, or at a member that answers no instance or has answered again for less than about 1 s; a member that is promoted a second time and ends before an instance has its report. A member that leads again may lack acknowledged commits of a synchronous group; no condition prevents its promotion. A former primary that comes back and still takes itself for the primary does not confirm until it steps down, for up to 1 s.

--- a/bilberrystack/platform/client.py
+++ b/bilberrystack/platform/client.py
@@ -426,6 +426,15 @@
         body = _encode_object(record.name, objects.encode_promotion(record))
         await self._store.change("POST", f"/objects/{objects.PROMOTION_KIND}", body)
 
+    async def update_promotion_record(self, record: interfaces.PromotionRecord) -> None:
+        """Replace the stored content of a promotion request, if there is a record of it.
+
+        Raises:
+          interfaces.StoreFailure: The record may not have been replaced.
+        """
+        body = _encode_object(record.name, objects.encode_promotion(record))
+        await self._store.change("PUT", _object_path(objects.PROMOTION_KIND, record.name), body)
+
     async def record_primary(self, record: interfaces.PrimaryRecord) -> None:
         """Store the primary of a term that is about to be granted.
 
--- a/bilberrystack/platform/objects.py
+++ b/bilberrystack/platform/objects.py
@@ -175,12 +175,14 @@
 
 
 class _PromotionSpec(msgspec.Struct):
-    """A promotion request that may be pending."""
+    """A promotion request that may be pending, or carried out once more."""
 
     # Name of the database group.
     service: str
     member: str
     replaced_term: _Count
+    # Earlier versions leave it out, and wait for the effect of a request that has it.
+    repeatable: bool = False
 
 
 class _PrimarySpec(msgspec.Struct):
@@ -367,12 +369,14 @@
     except msgspec.ValidationError:
         primary = msgspec.json.decode(encoded, type=_PrimarySpec)
         return interfaces.PrimaryRecord(name, primary.group, primary.primary, primary.term)
-    return interfaces.PromotionRecord(name, spec.service, spec.member, spec.replaced_term)
+    return interfaces.PromotionRecord(
+        name, spec.service, spec.member, spec.replaced_term, spec.repeatable
+    )
 
 
 def encode_promotion(record: interfaces.PromotionRecord) -> msgspec.Struct:
     """Return the content of a promotion request's record."""
-    return _PromotionSpec(record.service, record.member, record.replaced_term)
+    return _PromotionSpec(record.service, record.member, record.replaced_term, record.repeatable)
 
 
 def encode_primary(record: interfaces.PrimaryRecord) -> msgspec.Struct:
--- a/bilberrystack/pooling/confirmation.py
+++ b/bilberrystack/pooling/confirmation.py
@@ -2,6 +2,7 @@
 
 Without a grant the other members are asked for their terms. If all of them follow the primary in
 its term, no promotion had taken effect. During a conditional grant those that it names are asked.
+Some of these confirm the primary also by the end of their process.
 All statements that wait for a round share it.
 """
 
@@ -27,9 +28,20 @@
 CONFIRMED_ROUND_VALIDITY_S = 1.0
 FAILED_ROUND_VALIDITY_S = 0.3
 
+# Interval at which a round checks whether a member has refused a connection, while it waits for the
+# status of a member that may have ended.
+END_CHECK_INTERVAL_S = 0.01
+
+# Number of times that such a member is asked: its first connection may have ended with the process,
+# and a second one shows whether the process runs.
+MAX_QUERIES = 2
+
 # Maximum length of the list of asked members in a request's log line.
 MAX_LOGGED_ASKED_CHARACTERS = 128
 
+# Stands for the status of a member whose process has ended.
+_ENDED = "ended"
+
 # Term of a primary that only the store names; terms of members begin at 1.
 UNKNOWN_TERM = 0
 
@@ -75,6 +87,8 @@
     async def query_member(
         self, member_id: str, query: bytes
     ) -> statements.MemberStatus | None: ...
+    def has_ended(self, member_id: str) -> bool:
+        """Return whether nothing listens for a member, or its record has left the store."""
 
 
 class Confirmation:
@@ -207,10 +221,7 @@
             member_id for member_id in self._group.pools if member_id != leader.member
         ]
         answers = await asyncio.gather(
-            *(
-                self._group.query_member(member_id, self._dialect.encode_status_query())
-                for member_id in other_ids
-            )
+            *(self._query_status(member_id, bool(condition)) for member_id in other_ids)
         )
         # A member of a lower term has not followed the primary into its term. It may have led a
         # newer one and restarted without its log since. A held one awaits a promotion: the commits
@@ -220,10 +231,13 @@
             bool(other_ids)
             and (bool(condition) or not removed_ids)
             and all(
-                status is not None
-                and status.term == leader.term
-                and not status.primary
-                and not status.held
+                status is _ENDED
+                or (
+                    isinstance(status, statements.MemberStatus)
+                    and status.term == leader.term
+                    and not status.primary
+                    and not status.held
+                )
                 for status in answers
             )
         )
@@ -246,6 +260,32 @@
         )
         return Round(confirmed, began_at_s, " ".join(other_ids)[:MAX_LOGGED_ASKED_CHARACTERS])
 
+    async def _query_status(
+        self, member_id: str, conditional: bool
+    ) -> statements.MemberStatus | str | None:
+        """Ask a member for its status.
+
+        Args:
+          member_id: The member's id.
+          conditional: Whether a conditional grant names the member.
+        Returns:
+          The status; None without an answer; `_ENDED` if the member confirms the primary by the end
+          of its process.
+        """
+        query = self._dialect.encode_status_query()
+        if not conditional or not self._group.permission.may_have_ended(member_id):
+            return await self._group.query_member(member_id, query)
+        for _ in range(MAX_QUERIES):
+            querying = self._tasks.start(self._group.query_member(member_id, query))
+            while not querying.done():
+                await asyncio.wait({querying}, timeout=END_CHECK_INTERVAL_S)
+                if not querying.done() and self._group.has_ended(member_id):
+                    querying.cancel()
+                    return _ENDED
+            if querying.cancelled() or querying.result() is not None:
+                return None if querying.cancelled() else querying.result()
+        return _ENDED if self._group.has_ended(member_id) else None
+
     def needs_primary_search(self, now_s: float) -> bool:
         """Return whether the members have to be asked for the primary, because no grant names it.
 
--- a/bilberrystack/pooling/confirmation_test.py
+++ b/bilberrystack/pooling/confirmation_test.py
@@ -34,6 +34,9 @@
     async def query_member(self, member_id, query):
         return self.answers[member_id]
 
+    def has_ended(self, member_id):
+        return False
+
 
 def _status(term, primary=False, *, held=False):
     return statements.MemberStatus(primary, term, None, 0.0, 0, 1, held)
--- a/bilberrystack/pooling/coordinator.py
+++ b/bilberrystack/pooling/coordinator.py
@@ -475,7 +475,7 @@
             self._lacks_majority(),
             served_group.service.sync_replicas,
         )
-        self._promotion_requests.remove_resolved(service)
+        self._promotion_requests.record_resolved(service)
         self._log_contradiction(state, served_group, views)
         if state.change_machine.phase is not phase_before:
             # The candidates' positions are needed at once.
@@ -801,7 +801,7 @@
             may_send=lambda: self._lease.token == token,
         )
         state.change_machine.record_reply(member, reply, self._clock())
-        if not self._promotion_requests.pending_of(service).is_pending(number):
+        if not self._promotion_requests.pending_of(service).contains(number):
             self._promotion_requests.remove_record(service, number)
 
     def _grant_to_self(
@@ -812,8 +812,10 @@
             return
         until_s = min(now_s + permission.GRANT_DURATION_S, self._lease.ends_at_s)
         self._record_grant(served_group.service.name, state, leader, until_s)
-        change_number, condition = (token, state.change_number), state.change_machine.promotable
-        if served_group.permission.grant(leader, until_s, change_number, condition):
+        change, change_number = state.change_machine, (token, state.change_number)
+        if served_group.permission.grant(
+            leader, until_s, change_number, change.condition, change.may_have_ended
+        ):
             served_group.dispatch()
 
     def receive(
@@ -883,9 +885,10 @@
             state.granted_until_s[heartbeat.incarnation] = now_s + valid_s
             self._record_grant(service, state, leader, now_s + valid_s)
             grant = self._build_grant(served_group, leader, state.change_number, heartbeat, now_s)
-            condition = state.change_machine.promotable
-            if condition:
-                conditional_grants.append(messages.ConditionalGrant(grant, sorted(condition)))
+            change = state.change_machine
+            if change.condition:
+                members, may_have_ended = sorted(change.condition), sorted(change.may_have_ended)
+                conditional_grants.append(messages.ConditionalGrant(grant, members, may_have_ended))
             else:
                 grants.append(grant)
         answer = messages.Grants(
--- a/bilberrystack/pooling/coordinator_test.py
+++ b/bilberrystack/pooling/coordinator_test.py
@@ -398,7 +398,9 @@
     observed.report("c", primary=True, term=4)
     observed.report("b", primary=True, term=5)
     await observed.step()
-    assert logged("primary of a newer term seen")[-1]["request"] == "none"
+    assert logged("primary of a newer term seen")[-1]["request"] == (
+        "none" if given_up else "repeated"
+    )
 
 
 @pytest.mark.asyncio
--- a/bilberrystack/pooling/fleet.py
+++ b/bilberrystack/pooling/fleet.py
@@ -283,25 +283,27 @@
             if self._quota.allowances.urgent:
                 self.schedule_urgent_heartbeat()
         for grant in message.grants:
-            self._apply_grant(message, grant, frozenset(), now_s)
+            self._apply_grant(message, messages.ConditionalGrant(grant, []), now_s)
         for conditional in message.conditional_grants:
-            self._apply_grant(message, conditional.grant, frozenset(conditional.members), now_s)
+            self._apply_grant(message, conditional, now_s)
 
     def _apply_grant(
         self,
         message: messages.Grants,
-        grant: messages.Grant,
-        condition: frozenset[str],
+        conditional: messages.ConditionalGrant,
         now_s: float,
     ) -> None:
-        """Apply a grant, under which the members of a condition confirm each answer."""
+        """Apply a grant, whose condition may name no member."""
+        grant = conditional.grant
+        condition = frozenset(conditional.members)
+        may_have_ended = frozenset(conditional.may_have_ended)
         served_group = self._groups.get(grant.service)
         if served_group is None:
             return
         leader = permission.Leader(grant.member, grant.term)
         until_s = message.requested_at_s + message.valid_s
         change_number = (message.token, grant.change_number)
-        if served_group.permission.grant(leader, until_s, change_number, condition):
+        if served_group.permission.grant(leader, until_s, change_number, condition, may_have_ended):
             _LOG.info(
                 "grant names another primary than before",
                 service=grant.service,
--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -1176,6 +1176,21 @@
         self.release(link)
         return self._parse_status(reply)
 
+    def has_ended(self, member_id: str) -> bool:
+        """Return whether nothing listens for a member, or its record has left the store.
+
+        The last attempt to connect has just shown it.
+
+        Args:
+          member_id: The member's id.
+        """
+        member_pool = self._pools.get(member_id)
+        if member_pool is None:
+            return True
+        observations = member_pool.observations
+        refused = observations.refusing_since_s is not None or observations.address_taken
+        return refused and member_pool.unreachable(self._clock())
+
     def _parse_status(self, reply: statements.Reply) -> statements.MemberStatus | None:
         return self._dialect.parse_member_status(reply.rows[0]) if reply.rows else None
 
--- a/bilberrystack/pooling/interfaces.py
+++ b/bilberrystack/pooling/interfaces.py
@@ -124,12 +124,14 @@
       service: The group.
       member: Id of the member that the request names.
       replaced_term: Term of the primary that it replaces; 0 if none was known.
+      repeatable: Whether it was seen in effect, and only a second copy of it may take effect.
     """
 
     name: str
     service: str
     member: str
     replaced_term: int
+    repeatable: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -244,6 +246,7 @@
         standbys: tuple[str, ...] = (),
     ) -> LeaseRecord: ...
     async def record_promotion(self, record: PromotionRecord) -> None: ...
+    async def update_promotion_record(self, record: PromotionRecord) -> None: ...
     async def record_primary(self, record: PrimaryRecord) -> None: ...
     async def remove_promotion_record(self, name: str) -> None: ...
     async def promote(
--- a/bilberrystack/pooling/messages.py
+++ b/bilberrystack/pooling/messages.py
@@ -140,10 +140,13 @@
     Attributes:
       grant: The grant.
       members: The ids of these members.
+      may_have_ended: Those of them that confirm an answer also by the end of their process. An
+        earlier version's process asks them all.
     """
 
     grant: Grant
     members: list[str]
+    may_have_ended: list[str] = []
 
 
 class Renewal(msgspec.Struct, frozen=True, array_like=True):
--- a/bilberrystack/pooling/promotion_requests.py
+++ b/bilberrystack/pooling/promotion_requests.py
@@ -82,7 +82,7 @@
         "_metrics",
         "_pending",
         "_platform",
-        "_record_names",
+        "_records",
         "_remembered",
         "_running_time",
         "_tasks",
@@ -111,8 +111,8 @@
         self._metrics = metrics
         self._running_time = running
         self._pending: dict[str, pending_promotions.PendingPromotions] = {}
-        # Names of the records in the store, by group and number of the request.
-        self._record_names: dict[tuple[str, int], str] = {}
+        # The records in the store, by group and number of the request.
+        self._records: dict[tuple[str, int], interfaces.PromotionRecord] = {}
         # The last request by group and member, for log lines and metrics only.
         self._remembered: dict[tuple[str, str], _RememberedRequest] = {}
 
@@ -129,19 +129,23 @@
 
     def load(self, records: collections.abc.Iterable[interfaces.PromotionRecord]) -> None:
         """Take account of the requests of earlier coordinators, which may still take effect."""
+        known_names = {record.name for record in self._records.values()}
         for record in records:
-            if record.name in self._record_names.values():
+            if record.name in known_names:
                 continue
-            number = self.pending_of(record.service).add_earlier(
-                record.member, record.replaced_term, self._clock()
-            )
-            self._record_names[record.service, number] = record.name
-            self._remember(record, own=False)
+            pending, now_s = self.pending_of(record.service), self._clock()
+            if record.repeatable:
+                number = pending.add_repeatable(record.member, now_s)
+            else:
+                number = pending.add_earlier(record.member, record.replaced_term, now_s)
+                self._remember(record, own=False)
+            self._records[record.service, number] = record
             _LOG.info(
                 "promotion request of an earlier coordinator may still take effect",
                 service=record.service,
                 member=record.member,
                 replaced_term=record.replaced_term,
+                repeatable=record.repeatable,
             )
 
     async def make(
@@ -180,7 +184,7 @@
         A coordinator that follows reads it.
         """
         record = request.record
-        self._record_names[request.service, request.number] = record.name
+        self._records[request.service, request.number] = record
         try:
             async with asyncio.timeout(RECORD_TIMEOUT_S):
                 await self._platform.record_promotion(record)
@@ -226,8 +230,8 @@
             else primary_change.PromotionReply.REJECTED
         )
 
-    def remove_resolved(self, service: str) -> None:
-        """Remove the records of a group's requests that can't take effect any more."""
+    def record_resolved(self, service: str) -> None:
+        """Update the records of a group's requests that are no longer pending or repeatable."""
         for resolved in self.pending_of(service).take_resolved():
             _LOG.info(
                 "promotion request no longer pending",
@@ -238,13 +242,33 @@
             )
             if resolved.resolution is pending_promotions.Resolution.IN_EFFECT:
                 self._remembered.pop((service, resolved.member), None)
-            self.remove_record(service, resolved.number)
+                self._tasks.start(self._mark_repeatable(service, resolved.number))
+            else:
+                self.remove_record(service, resolved.number)
+
+    async def _mark_repeatable(self, service: str, number: int) -> None:
+        """Store that a request was seen in effect, so that a successor does not wait for it.
+
+        It is not tried again: a successor that takes the request for pending grants too little.
+        """
+        record = self._records.get((service, number))
+        if record is None:
+            return
+        record = self._records[service, number] = dataclasses.replace(record, repeatable=True)
+        try:
+            await self._platform.update_promotion_record(record)
+        except interfaces.StoreFailure as failure:
+            _LOG.info(
+                "record of a promotion request not updated; a successor waits for its effect",
+                record=record.name,
+                failure=type(failure).__name__,
+            )
 
     def remove_record(self, service: str, number: int) -> None:
-        """Begin to remove the record of a request that is no longer pending."""
-        name = self._record_names.pop((service, number), None)
-        if name is not None:
-            self._tasks.start(self._remove_record(name))
+        """Begin to remove the record of a request that can't take effect any more."""
+        record = self._records.pop((service, number), None)
+        if record is not None:
+            self._tasks.start(self._remove_record(record.name))
 
     async def _remove_record(self, name: str) -> None:
         """Remove a record, also if the store is away for a time.
@@ -301,6 +325,8 @@
         request = "ended" if key in self._remembered else "none"
         if self.pending_of(service).names(primary.id):
             request = "pending"
+        elif primary.id in self.pending_of(service).repeatable:
+            request = "repeated"
         _LOG.info(
             "primary of a newer term seen",
             service=service,
--- a/bilberrystack/pooling/replaced_primary_rounds_test.py
+++ b/bilberrystack/pooling/replaced_primary_rounds_test.py
@@ -132,3 +132,46 @@
         assert not await confirm(LEADER)
         monkeypatch.setattr(group, "REMOVED_MEMBER_S", 0.0)
         assert await confirm(LEADER)
+
+
+def _grant_on_condition(instance, may_have_ended):
+    """Grant the use of the primary on condition that member c confirms each answer."""
+    until_s = asyncio.get_running_loop().time() + 1e6
+    named = frozenset("c")
+    instance.group.permission.grant(
+        LEADER, until_s, (1, 0), named, named if may_have_ended else frozenset()
+    )
+
+
+async def test_the_end_of_a_member_confirms_a_write_if_only_a_second_copy_may_promote_it():
+    """Guards against a group without writes after the end of a former primary.
+
+    Writes stood still for 1.0 s when the former primary's process ended after a planned change.
+    """
+    async with Instance() as instance:
+        _grant_on_condition(instance, may_have_ended=True)
+        assert (await instance.write("w1")).failure is None
+        named = instance.members.members["c"]
+        await named.stop()
+        began_at_s = asyncio.get_running_loop().time()
+        for number in range(20):
+            assert (await instance.write(f"stopped-{number}")).failure is None
+            await asyncio.sleep(0.01)
+        assert asyncio.get_running_loop().time() - began_at_s < 1.0
+        await named.start()
+        await instance.promote_unnoticed("c")
+        assert (await instance.write("w2")).failure is not None
+
+
+async def test_a_silent_member_and_one_of_a_pending_request_confirm_by_answers_alone():
+    """Guards against commits at a replaced primary whose successor is cut off, or has crashed."""
+    async with Instance() as instance:
+        _grant_on_condition(instance, may_have_ended=True)
+        named = instance.members.members["c"]
+        named.go_dark()
+        assert (await instance.write("w1")).failure is not None
+        await named.end_darkness()
+    async with Instance() as instance:
+        _grant_on_condition(instance, may_have_ended=False)
+        await instance.members.members["c"].stop()
+        assert (await instance.write("w1")).failure is not None
--- a/bilberrystack/routing/pending_promotions.py
+++ b/bilberrystack/routing/pending_promotions.py
@@ -1,4 +1,4 @@
-"""Promotion requests that were made and have not been seen to take effect.
+"""Promotion requests that were made and may take effect, for the first time or once more.
 
 Nothing limits how late a promotion takes effect. A request without an answer may be on its way to
 the platform, one that the platform has accepted may not have reached the member, and a member that
@@ -7,7 +7,12 @@
 
 A pending request is *awaited* first: it is expected to take effect at once, and the group waits for
 it. Once its member has answered for a time without leading, it is *overdue*: the group goes on
-without grants for any other member, and may request further promotions.
+without unconditional grants for any other member, and may request further promotions.
+
+A request that was seen in effect is *repeatable* for a time: it may be carried out once more. While
+its member leads, that changes nothing. Once another member leads, the named one has to confirm that
+primary's answers as long as it answers itself. A member that does not answer is left out: most such
+members do not run and can't be promoted, and the group would stop until they return.
 """
 
 import collections.abc
@@ -26,6 +31,9 @@
 # limits of an HTTP server or of a connection that loses packets.
 REQUEST_LIFETIME_S = 60.0
 
+# A request that was seen in effect is taken to be carried out no more after this time.
+REPEATABLE_S = REQUEST_LIFETIME_S
+
 # A member counts as answering while its status reports are no further apart than this.
 MAX_REPORT_GAP_S = 0.8
 
@@ -37,9 +45,10 @@
 
 
 class Resolution(enum.Enum):
-    """Why a promotion request is no longer pending."""
+    """Why a promotion request is no longer pending; the first one makes it repeatable."""
 
     IN_EFFECT = "in effect"
+    NOT_REPEATED = "not repeated"
     NO_EFFECT = "no effect"
     MEMBER_GONE = "member gone"
 
@@ -82,6 +91,8 @@
       answered_at_s: Time of its last status report.
       missing_since_s: Time since which its record is missing; None if the store has it.
       gone: Whether its record has been missing for so long that the member counts as gone.
+      repeatable_since_s: Time at which it was seen in effect; None while it is pending.
+      reachable: Whether its member has answered an instance recently, once it is repeatable.
     """
 
     member: str
@@ -93,6 +104,13 @@
     answered_at_s: float = 0.0
     missing_since_s: float | None = None
     gone: bool = False
+    repeatable_since_s: float | None = None
+    reachable: bool = True
+
+    @property
+    def pending(self) -> bool:
+        """Whether it has not been seen in effect."""
+        return self.repeatable_since_s is None
 
 
 class PendingPromotions:
@@ -119,13 +137,34 @@
         return frozenset(
             request.member
             for request in self._requests.values()
-            if not request.overdue and not request.gone
+            if request.pending and not request.overdue and not request.gone
         )
 
     @property
     def members(self) -> frozenset[str]:
         """Ids of the members that may become the primary at any moment."""
-        return frozenset(request.member for request in self._requests.values() if not request.gone)
+        return frozenset(
+            request.member
+            for request in self._requests.values()
+            if request.pending and not request.gone
+        )
+
+    @property
+    def repeatable(self) -> frozenset[str]:
+        """Ids of the members that a second copy of a request may promote."""
+        return frozenset(
+            request.member for request in self._requests.values() if not request.pending
+        )
+
+    @property
+    def confirming(self) -> frozenset[str]:
+        """Ids of the members that have to confirm the answers of another primary."""
+        reachable = {
+            request.member
+            for request in self._requests.values()
+            if not request.pending and request.reachable
+        }
+        return self.members | reachable
 
     def add(self, member: str, replaced_term: int, now_s: float) -> int:
         """Record a request that is about to be made.
@@ -170,13 +209,30 @@
         """Remove a request that certainly takes no effect."""
         self._requests.pop(number, None)
 
+    def add_repeatable(self, member: str, now_s: float) -> int:
+        """Record a request of an earlier coordinator, which has seen it in effect.
+
+        Args:
+          member: The member that it names.
+          now_s: Current time, from which it is repeatable for the usual time.
+        Returns:
+          The number of the request.
+        """
+        return self._add(_Request(member, 0, now_s, _Answer.NONE, repeatable_since_s=now_s))
+
     def is_pending(self, number: int) -> bool:
-        """Return whether a request may still take effect."""
+        """Return whether a request may still take effect for the first time."""
+        return number in self._requests and self._requests[number].pending
+
+    def contains(self, number: int) -> bool:
+        """Return whether a request is pending or repeatable."""
         return number in self._requests
 
     def names(self, member: str) -> bool:
         """Return whether a pending request names a member, also one that is gone."""
-        return any(request.member == member for request in self._requests.values())
+        return any(
+            request.pending and request.member == member for request in self._requests.values()
+        )
 
     def update(self, views: collections.abc.Iterable[member_view.MemberView], now_s: float) -> None:
         """Take account of the members' newest reports.
@@ -190,37 +246,44 @@
         by_id = {view.id: view for view in views}
         for member, view in by_id.items():
             if view.primary:
-                self._record_effect(member, view.term)
+                self._record_effect(member, view.term, now_s)
         for number, request in list(self._requests.items()):
-            resolution = self._observe(request, by_id.get(request.member), now_s)
+            observe = self._observe if request.pending else self._observe_repeatable
+            resolution = observe(request, by_id.get(request.member), now_s)
             if resolution is not None:
-                self._resolve(number, resolution)
+                self._remove_resolved(number, resolution)
 
     def take_resolved(self) -> list[Resolved]:
-        """Return the requests that `update` has removed since the last call."""
+        """Return the requests that `update` has found in effect or removed since the last call."""
         resolved, self._resolved = self._resolved, []
         return resolved
 
-    def _resolve(self, number: int, resolution: Resolution) -> None:
+    def _remove_resolved(self, number: int, resolution: Resolution) -> None:
         request = self._requests.pop(number)
         self._resolved.append(Resolved(number, request.member, resolution))
 
-    def _record_effect(self, member: str, term: int) -> None:
-        """Remove the requests whose effect is that a member leads a term.
+    def _record_in_effect(self, number: int, now_s: float) -> None:
+        request = self._requests[number]
+        request.repeatable_since_s = now_s
+        self._resolved.append(Resolved(number, request.member, Resolution.IN_EFFECT))
+
+    def _record_effect(self, member: str, term: int, now_s: float) -> None:
+        """Make the requests repeatable whose effect is that a member leads a term.
 
         Accepted requests for it have certainly been carried out. Without any, the effect is that of
-        one request without an answer: another one may still be on its way.
+        one request without an answer: another one may still be on its way. The effect may also be
+        that of a repeatable request; the one without an answer is repeatable then, and counts too.
         """
         effective = {
             number: request
             for number, request in self._requests.items()
-            if request.member == member and request.replaced_term < term
+            if request.pending and request.member == member and request.replaced_term < term
         }
         for request in effective.values():
             request.overdue = True
         accepted = self._numbers(effective, _Answer.ACCEPTED)
         for number in accepted:
-            self._resolve(number, Resolution.IN_EFFECT)
+            self._record_in_effect(number, now_s)
         outstanding = self._numbers(effective, _Answer.OUTSTANDING)
         if not effective or self._effects.get(member, 0) >= term:
             return
@@ -230,7 +293,7 @@
         self._effects[member] = term
         unanswered = self._numbers(effective, _Answer.NONE)
         if unanswered and not accepted:
-            self._resolve(min(unanswered), Resolution.IN_EFFECT)
+            self._record_in_effect(min(unanswered), now_s)
         for request in effective.values():
             request.replaced_term = term
 
@@ -239,6 +302,18 @@
         """Return the numbers of the requests with an answer."""
         return [number for number, request in requests.items() if request.answer is answer]
 
+    def _observe_repeatable(
+        self, request: _Request, view: member_view.MemberView | None, now_s: float
+    ) -> Resolution | None:
+        """Update a repeatable request; return why it is dropped, if so."""
+        assert request.repeatable_since_s is not None
+        request.reachable = (
+            view is not None
+            and self._running_time.elapsed_s(view.last_contact_at_s, now_s) < MAX_REPORT_GAP_S
+        )
+        expired = now_s - request.repeatable_since_s >= REPEATABLE_S
+        return Resolution.NOT_REPEATED if expired else None
+
     def _observe(
         self, request: _Request, view: member_view.MemberView | None, now_s: float
     ) -> Resolution | None:
--- a/bilberrystack/routing/pending_promotions_test.py
+++ b/bilberrystack/routing/pending_promotions_test.py
@@ -120,6 +120,65 @@
     assert observed.pending.members == {"b"}
 
 
+def _repeatable():
+    """Return a request that was seen in effect, whose member is a replica again."""
+    observed = Observed()
+    observed.pending.record_accepted(observed.request)
+    assert observed.lead(2) is Resolution.IN_EFFECT
+    observed.primary = False
+    observed.advance(STEP_S)
+    return observed
+
+
+def test_the_member_of_a_request_in_effect_confirms_another_primary_for_a_time():
+    """Guards against grants of a later primary when the platform carries a request out twice.
+
+    387 to 437 writes were acknowledged at the replaced primary.
+    """
+    observed = _repeatable()
+    assert observed.advance(pending_promotions.REPEATABLE_S - 1.0) is None
+    assert observed.pending.confirming == {"b"}
+    assert not observed.pending.members | observed.pending.awaited
+    assert observed.advance(1.0) is Resolution.NOT_REPEATED
+    assert not observed.pending.confirming
+    assert not observed.pending.contains(observed.request)
+
+
+def test_a_member_that_does_not_answer_confirms_no_other_primary():
+    """Guards against a group without writes when a primary fails soon after its promotion."""
+    observed = _repeatable()
+    observed.advance(pending_promotions.MAX_REPORT_GAP_S - 2 * STEP_S, answering=False)
+    assert observed.pending.confirming == {"b"}
+    observed.advance(3 * STEP_S, answering=False)
+    assert not observed.pending.confirming
+    assert observed.pending.repeatable == {"b"}
+    observed.advance(STEP_S)
+    assert observed.pending.confirming == {"b"}
+
+
+def test_a_second_effect_does_not_end_a_request_that_is_still_on_its_way():
+    """Guards against a late request that is forgotten because an earlier one acts twice."""
+    observed = _repeatable()
+    later = observed.pending.add("b", 3, observed.now_s)
+    observed.pending.record_unanswered(later)
+    observed.lead(5)
+    observed.primary = False
+    observed.advance(20.0)
+    assert observed.pending.contains(later)
+    assert observed.pending.confirming == {"b"}
+
+
+def test_a_request_that_a_predecessor_saw_in_effect_is_repeatable_at_once():
+    """Guards against grants of another primary between the reading of records and a report."""
+    observed = Observed()
+    observed.pending.remove(observed.request)
+    observed.pending.add_repeatable("b", observed.now_s)
+    assert observed.pending.confirming == {"b"}
+    assert not observed.pending.awaited
+    assert observed.advance(pending_promotions.REPEATABLE_S - 1.0) is None
+    assert observed.advance(1.0) is Resolution.NOT_REPEATED
+
+
 def test_a_request_for_a_member_that_is_gone_does_not_block_the_group():
     """Guards against a group without writes for good: the member was lost with its machine."""
     observed = Observed()
--- a/bilberrystack/routing/permission.py
+++ b/bilberrystack/routing/permission.py
@@ -8,7 +8,9 @@
 
 A conditional grant is given while requested promotions of some members may still take effect at any
 moment. It lasts as long as a grant, and excludes the promotion of all others: an answer needs a
-confirmation by those members alone.
+confirmation by those members alone. A member that only a second copy of an earlier request may
+promote confirms an answer also by the end of its process: the platform promotes none that does not
+run.
 
 A leader is a process that has led its member's group in a term. Another process may start under the
 member's id without the log, so that an answer counts as the leader's only if its connection, which
@@ -58,6 +60,7 @@
         "_condition_ends_at_s",
         "_grant_ends_at_s",
         "_leader",
+        "_may_have_ended",
         "_stepped_down_at_s",
         "_withdrawn",
     )
@@ -67,6 +70,7 @@
         self._grant_ends_at_s = NEVER_S
         # The members that have to confirm an answer during a conditional grant, and its end.
         self._condition: frozenset[str] = frozenset()
+        self._may_have_ended: frozenset[str] = frozenset()
         self._condition_ends_at_s = NEVER_S
         self._withdrawn = False
         self._stepped_down_at_s: float | None = None
@@ -110,12 +114,17 @@
         usable = self._leader == leader and not self._withdrawn
         return self._condition if usable and instant_s <= self._condition_ends_at_s else frozenset()
 
+    def may_have_ended(self, member: str) -> bool:
+        """Returns whether a confirming member confirms answers also by the end of its process."""
+        return member in self._may_have_ended
+
     def grant(
         self,
         leader: Leader,
         until_s: float,
         change_number: ChangeNumber,
         condition: frozenset[str] = frozenset(),
+        may_have_ended: frozenset[str] = frozenset(),
     ) -> bool:
         """Applies a grant of the coordinator.
 
@@ -125,6 +134,7 @@
           change_number: Number of the last primary change before the grant. A grant that precedes a
             withdrawal is ignored.
           condition: Ids of the members that have to confirm each answer; empty for none.
+          may_have_ended: Those of them that confirm answers also by the end of their process.
         Returns:
           Whether the leader differs from the previous one.
         """
@@ -137,7 +147,8 @@
         changed = leader != self._leader
         self._leader = leader
         if condition:
-            self._condition, self._condition_ends_at_s = condition, until_s
+            self._condition, self._may_have_ended = condition, may_have_ended
+            self._condition_ends_at_s = until_s
             self._grant_ends_at_s = NEVER_S
         else:
             self._grant_ends_at_s = until_s if changed else max(until_s, self._grant_ends_at_s)
--- a/bilberrystack/routing/primary_change.py
+++ b/bilberrystack/routing/primary_change.py
@@ -227,11 +227,31 @@
         """Whether the group waits for the effect of a promotion request."""
         return bool(self._pending.awaited)
 
+    @property
+    def condition(self) -> frozenset[str]:
+        """Ids of the members that have to confirm each answer of the leader; empty for none.
+
+        They may be promoted at any moment, by a request that is pending or by a second copy.
+        """
+        return self._pending.confirming.difference(self._leader_ids)
+
+    @property
+    def may_have_ended(self) -> frozenset[str]:
+        """Ids of the members in the condition that confirm also by the end of their process.
+
+        No pending request names them.
+        """
+        return self.condition - self._pending.members
+
     @property
     def promotable(self) -> frozenset[str]:
-        """Ids of the members, other than the leader, that may be promoted at any moment."""
-        leader = () if self._leader is None else (self._leader.member,)
-        return self._pending.members.difference(leader)
+        """Ids of the members, other than the leader, that may be promoted, also silent ones."""
+        promotable = self._pending.members | self._pending.repeatable
+        return promotable.difference(self._leader_ids)
+
+    @property
+    def _leader_ids(self) -> tuple[str, ...]:
+        return () if self._leader is None else (self._leader.member,)
 
     @property
     def reason(self) -> str:
--- a/bilberrystack/routing/primary_change_test.py
+++ b/bilberrystack/routing/primary_change_test.py
@@ -387,12 +387,12 @@
     ends_at_s = now_s + pending_promotions.REQUEST_LIFETIME_S
     while now_s < ends_at_s:
         assert group.step(now_s) is None
-        assert group.change.grantable_primary(now_s) is None or group.change.promotable == {"c"}
+        assert group.change.grantable_primary(now_s) is None or group.change.condition == {"c"}
         now_s += 0.05
     for step in range(4):
         group.step(now_s + step * 0.05)
     assert group.change.grantable_primary(now_s + 0.15) == permission.Leader("a", 1)
-    assert not group.change.promotable
+    assert not group.change.condition
 
 
 def _overdue_request():
@@ -409,7 +409,7 @@
     """Guards against a group that serves no writes for as long as a request may last."""
     group, now_s = _overdue_request()
     assert group.change.grantable_primary(now_s) == permission.Leader("a", 1)
-    assert group.change.promotable == {"c"}
+    assert group.change.condition == {"c"}
 
 
 def test_a_primary_that_fails_while_a_request_is_overdue_is_replaced():
@@ -421,7 +421,7 @@
     group.set("c", primary=True, term=2)
     group.step(now_s + 2.3, unresponsive="a")
     assert group.change.grantable_primary(now_s + 2.3) == permission.Leader("c", 2)
-    assert not group.change.promotable
+    assert not group.change.condition
 
 
 def test_a_primary_is_granted_on_condition_while_an_earlier_request_may_promote_another_member():
@@ -436,12 +436,44 @@
     for step in range(60):
         group.step(now_s + 2.3 + step * 0.05)
         assert group.change.grantable_primary(now_s + 2.3 + step * 0.05) == LEADER_B
-        assert group.change.promotable == {"c"}
+        assert group.change.condition == {"c"}
     group.set("a", primary=False, term=2)
     group.set("c", primary=True, term=3)
     group.step(now_s + 6.0)
     assert group.change.grantable_primary(now_s + 6.0) == permission.Leader("c", 3)
-    assert not group.change.promotable
+    # The request for b may be carried out once more.
+    assert group.change.condition == {"b"}
+    group.step(now_s + 2.3 + pending_promotions.REPEATABLE_S)
+    assert not group.change.condition
+
+
+def test_a_primary_is_granted_without_condition_while_the_former_one_is_silent():
+    """Guards against a group without writes after a primary that fails soon after its promotion."""
+    group = _Group()
+    _request_promotion(group)
+    group.change.record_reply("c", primary_change.PromotionReply.ACCEPTED, 1.1)
+    group.set("a", primary=False, term=2)
+    group.set("c", primary=True, term=2)
+    group.step(1.4)
+    for step in range(20):
+        group.step(4.0 + step * 0.1, unresponsive="c")
+    assert group.change.phase is primary_change.Phase.CALLING
+    group.change.record_reply("b", primary_change.PromotionReply.ACCEPTED, 6.0)
+    group.set("b", primary=True, term=3)
+    group.step(6.1, unresponsive="c")
+    assert group.change.grantable_primary(6.1) == permission.Leader("b", 3)
+    assert (group.change.condition, group.change.promotable) == (set(), {"c"})
+    group.set("c", primary=False, term=3)
+    group.step(6.2)
+    assert group.change.condition == group.change.may_have_ended == {"c"}
+
+
+def test_a_member_that_a_pending_request_names_does_not_confirm_by_its_end():
+    """Guards against writes at a primary whose successor was promoted late and has crashed."""
+    group, now_s = _overdue_request()
+    assert group.change.condition == {"c"}
+    assert not group.change.may_have_ended
+    assert group.change.grantable_primary(now_s) is not None
 
 
 def test_no_second_promotion_is_requested_while_one_may_take_effect():
--- a/bilberrystack/routing/takeover_model_test.py
+++ b/bilberrystack/routing/takeover_model_test.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import math
 
 import hypothesis
 import pytest
@@ -28,6 +29,10 @@
 # Time after which the coordinator gives up a promotion request.
 ANSWER_TIMEOUT_S = 0.6
 
+# A second copy of a request is carried out once its member has answered for this long: grants that
+# were given while it was silent are unconditional, and end within this time.
+REPETITION_ANSWERING_S = permission.GRANT_DURATION_S + 2 * STEP_S
+
 
 @dataclasses.dataclass
 class _Member:
@@ -35,6 +40,7 @@
     term: int = 1
     index: int = 10
     alive: bool = True
+    alive_since_s: float = 0.0
     last_contact_at_s: float = 0.0
 
 
@@ -45,6 +51,7 @@
     due_s: float
     member: str
     answered: bool
+    repeated: bool = False
 
 
 class InvariantViolation(Exception):
@@ -61,6 +68,7 @@
         count_changes=True,
         late_effect=False,
         late_calls=False,
+        repeated_calls=False,
         keep_requests=True,
         ask_members=True,
     ):
@@ -73,7 +81,10 @@
         self.messages = []
         self.pending_promotions = []
         self.next_delay_s = PROMOTION_DELAY_S
+        # Time between a request and its second copy, for the next request.
+        self.next_repetition_s = math.inf
         self.has_late_calls = late_calls
+        self.has_repeated_calls = repeated_calls
         self._wait_for_grants = wait_for_grants
         self._count_changes = count_changes
         self._late_effect = late_effect
@@ -90,8 +101,7 @@
         due = [
             promotion
             for promotion in self.pending_promotions
-            if promotion.due_s <= self.now_s
-            and (self.members[promotion.member].alive or not self._late_effect)
+            if promotion.due_s <= self.now_s and self._may_complete(promotion)
         ]
         self.pending_promotions = [
             promotion for promotion in self.pending_promotions if promotion not in due
@@ -104,6 +114,20 @@
             promoted.primary, promoted.term = True, newest + 1
         self._follow_primary()
 
+    def _may_complete(self, promotion):
+        member = self.members[promotion.member]
+        if promotion.repeated:
+            answered_s = self.now_s - member.alive_since_s
+            return member.alive and answered_s >= REPETITION_ANSWERING_S
+        return member.alive or not self._late_effect
+
+    def set_alive(self, name, alive):
+        """Makes a member answer or not answer."""
+        member = self.members[name]
+        if alive and not member.alive:
+            member.alive_since_s = self.now_s
+        member.alive = alive
+
     def _follow_primary(self):
         """Have the replicas that are alive follow the primary of the newest term."""
         terms = [member.term for member in self.members.values() if member.primary and member.alive]
@@ -150,11 +174,17 @@
                 self._request_promotion(name)
 
     def _request_promotion(self, name):
-        if any(promotion.answered for promotion in self.pending_promotions):
+        if any(
+            promotion.answered and not promotion.repeated for promotion in self.pending_promotions
+        ):
             raise InvariantViolation("two promotions are outstanding")
         delay_s, self.next_delay_s = self.next_delay_s, PROMOTION_DELAY_S
         answered = delay_s <= ANSWER_TIMEOUT_S
         self.pending_promotions.append(_Promotion(self.now_s + delay_s, name, answered))
+        repetition_s, self.next_repetition_s = self.next_repetition_s, math.inf
+        if repetition_s < math.inf:
+            due_s = self.now_s + delay_s + repetition_s
+            self.pending_promotions.append(_Promotion(due_s, name, answered, repeated=True))
         reply = (
             primary_change.PromotionReply.ACCEPTED
             if answered
@@ -171,7 +201,7 @@
         if leader is not None:
             until_s = self.now_s + permission.GRANT_DURATION_S
             self.grants_end_at_s[instance] = until_s
-            content = (leader, until_s, self.change.promotable)
+            content = (leader, until_s, self.change.condition)
             self.messages.append(("grant", instance, content, self._change_number()))
 
     def deliver(self, message_index):
@@ -237,7 +267,7 @@
 
     @stateful.rule(name=strategies.sampled_from(MEMBERS), alive=strategies.booleans())
     def set_alive(self, name, alive):
-        self.group.members[name].alive = alive
+        self.group.set_alive(name, alive)
 
     @stateful.rule(name=strategies.sampled_from(MEMBERS))
     def write(self, name):
@@ -248,6 +278,11 @@
         if self.group.has_late_calls:
             self.group.next_delay_s = delay_s
 
+    @stateful.rule(delay_s=strategies.floats(0.3, 20.0))
+    def repeat_next_call(self, delay_s):
+        if self.group.has_repeated_calls:
+            self.group.next_repetition_s = delay_s
+
     @stateful.invariant()
     def only_the_newest_primary_is_trusted(self):
         self.group.check()
@@ -283,6 +318,58 @@
     _run_model(lambda: SimulatedGroup(late_calls=True), 120)
 
 
+def test_no_replaced_primary_is_trusted_after_a_repeated_call():
+    """Guards against unconditional grants while a second copy of a call is on its way."""
+    _run_model(lambda: SimulatedGroup(repeated_calls=True), 120)
+
+
+def test_no_replaced_primary_is_trusted_after_late_and_repeated_calls():
+    """Guards against a first execution that is taken for the second one of an earlier call."""
+    _run_model(lambda: SimulatedGroup(late_calls=True, repeated_calls=True), 120)
+
+
+def _replace_primary(group):
+    """Makes the primary silent until another member leads; returns the name of the former one."""
+    former = max(MEMBERS, key=lambda name: (group.members[name].primary, group.members[name].term))
+    group.set_alive(former, False)
+    leader = group.change.leader
+    while group.change.leader == leader:
+        group.advance_time(1)
+    group.set_alive(former, True)
+    return former
+
+
+def _play_repeated_call(group):
+    """Plays a history in which a call is carried out once more while another member leads.
+
+    Args:
+      group: The simulated group.
+    """
+    group.next_repetition_s = 12.0
+    group.advance_time(1)
+    _replace_primary(group)
+    group.advance_time(30)
+    named = _replace_primary(group)
+    second = group.change.leader
+    assert second.member != named
+    for _ in range(120):
+        group.advance_time(1)
+        group.check()
+        group.request_grant(0)
+        if group.messages:
+            group.deliver(len(group.messages) - 1)
+    assert group.change.leader.member == named
+    assert group.change.leader.term > second.term
+
+
+def test_a_request_that_is_never_repeated_breaks_the_invariant(monkeypatch):
+    """Proves that the model detects a coordinator that forgets a call once it is in effect."""
+    _play_repeated_call(SimulatedGroup(repeated_calls=True))
+    monkeypatch.setattr(pending_promotions, "REPEATABLE_S", 0.0)
+    with pytest.raises(InvariantViolation):
+        _play_repeated_call(SimulatedGroup(repeated_calls=True))
+
+
 def _play_late_call(group):
     """Plays a history in which the primary is back before the call to replace it is carried out.
 
--- a/soak/late_promotion_test.py
+++ b/soak/late_promotion_test.py
@@ -88,9 +88,8 @@
     await asyncio.sleep(DELAY_S)
 
 
-async def _carry_out_late_under_a_successor(site, addresses):
-    """Another instance has become the coordinator when the request is carried out."""
-    await _request_promotion(site, _late(Answer.NEVER))
+async def _replace_coordinator(site, addresses):
+    """Stop the coordinator, and wait until a successor decides."""
     name = site.platform.get(soak_site.LEASE_KIND, soak_site.LEASE_NAME)["holder"]["name"]
     addresses.pop(name)
     number = [settings.name for settings in site.settings].index(name)
@@ -98,6 +97,12 @@
     await asyncio.sleep(SUCCESSOR_DELAY_S)
 
 
+async def _carry_out_late_under_a_successor(site, addresses):
+    """Another instance has become the coordinator when the request is carried out."""
+    await _request_promotion(site, _late(Answer.NEVER))
+    await _replace_coordinator(site, addresses)
+
+
 async def _carry_out_late_after_another_promotion(site, _addresses):
     """A third member leads when the request is carried out."""
     named = await _request_promotion(site, _late(Answer.NEVER))
@@ -125,6 +130,12 @@
     await asyncio.sleep(1.0)
 
 
+async def _carry_out_twice_under_a_successor(site, addresses):
+    """The same, and another instance has become the coordinator meanwhile."""
+    await _carry_out_twice(site, addresses)
+    await _replace_coordinator(site, addresses)
+
+
 async def _wait_for_write(site, addresses):
     """Wait until an instance that runs commits a write."""
     names = [settings.name for settings in site.settings]
@@ -143,6 +154,7 @@
     "late after another promotion": _carry_out_late_after_another_promotion,
     "late after the return of the primary": _carry_out_late_after_the_return_of_the_primary,
     "twice": _carry_out_twice,
+    "twice under a successor": _carry_out_twice_under_a_successor,
 }
 
 
