Keep rejected promotion requests as repeatable

Cause: a rejected request was dropped as one that certainly takes no effect. That holds for its first execution alone. Class: a request that acts again. Evidence: the new play [after a rejection] of soak/late_promotion_test.py on: 319, 391 and 346 writes in three runs. Change: a rejected request is repeatable for 60 s like one that was seen in effect. A member that does not answer confirms nothing, so that rejections of a member that has ended cost no writes. Its record is marked instead of removed at once, one call to the store more for each rejection. Tests: pending_promotions_test; the test of a rejected request beside an earlier one uses the rejection instead of the removal. What remains: a call that was answered with 429 or 503 counts as not made, also its second copy.

--- a/bilberrystack/pooling/interfaces.py
+++ b/bilberrystack/pooling/interfaces.py
@@ -124,7 +124,8 @@
       service: The group.
       member: Id of the member that the request names.
       replaced_term: Term of the primary that it replaces; 0 if none was known.
-      repeatable: Whether it was seen in effect, and only a second copy of it may take effect.
+      repeatable: Whether it was seen in effect or rejected, and only a second copy of it may take
+        effect.
     """
 
     name: str
--- a/bilberrystack/pooling/promotion_requests.py
+++ b/bilberrystack/pooling/promotion_requests.py
@@ -242,12 +242,13 @@
             )
             if resolved.resolution is pending_promotions.Resolution.IN_EFFECT:
                 self._remembered.pop((service, resolved.member), None)
+            if self.pending_of(service).contains(resolved.number):
                 self._tasks.start(self._mark_repeatable(service, resolved.number))
             else:
                 self.remove_record(service, resolved.number)
 
     async def _mark_repeatable(self, service: str, number: int) -> None:
-        """Store that a request was seen in effect, so that a successor does not wait for it.
+        """Store that a request is repeatable, so that a successor does not wait for its effect.
 
         It is not tried again: a successor that takes the request for pending grants too little.
         """
--- a/bilberrystack/routing/pending_promotions.py
+++ b/bilberrystack/routing/pending_promotions.py
@@ -9,10 +9,11 @@
 it. Once its member has answered for a time without leading, it is *overdue*: the group goes on
 without unconditional grants for any other member, and may request further promotions.
 
-A request that was seen in effect is *repeatable* for a time: it may be carried out once more. While
-its member leads, that changes nothing. Once another member leads, the named one has to confirm that
-primary's answers as long as it answers itself. A member that does not answer is left out: most such
-members do not run and can't be promoted, and the group would stop until they return.
+A request that was seen in effect or rejected is *repeatable* for a time: it may be carried out once
+more, and what was rejected may be accepted then. While its member leads, that changes nothing. Once
+another member leads, the named one has to confirm that primary's answers as long as it answers
+itself. A member that does not answer is left out: most such members do not run and can't be
+promoted, and the group would stop until they return.
 """
 
 import collections.abc
@@ -31,7 +32,7 @@
 # limits of an HTTP server or of a connection that loses packets.
 REQUEST_LIFETIME_S = 60.0
 
-# A request that was seen in effect is taken to be carried out no more after this time.
+# A request that was seen in effect or rejected is taken to be carried out no more after this time.
 REPEATABLE_S = REQUEST_LIFETIME_S
 
 # A member counts as answering while its status reports are no further apart than this.
@@ -45,9 +46,10 @@
 
 
 class Resolution(enum.Enum):
-    """Why a promotion request is no longer pending; the first one makes it repeatable."""
+    """Why a promotion request is no longer pending; the first two make it repeatable."""
 
     IN_EFFECT = "in effect"
+    REJECTED = "rejected"
     NOT_REPEATED = "not repeated"
     NO_EFFECT = "no effect"
     MEMBER_GONE = "member gone"
@@ -91,7 +93,7 @@
       answered_at_s: Time of its last status report.
       missing_since_s: Time since which its record is missing; None if the store has it.
       gone: Whether its record has been missing for so long that the member counts as gone.
-      repeatable_since_s: Time at which it was seen in effect; None while it is pending.
+      repeatable_since_s: Time at which it was seen in effect or rejected; None while it is pending.
       reachable: Whether its member has answered an instance recently, once it is repeatable.
     """
 
@@ -109,7 +111,7 @@
 
     @property
     def pending(self) -> bool:
-        """Whether it has not been seen in effect."""
+        """Whether it has not been seen in effect, nor rejected."""
         return self.repeatable_since_s is None
 
 
@@ -205,6 +207,11 @@
         if number in self._requests:
             self._requests[number].answer = _Answer.NONE
 
+    def record_rejected(self, number: int, now_s: float) -> None:
+        """Record that the platform has rejected a request; a second copy may be accepted."""
+        if number in self._requests:
+            self._make_repeatable(number, Resolution.REJECTED, now_s)
+
     def remove(self, number: int) -> None:
         """Remove a request that certainly takes no effect."""
         self._requests.pop(number, None)
@@ -254,7 +261,7 @@
                 self._remove_resolved(number, resolution)
 
     def take_resolved(self) -> list[Resolved]:
-        """Return the requests that `update` has found in effect or removed since the last call."""
+        """Return the requests that are no longer pending, or repeatable, since the last call."""
         resolved, self._resolved = self._resolved, []
         return resolved
 
@@ -262,10 +269,10 @@
         request = self._requests.pop(number)
         self._resolved.append(Resolved(number, request.member, resolution))
 
-    def _record_in_effect(self, number: int, now_s: float) -> None:
+    def _make_repeatable(self, number: int, resolution: Resolution, now_s: float) -> None:
         request = self._requests[number]
         request.repeatable_since_s = now_s
-        self._resolved.append(Resolved(number, request.member, Resolution.IN_EFFECT))
+        self._resolved.append(Resolved(number, request.member, resolution))
 
     def _record_effect(self, member: str, term: int, now_s: float) -> None:
         """Make the requests repeatable whose effect is that a member leads a term.
@@ -283,7 +290,7 @@
             request.overdue = True
         accepted = self._numbers(effective, _Answer.ACCEPTED)
         for number in accepted:
-            self._record_in_effect(number, now_s)
+            self._make_repeatable(number, Resolution.IN_EFFECT, now_s)
         outstanding = self._numbers(effective, _Answer.OUTSTANDING)
         if not effective or self._effects.get(member, 0) >= term:
             return
@@ -293,7 +300,7 @@
         self._effects[member] = term
         unanswered = self._numbers(effective, _Answer.NONE)
         if unanswered and not accepted:
-            self._record_in_effect(min(unanswered), now_s)
+            self._make_repeatable(min(unanswered), Resolution.IN_EFFECT, now_s)
         for request in effective.values():
             request.replaced_term = term
 
--- a/bilberrystack/routing/pending_promotions_test.py
+++ b/bilberrystack/routing/pending_promotions_test.py
@@ -116,8 +116,26 @@
 def test_a_rejected_request_does_not_end_an_earlier_one():
     """Guards against a forgotten call: the platform rejects a member that has just ended."""
     observed = Observed()
-    observed.pending.remove(observed.pending.add("b", 1, observed.now_s))
+    rejected = observed.pending.add("b", 1, observed.now_s)
+    observed.pending.record_rejected(rejected, observed.now_s)
     assert observed.pending.members == {"b"}
+    assert not observed.pending.is_pending(rejected)
+
+
+def test_the_member_of_a_rejected_request_confirms_another_primary_for_a_time():
+    """Guards against grants of a later primary when a second copy of the request is accepted.
+
+    319 to 391 writes were acknowledged at the replaced primary.
+    """
+    observed = Observed()
+    observed.pending.record_rejected(observed.request, observed.now_s)
+    assert observed.advance(STEP_S) is Resolution.REJECTED
+    assert not observed.pending.members | observed.pending.awaited
+    assert observed.pending.confirming == {"b"}
+    observed.advance(pending_promotions.REPEATABLE_S - 2 * STEP_S)
+    assert observed.pending.confirming == {"b"}
+    assert observed.advance(2 * STEP_S) is Resolution.NOT_REPEATED
+    assert not observed.pending.confirming
 
 
 def _repeatable():
--- a/bilberrystack/routing/primary_change.py
+++ b/bilberrystack/routing/primary_change.py
@@ -312,9 +312,9 @@
                 return
             case PromotionReply.REJECTED:
                 self._rejected_at_s[member] = now_s
+                self._pending.record_rejected(self._request, now_s)
             case PromotionReply.NOT_MADE:
-                pass
-        self._pending.remove(self._request)
+                self._pending.remove(self._request)
         self._requested_at_s = None
         self._phase = Phase.FENCING
 
--- a/soak/late_promotion_test.py
+++ b/soak/late_promotion_test.py
@@ -136,6 +136,20 @@
     await _replace_coordinator(site, addresses)
 
 
+async def _carry_out_after_a_rejection(site, _addresses):
+    """The platform rejects the request, and carries it out once more when another member leads."""
+    site.platform.promotion_faults.append(_late(Answer.WHEN_CARRIED_OUT, 0.0))
+    site.platform.unpromotable_members = set(site.group.members)
+    first = site.group.members["a"]
+    first.go_dark()
+    await site.wait_until(lambda: site.platform.promotion_requests)
+    site.platform.unpromotable_members.clear()
+    named = site.group.members[site.platform.promotion_requests[0].member]
+    await site.wait_until(lambda: set(site.group.primaries) - {first, named})
+    await first.end_darkness()
+    await asyncio.sleep(END_S)
+
+
 async def _wait_for_write(site, addresses):
     """Wait until an instance that runs commits a write."""
     names = [settings.name for settings in site.settings]
@@ -154,6 +168,7 @@
     "late after another promotion": _carry_out_late_after_another_promotion,
     "late after the return of the primary": _carry_out_late_after_the_return_of_the_primary,
     "twice": _carry_out_twice,
+    "after a rejection": _carry_out_after_a_rejection,
     "twice under a successor": _carry_out_twice_under_a_successor,
 }
 
