Ignore a late grant from before a conditional one

What callers saw: nothing yet. An instance could acknowledge writes of a primary without the confirmation that its conditional grant requires, for up to 1.5 s. Cause: a grant without a condition that arrived late, or a second time, replaced a later conditional one of the same change. Class: a message that acts again. Evidence: permission_test, the new test of a late grant, failed on: the late grant covered an answer. Change: of the grants of one leader and one change, one without a condition is ignored if it ends before the conditional grant in force. Its request was earlier. What remains: an instance that the conditional grant has not reached uses its earlier one to its end.

--- a/bilberrystack/routing/permission.py
+++ b/bilberrystack/routing/permission.py
@@ -142,9 +142,13 @@
             return False
         if change_number < self._change_number:
             return False
+        changed = leader != self._leader
+        precedes_condition = until_s < self._condition_ends_at_s and not condition
+        if precedes_condition and not changed and change_number == self._change_number:
+            # A datagram may arrive late. The condition belongs to a request after this grant.
+            return False
         self._change_number = change_number
         self._withdrawn = False
-        changed = leader != self._leader
         self._leader = leader
         if condition:
             self._condition, self._may_have_ended = condition, may_have_ended
--- a/bilberrystack/routing/permission_test.py
+++ b/bilberrystack/routing/permission_test.py
@@ -86,6 +86,18 @@
     assert not held.confirming_members(OLD, 1.0)
 
 
+def test_a_late_grant_without_a_condition_does_not_end_a_conditional_one():
+    """Guards against a datagram that arrives late, or twice, and removes the condition again."""
+    held = permission.Permission()
+    held.grant(OLD, 1.5, (1, 1))
+    held.grant(OLD, 1.9, (1, 1), frozenset("c"))
+    held.grant(OLD, 1.5, (1, 1))
+    assert not held.valid_at(OLD, 0.5)
+    assert held.confirming_members(OLD, 1.9) == {"c"}
+    held.grant(OLD, 1.8, (1, 2))
+    assert held.valid_at(OLD, 1.8)
+
+
 def test_a_withdrawal_ends_a_conditional_grant():
     """Guards against a round that leaves out the member which the coordinator promotes next."""
     held = permission.Permission()
