--- a/bilberrystack/pooling/fleet.py
+++ b/bilberrystack/pooling/fleet.py
@@ -304,9 +304,9 @@
             # one, or an answer whose grants have ended.
             return
         for grant in message.grants:
-            self._apply_grant(message, grant, frozenset(), now_s)
+            self._apply_grant(message, messages.ConditionalGrant(grant, []), now_s)
         for conditional in message.conditional_grants:
-            self._apply_grant(message, conditional.grant, frozenset(conditional.members), now_s)
+            self._apply_grant(message, conditional, now_s)
 
     def _log_ignored_grants(self, message: messages.Grants, sender: model.Endpoint) -> None:
         """Log grants of another coordinator than the one that this instance read in the store."""
@@ -325,11 +325,13 @@
     def _apply_grant(
         self,
         message: messages.Grants,
-        grant: messages.Grant,
-        condition: frozenset[str],
+        conditional: messages.ConditionalGrant,
         now_s: float,
     ) -> None:
-        """Apply a grant, under which the members of a condition confirm each answer."""
+        """Apply a grant, whose condition may name no member."""
+        grant = conditional.grant
+        condition = frozenset(conditional.members)
+        may_have_ended = frozenset(conditional.may_have_ended)
         served_group = self._groups.get(grant.service)
         if served_group is None:
             return
@@ -338,7 +340,7 @@
         change_number = (message.token, grant.change_number)
         if change_number < self._withdrawn_numbers.get(grant.service, change_number):
             return
-        if served_group.permission.grant(leader, until_s, change_number, condition):
+        if served_group.permission.grant(leader, until_s, change_number, condition, may_have_ended):
             _LOG.info(
                 "grant names another primary than before",
                 service=grant.service,
--- a/bilberrystack/pooling/promotion_requests.py
+++ b/bilberrystack/pooling/promotion_requests.py
@@ -85,7 +85,7 @@
         "_metrics",
         "_pending",
         "_platform",
-        "_record_names",
+        "_records",
         "_remembered",
         "_running_time",
         "_tasks",
@@ -114,8 +114,8 @@
         self._metrics = metrics
         self._running_time = running
         self._pending: dict[str, pending_promotions.PendingPromotions] = {}
-        # Names of the records in the store, by group and number of the request.
-        self._record_names: dict[tuple[str, int], str] = {}
+        # The records in the store, by group and number of the request.
+        self._records: dict[tuple[str, int], interfaces.PromotionRecord] = {}
         # The last request by group and member, for log lines and metrics only.
         self._remembered: dict[tuple[str, str], _RememberedRequest] = {}
 
@@ -132,19 +132,23 @@
 
     def load(self, records: collections.abc.Iterable[interfaces.PromotionRecord]) -> None:
         """Take account of the requests of earlier coordinators, which may still take effect."""
+        known_names = {record.name for record in self._records.values()}
         for record in records:
-            if record.name in self._record_names.values():
+            if record.name in known_names:
                 continue
-            number = self.pending_of(record.service).add_earlier(
-                record.member, record.replaced_term, self._clock()
-            )
-            self._record_names[record.service, number] = record.name
-            self._remember(record, own=False)
+            pending, now_s = self.pending_of(record.service), self._clock()
+            if record.repeatable:
+                number = pending.add_repeatable(record.member, now_s)
+            else:
+                number = pending.add_earlier(record.member, record.replaced_term, now_s)
+                self._remember(record, own=False)
+            self._records[record.service, number] = record
             _LOG.info(
                 "promotion request of an earlier coordinator may still take effect",
                 service=record.service,
                 member=record.member,
                 replaced_term=record.replaced_term,
+                repeatable=record.repeatable,
             )
 
     async def make(
@@ -185,7 +189,7 @@
         A coordinator that follows reads it.
         """
         record = request.record
-        self._record_names[request.service, request.number] = record.name
+        self._records[request.service, request.number] = record
         try:
             async with asyncio.timeout(RECORD_TIMEOUT_S):
                 await self._platform.record_promotion(record)
@@ -200,12 +204,13 @@
         return True
 
     async def _store_while_pending(self, request: Request) -> None:
-        """Try again to store a request that was made without a record, until it is not pending."""
-        key, record = (request.service, request.number), request.record
+        """Try again to store a request that was made without a record, while it may act."""
+        key, name = (request.service, request.number), request.record.name
         stored = False
         while not stored:
             await asyncio.sleep(RECORD_RETRY_DELAY_S)
-            if self._record_names.get(key) != record.name:
+            record = self._records.get(key)
+            if record is None:
                 break
             try:
                 await self._platform.record_promotion(record)
@@ -215,14 +220,14 @@
                 stored = True
             except interfaces.StoreFailure:
                 pass
-        if self._record_names.get(key) != record.name:
+        if key not in self._records:
             # The removal may have been executed before an attempt to store it.
-            await self._remove_record(record.name)
+            await self._remove_record(name)
             return
         _LOG.info(
             "promotion request stored after it was made",
-            service=record.service,
-            member=record.member,
+            service=request.service,
+            member=request.member,
         )
 
     async def _send(
@@ -257,8 +262,8 @@
             else primary_change.PromotionReply.REJECTED
         )
 
-    def remove_resolved(self, service: str) -> None:
-        """Remove the records of a group's requests that can't take effect any more."""
+    def record_resolved(self, service: str) -> None:
+        """Update the records of a group's requests that are no longer pending or repeatable."""
         for resolved in self.pending_of(service).take_resolved():
             _LOG.info(
                 "promotion request no longer pending",
@@ -269,13 +274,34 @@
             )
             if resolved.resolution is pending_promotions.Resolution.IN_EFFECT:
                 self._remembered.pop((service, resolved.member), None)
-            self.remove_record(service, resolved.number)
+            if self.pending_of(service).contains(resolved.number):
+                self._tasks.start(self._mark_repeatable(service, resolved.number))
+            else:
+                self.remove_record(service, resolved.number)
+
+    async def _mark_repeatable(self, service: str, number: int) -> None:
+        """Store that a request is repeatable, so that a successor does not wait for its effect.
+
+        It is not tried again: a successor that takes the request for pending grants too little.
+        """
+        record = self._records.get((service, number))
+        if record is None:
+            return
+        record = self._records[service, number] = dataclasses.replace(record, repeatable=True)
+        try:
+            await self._platform.update_promotion_record(record)
+        except interfaces.StoreFailure as failure:
+            _LOG.info(
+                "record of a promotion request not updated; a successor waits for its effect",
+                record=record.name,
+                failure=type(failure).__name__,
+            )
 
     def remove_record(self, service: str, number: int) -> None:
-        """Begin to remove the record of a request that is no longer pending."""
-        name = self._record_names.pop((service, number), None)
-        if name is not None:
-            self._tasks.start(self._remove_record(name))
+        """Begin to remove the record of a request that can't take effect any more."""
+        record = self._records.pop((service, number), None)
+        if record is not None:
+            self._tasks.start(self._remove_record(record.name))
 
     async def _remove_record(self, name: str) -> None:
         """Remove a record, also if the store is away for a time.
@@ -332,6 +358,8 @@
         request = "ended" if key in self._remembered else "none"
         if self.pending_of(service).names(primary.id):
             request = "pending"
+        elif primary.id in self.pending_of(service).repeatable:
+            request = "repeated"
         _LOG.info(
             "primary of a newer term seen",
             service=service,
--- a/soak/late_promotion_test.py
+++ b/soak/late_promotion_test.py
@@ -95,9 +95,8 @@
     await asyncio.sleep(DELAY_S)
 
 
-async def _carry_out_late_under_a_successor(site, addresses):
-    """Another instance has become the coordinator when the request is carried out."""
-    await _request_promotion(site, _late(Answer.NEVER))
+async def _replace_coordinator(site, addresses):
+    """Stop the coordinator, and wait until a successor decides."""
     name = site.platform.get(soak_site.LEASE_KIND, soak_site.LEASE_NAME)["holder"]["name"]
     addresses.pop(name)
     number = [settings.name for settings in site.settings].index(name)
@@ -105,6 +104,12 @@
     await asyncio.sleep(SUCCESSOR_DELAY_S)
 
 
+async def _carry_out_late_under_a_successor(site, addresses):
+    """Another instance has become the coordinator when the request is carried out."""
+    await _request_promotion(site, _late(Answer.NEVER))
+    await _replace_coordinator(site, addresses)
+
+
 async def _carry_out_late_unknown_to_a_successor(site, addresses):
     """The store did not answer when the request was to be stored, and the request was made."""
 
@@ -152,6 +157,26 @@
     await asyncio.sleep(1.0)
 
 
+async def _carry_out_twice_under_a_successor(site, addresses):
+    """The same, and another instance has become the coordinator meanwhile."""
+    await _carry_out_twice(site, addresses)
+    await _replace_coordinator(site, addresses)
+
+
+async def _carry_out_after_a_rejection(site, _addresses):
+    """The platform rejects the request, and carries it out once more when another member leads."""
+    site.platform.promotion_faults.append(_late(Answer.WHEN_CARRIED_OUT, 0.0))
+    site.platform.unpromotable_members = set(site.group.members)
+    first = site.group.members["a"]
+    first.go_dark()
+    await site.wait_until(lambda: site.platform.promotion_requests)
+    site.platform.unpromotable_members.clear()
+    named = site.group.members[site.platform.promotion_requests[0].member]
+    await site.wait_until(lambda: set(site.group.primaries) - {first, named})
+    await first.end_darkness()
+    await asyncio.sleep(END_S)
+
+
 async def _wait_for_write(site, addresses):
     """Wait until an instance that runs commits a write."""
     names = [settings.name for settings in site.settings]
@@ -172,6 +197,8 @@
     "late after another promotion": _carry_out_late_after_another_promotion,
     "late after the return of the primary": _carry_out_late_after_the_return_of_the_primary,
     "twice": _carry_out_twice,
+    "after a rejection": _carry_out_after_a_rejection,
+    "twice under a successor": _carry_out_twice_under_a_successor,
 }
 
 
