--- a/bilberrystack/pooling/replaced_primary_rounds_test.py
+++ b/bilberrystack/pooling/replaced_primary_rounds_test.py
@@ -102,6 +102,20 @@
         assert "w2" in received or outcome.failure is not None
 
 
+async def test_a_late_resume_confirms_no_commit_that_the_promoted_member_lacks():
+    """Guards against a RESUME of an earlier change that ends the HOLD of the present one."""
+    async with Instance(sync_replicas=1) as instance:
+        assert (await instance.write("w1")).failure is None
+        # The order to "b" is lost. A coordinator has asked for both positions since.
+        await instance.group.query_member("c", wire.encode_hold(LEADER.term + 1))
+        await instance.group.query_member("c", wire.encode_resume())
+        instance.members.members["c"].replication_stopped = True
+        outcome = await instance.write("w2")
+        await instance.promote_unnoticed("c")
+        received = [entry.request_id for entry in instance.members.promotions[0].log]
+        assert "w2" in received or outcome.failure is not None
+
+
 async def test_a_member_that_was_removed_does_not_make_a_round_complete():
     """Guards against commits at a primary whose successor has no record in the store.
 
