Treat a change that a former coordinator left unfinished as a possible promotion

What callers would see: writes acknowledged at a replaced primary, after a promotion that was requested while the store did not answer and was carried out late, under a successor of its coordinator. Cause: such a request has no record, so that the successor granted the old primary without a condition. An instance that becomes the coordinator now concludes from the last message: after a withdrawal without a grant any member may have been promoted, after a conditional grant those that it named. Weighed: to wait for the store before each request, which stops failovers in its outages; to send the request to the standbys and wait for them, a further exchange before each one without a record. Remains: a successor that the withdrawal did not reach knows nothing of it, and a member that answers nobody is not waited for.

--- a/bilberrystack/pooling/coordinator.py
+++ b/bilberrystack/pooling/coordinator.py
@@ -163,6 +163,7 @@
         "_metrics",
         "_newest_terms",
         "_own_instance",
+        "_own_tokens",
         "_peers",
         "_peers_heard_for",
         "_platform",
@@ -178,6 +179,7 @@
         "_tasks",
         "_token",
         "_token_since_s",
+        "_unfinished_changes",
         "configuration_version",
         "send",
     )
@@ -232,6 +234,10 @@
         # The token under which the requests of earlier coordinators were read.
         self._promotions_loaded_for: int | None = None
         self._promotions_task: asyncio.Task[None] | None = None
+        self._own_tokens: set[int] = set()
+        # The members of each group that the former coordinator may have requested to promote, as
+        # its last withdrawal or grant has shown this instance.
+        self._unfinished_changes: dict[str, frozenset[str]] = {}
         self._quotas = allocation.ShareAllocator()
         self._quota_limits: dict[str, shares.Limit] = {}
         self._status_queried_at_s: dict[str, float] = {}
@@ -288,11 +294,38 @@
         self._load_primaries(
             [item for item in snapshot.items.values() if isinstance(item, interfaces.PrimaryRecord)]
         )
-        self._promotion_requests.load(
-            item for item in snapshot.items.values() if isinstance(item, interfaces.PromotionRecord)
+        self._load_requests(
+            [
+                item
+                for item in snapshot.items.values()
+                if isinstance(item, interfaces.PromotionRecord)
+            ]
         )
         self._promotions_loaded_for = token
 
+    def _load_requests(self, records: list[interfaces.PromotionRecord]) -> None:
+        """Take account of the requests of earlier coordinators, also of those without a record.
+
+        A request is made without a record if the store does not answer. The withdrawal before it
+        has told the instances that a change was under way.
+        """
+        self._promotion_requests.load(records)
+        recorded = {record.service for record in records if not record.repeatable}
+        for service, members in self._unfinished_changes.items():
+            if service not in recorded:
+                self._promotion_requests.add_unrecorded(service, members)
+        self._unfinished_changes.clear()
+
+    def _find_unfinished_changes(self) -> dict[str, frozenset[str]]:
+        """Return the members that the former coordinator may have requested to promote."""
+        changes = {}
+        for service, served_group in self._groups.items():
+            token, _ = served_group.permission.change_number
+            members = served_group.permission.possibly_promoted(frozenset(served_group.pools))
+            if members and token not in self._own_tokens:
+                changes[service] = members
+        return changes
+
     async def _announce(self, registered: collections.abc.Mapping[str, object], token: int) -> None:
         """Ask all instances for their quota claims; nothing is lent before all have answered.
 
@@ -389,6 +422,8 @@
             self._majority_heard_at_s = self._token_since_s = self._clock()
             if token is not None:
                 self._quotas.begin(token, self._clock())
+                self._unfinished_changes = self._find_unfinished_changes()
+                self._own_tokens.add(token)
         if token is None:
             return
         if self._lacks_majority():
--- a/bilberrystack/pooling/promotion_requests.py
+++ b/bilberrystack/pooling/promotion_requests.py
@@ -151,6 +151,17 @@
                 repeatable=record.repeatable,
             )
 
+    def add_unrecorded(self, service: str, members: frozenset[str]) -> None:
+        """Take account of a request without a record, which may promote one of some members."""
+        pending, now_s = self.pending_of(service), self._clock()
+        for member in sorted(members):
+            pending.add_repeatable(member, now_s)
+        _LOG.info(
+            "an earlier coordinator may have requested a promotion without a record",
+            service=service,
+            members=sorted(members),
+        )
+
     async def make(
         self, request: Request, may_send: collections.abc.Callable[[], bool]
     ) -> primary_change.PromotionReply:
--- a/bilberrystack/routing/permission.py
+++ b/bilberrystack/routing/permission.py
@@ -62,6 +62,7 @@
         "_leader",
         "_may_have_ended",
         "_stepped_down_at_s",
+        "_unfinished",
         "_withdrawn",
     )
 
@@ -73,6 +74,8 @@
         self._may_have_ended: frozenset[str] = frozenset()
         self._condition_ends_at_s = NEVER_S
         self._withdrawn = False
+        # Whether no grant has followed the last withdrawal, also after the change was abandoned.
+        self._unfinished = False
         self._stepped_down_at_s: float | None = None
         self._change_number = INITIAL_CHANGE_NUMBER
 
@@ -114,6 +117,15 @@
         usable = self._leader == leader and not self._withdrawn
         return self._condition if usable and instant_s <= self._condition_ends_at_s else frozenset()
 
+    def possibly_promoted(self, members: frozenset[str]) -> frozenset[str]:
+        """Returns the members that a request of the last known coordinator may still promote.
+
+        Args:
+          members: Ids of all members. Any of them may be promoted if no grant has followed the last
+            withdrawal; otherwise those that the last grant was conditional on.
+        """
+        return members if self._unfinished else self._condition
+
     def may_have_ended(self, member: str) -> bool:
         """Returns whether a confirming member confirms answers also by the end of its process."""
         return member in self._may_have_ended
@@ -148,10 +160,10 @@
             # A datagram may arrive late. The condition belongs to a request after this grant.
             return False
         self._change_number = change_number
-        self._withdrawn = False
+        self._withdrawn = self._unfinished = False
         self._leader = leader
+        self._condition, self._may_have_ended = condition, may_have_ended
         if condition:
-            self._condition, self._may_have_ended = condition, may_have_ended
             self._condition_ends_at_s = until_s
             self._grant_ends_at_s = NEVER_S
         else:
@@ -174,7 +186,7 @@
         if change_number < self._change_number:
             return
         self._change_number = change_number
-        self._withdrawn = True
+        self._withdrawn = self._unfinished = True
         self._end_grants()
 
     def observe(self, leader: Leader) -> bool:
--- a/bilberrystack/routing/permission_test.py
+++ b/bilberrystack/routing/permission_test.py
@@ -120,3 +120,18 @@
     held.abandon_change()
     assert not held.change_in_progress
     assert not held.valid_at(OLD, 0.0)
+
+
+def test_a_withdrawal_tells_that_any_member_may_be_promoted_until_a_grant_follows():
+    """A successor did not know of a request that its coordinator had made without a record."""
+    held = permission.Permission()
+    held.grant(OLD, 5.0, (1, 0))
+    members = frozenset({"a", "b", "c"})
+    assert not held.possibly_promoted(members)
+    held.withdraw((1, 1))
+    held.abandon_change()
+    assert held.possibly_promoted(members) == members
+    held.grant(OLD, 9.0, (1, 1), frozenset({"b"}))
+    assert held.possibly_promoted(members) == {"b"}
+    held.grant(OLD, 11.0, (1, 1))
+    assert not held.possibly_promoted(members)
