Probe a suspected member again until it answers

What callers saw: an instance refused all writes of a group for at least 20 s after a cut of 1.5 s from the primary, with a valid grant and open connections. Cause: a suspected member gets no statements while others are free, and a suspected primary gets none at all, so that no answer ends the suspicion. Only one probe was made, which fails while the member is unreachable, and no connection is opened while an idle one is left. Change: after a failed probe the member is probed again each 0.5 s, once at a time, until it answers or is removed.

--- a/bilberrystack/pooling/group.py
+++ b/bilberrystack/pooling/group.py
@@ -50,6 +50,9 @@
 # Time limit of the probe connection.
 PROBE_TIMEOUT_S = 0.3
 
+# Interval between probes of a suspected member.
+PROBE_INTERVAL_S = 0.5
+
 # Time limit of the check whether a connection's process leads. A member serves a full queue in less
 # time, and a lost answer leaves time for another connection.
 LEAD_CHECK_TIMEOUT_S = 0.3
@@ -214,6 +217,7 @@
         "_instance_name",
         "_owner_count",
         "_pools",
+        "_probed_again",
         "_queue",
         "_removed_at_s",
         "_running_time",
@@ -274,6 +278,8 @@
         self._clock = clock
         self._tasks = background_tasks
         self._pools: dict[str, pool.MemberPool] = {}
+        # Ids of the suspected members that are about to be probed again.
+        self._probed_again: set[str] = set()
         self._removed_at_s: dict[str, float] = {}
         self._queue: queueing.StatementQueue[QueueEntry] = queueing.StatementQueue()
         self._holds: dict[member_link.MemberLink, Hold] = {}
@@ -1001,6 +1007,25 @@
             )
             self._tasks.start(self.probe(member_id))
 
+    def _probe_again(self, member_pool: pool.MemberPool) -> None:
+        """Probe a member again after a failure, as long as it is suspected.
+
+        It gets no statements meanwhile, whose answers would end the suspicion.
+        """
+        member_id = member_pool.member.id
+        if member_pool.observations.suspected and member_id not in self._probed_again:
+            self._probed_again.add(member_id)
+            self._tasks.start(self._probe_later(member_pool))
+
+    async def _probe_later(self, member_pool: pool.MemberPool) -> None:
+        member_id = member_pool.member.id
+        try:
+            await asyncio.sleep(PROBE_INTERVAL_S)
+        finally:
+            self._probed_again.discard(member_id)
+        if self._pools.get(member_id) is member_pool and member_pool.observations.suspected:
+            await self.probe(member_id)
+
     async def probe(self, member_id: str) -> None:
         """Open and close a TCP connection to a member, and record whether it was accepted.
 
@@ -1022,6 +1047,7 @@
                 member=member_id,
                 failure=type(failure).__name__,
             )
+            self._probe_again(member_pool)
         else:
             writer.close()
             if not member_pool.observations.address_taken:
