--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,11 @@
 soak-restarts: setup
 	$(PY) -m soak --restarts --seeds $(SEEDS) --first-seed $(FIRST_SEED)
 
+# Three groups under one coordinator, with cuts between instances, members and the store.
+.PHONY: soak-groups
+soak-groups: setup
+	$(PY) -m soak.group_plays --seeds $(SEEDS) --first-seed $(FIRST_SEED)
+
 measure: setup
 	$(PY) -m faults.measure --processes $(PROCESSES)
 	$(PY) -m system.throughput
--- a/bilberrystack/routing/pending_promotions.py
+++ b/bilberrystack/routing/pending_promotions.py
@@ -217,10 +217,10 @@
         self._requests.pop(number, None)
 
     def add_repeatable(self, member: str, now_s: float) -> int:
-        """Record a request of an earlier coordinator, which has seen it in effect.
+        """Record a request of an earlier coordinator that was seen in effect or has no record.
 
         Args:
-          member: The member that it names.
+          member: The member that it names, or may name.
           now_s: Current time, from which it is repeatable for the usual time.
         Returns:
           The number of the request.
