--- a/bilberrystack/platform/client.py
+++ b/bilberrystack/platform/client.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import contextlib
-import typing
 import urllib.parse
 
 import loguru
@@ -35,8 +34,6 @@
 # HTTP status codes which mean that the call was not executed.
 _NOT_EXECUTED_STATUSES = (429, 503)
 
-Decoded = typing.TypeVar("Decoded")
-
 # Decodes the content of an object, given the object's name and the content as JSON.
 SpecDecoder = collections.abc.Callable[[str, bytes], object]
 
@@ -339,7 +336,10 @@
         response = await self._store.get(path)
         if response.status == 404:
             return
-        stored = _decode_body(response, objects.StoredObject)
+        try:
+            stored = msgspec.json.decode(response.body, type=objects.StoredObject)
+        except store_results.DECODING_ERRORS as error:
+            raise interfaces.NotDone(f"malformed body: {error}") from error
         try:
             registered = objects.decode_instance(instance.name, bytes(stored.spec))
         except store_results.DECODING_ERRORS:
@@ -433,11 +433,7 @@
         await self._store.change("POST", f"/objects/{objects.PROMOTION_KIND}", body)
 
     async def update_promotion_record(self, record: interfaces.PromotionRecord) -> None:
-        """Replace the stored content of a promotion request, if there is a record of it.
-
-        Raises:
-          interfaces.StoreFailure: The record may not have been replaced.
-        """
+        """Replace the stored content of a promotion request; raises like `record_promotion`."""
         body = _encode_object(record.name, objects.encode_promotion(record))
         await self._store.change("PUT", _object_path(objects.PROMOTION_KIND, record.name), body)
 
@@ -511,15 +507,3 @@
     if revision is not None:
         meta["rev"] = revision
     return {"meta": meta, "spec": spec}
-
-
-def _decode_body(response: http.Response, body_type: type[Decoded]) -> Decoded:
-    """Decode the body of the response to a read.
-
-    Raises:
-      interfaces.NotDone: The body is malformed.
-    """
-    try:
-        return msgspec.json.decode(response.body, type=body_type)
-    except store_results.DECODING_ERRORS as error:
-        raise interfaces.NotDone(f"malformed body: {error}") from error
